--- /dev/null
+++ b/include/vanillalift/config.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+/// Limits of tables and messages, and the intervals that several modules share.
+namespace vanillalift::config {
+
+using std::chrono::milliseconds;
+
+constexpr size_t maxServices = 512;
+constexpr size_t maxTeams = 256;
+constexpr size_t maxProfiles = 256;
+constexpr size_t maxEndpointsPerService = 256;
+constexpr size_t maxEntries = 16;
+
+/// Longest accepted request identifier, in bytes.
+constexpr size_t maxRequestIdLength = 128;
+/// Longest accepted name of a team, service, profile, pool or instance, in bytes.
+constexpr size_t maxNameLength = 64;
+/// Largest request and answer body that an entry buffers, in bytes.
+constexpr size_t maxBodyBytes = 4U << 20U;
+
+/// Lease of an entry, counted from the moment it sent the poll that obtained it. Withdrawn keys have to stop
+/// working within 5 s, so the lease is shorter by the time a commit takes.
+constexpr milliseconds entryLease { 3000 };
+/// An endpoint that sends no newer announcement for this time is removed.
+constexpr milliseconds announcementExpiry { 3000 };
+
+} // namespace vanillalift::config
