--- a/src/core/catalog_json.cpp
+++ b/src/core/catalog_json.cpp
@@ -158,7 +158,8 @@
     sortUnique(catalog.profiles, byName, reader, "profiles");
     sortUnique(catalog.services, byName, reader, "services");
     sortUnique(catalog.teams, byName, reader, "teams");
-    sortUnique(catalog.keys, [](const Key& it) -> const std::string& { return it.id; }, reader, "keys");
+    sortUnique(
+        catalog.keys, [](const Key& it) -> const std::string& { return it.id; }, reader, "keys");
     checkReferences(catalog, reader);
     if (!faults.empty())
         return tl::unexpected(std::move(faults));
--- /dev/null
+++ b/src/endpoint/announcement.cpp
@@ -0,0 +1,47 @@
+#include <vanillalift/endpoint.h>
+
+#include <vanillalift/settings.h>
+
+namespace vanillalift {
+
+tl::expected<Announcement, AnnouncementFault> announcementFromJson(const nlohmann::json& value, std::string& detail)
+{
+    Announcement announcement;
+    SettingsFaults faults;
+    SettingsReader reader(value, "announcement", faults);
+    reader.read("service", announcement.service);
+    reader.read("address", announcement.address);
+    reader.read("zone", announcement.zone);
+    reader.read("instance", announcement.instance);
+    int64_t incarnation = 0;
+    int64_t sequence = 0;
+    reader.read("incarnation", incarnation, {}, Presence::Required);
+    reader.read("sequence", sequence, {}, Presence::Required);
+    std::string state;
+    reader.read("state", state);
+    if (state != "serving" && state != "leaving")
+        reader.fault("state", "must be \"serving\" or \"leaving\"");
+    reader.read("slots", announcement.slots, { 1, 10000 }, Presence::Required);
+    reader.read("connections", announcement.connections, { 1, 100000 }, Presence::Required);
+    reader.read("running", announcement.running, { 0, 1000000 });
+    reader.read("expires_ms", announcement.expiresMs, { 1, 60000 });
+    reader.finish();
+    if (!faults.empty()) {
+        detail = describe(faults);
+        return tl::unexpected(AnnouncementFault::Malformed);
+    }
+    announcement.incarnation = static_cast<uint64_t>(incarnation);
+    announcement.sequence = static_cast<uint64_t>(sequence);
+    announcement.state = state == "leaving" ? EndpointState::Leaving : EndpointState::Serving;
+    return announcement;
+}
+
+nlohmann::json toJson(const Announcement& announcement)
+{
+    return { { "service", announcement.service }, { "address", announcement.address }, { "zone", announcement.zone },
+        { "instance", announcement.instance }, { "incarnation", announcement.incarnation }, { "sequence", announcement.sequence },
+        { "state", announcement.state == EndpointState::Leaving ? "leaving" : "serving" }, { "slots", announcement.slots },
+        { "connections", announcement.connections }, { "running", announcement.running }, { "expires_ms", announcement.expiresMs } };
+}
+
+} // namespace vanillalift
