Add the replicated control state with changes, operations and limit parts

Cause: control replicas need a deterministic state machine before the log is connected to it. A global base revision was chosen over per-object locks (the optimistic locking of the Waltz paper), because of two operators with equal numbers exactly one has to win, whatever they touch. Conclusion: the state machine is ready for the log.

--- a/include/vanillalift/catalog.h
+++ b/include/vanillalift/catalog.h
@@ -105,9 +105,15 @@
 /// @returns the JSON form that catalogFromJson() accepts.
 nlohmann::json toJson(const Catalog& catalog);
 
-/// Converts one profile; also used by the control state machine to check an operator's change.
+/// Converters of the parts; the control state machine uses them to check an operator's change.
 Profile profileFromJson(const nlohmann::json& value, const std::string& place, SettingsFaults& faults);
+Service serviceFromJson(const nlohmann::json& value, const std::string& place, SettingsFaults& faults);
+Team teamFromJson(const nlohmann::json& value, const std::string& place, SettingsFaults& faults);
+Key keyFromJson(const nlohmann::json& value, const std::string& place, SettingsFaults& faults);
 nlohmann::json toJson(const Profile& profile);
+nlohmann::json toJson(const Service& service);
+nlohmann::json toJson(const Team& team);
+nlohmann::json toJson(const Key& key);
 
 /// Result of checking a presented key "{id}.{secret}".
 enum class KeyVerdict : uint8_t {
--- /dev/null
+++ b/include/vanillalift/change.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <vanillalift/catalog.h>
+
+#include <nlohmann/json.hpp>
+#include <tl/expected.hpp>
+
+#include <string>
+#include <variant>
+
+/// Changes that operators propose to the replicated state.
+namespace vanillalift {
+
+/// What an operator may do. Each role includes the ones before it.
+enum class OperatorRole : uint8_t {
+    Viewer,
+    Editor,
+    Admin,
+    OperatorRoleCount,
+};
+
+/// A group of instances. A pool without a service is spare capacity shared by all services.
+struct Pool {
+    std::string name;
+    std::string service;
+};
+
+/// A machine of the fleet. Each instance names its one pool, so it cannot be in two.
+struct Instance {
+    std::string name;
+    std::string zone;
+    std::string rack;
+    /// "ip:port" of its endpoint, or empty.
+    std::string address;
+    std::string pool;
+};
+
+struct OperatorAccount {
+    std::string name;
+    OperatorRole role = OperatorRole::Viewer;
+    /// Salted hash of the account's secret, as for Key.
+    std::string salt;
+    std::string hash;
+};
+
+struct PutProfile {
+    Profile profile;
+};
+struct DeleteProfile {
+    std::string name;
+};
+struct PutService {
+    Service service;
+};
+struct DeleteService {
+    std::string name;
+};
+struct PutTeam {
+    Team team;
+};
+struct DeleteTeam {
+    std::string name;
+};
+struct GiveKey {
+    Key key;
+};
+/// A withdrawn key stays known and refused; its id cannot be given again while its team exists.
+struct WithdrawKey {
+    std::string id;
+};
+struct PutPool {
+    Pool pool;
+};
+struct DeletePool {
+    std::string name;
+};
+/// Adds an instance to the fleet, or changes its place and address but not its pool.
+struct PutInstance {
+    Instance instance;
+};
+/// Moves an instance; refused if it is not in the pool that it is said to come from.
+struct MoveInstance {
+    std::string instance;
+    std::string from;
+    std::string to;
+};
+struct RemoveInstance {
+    std::string name;
+};
+struct PutOperator {
+    OperatorAccount account;
+};
+struct DeleteOperator {
+    std::string name;
+};
+
+using Change = std::variant<PutProfile, DeleteProfile, PutService, DeleteService, PutTeam, DeleteTeam, GiveKey, WithdrawKey,
+    PutPool, DeletePool, PutInstance, MoveInstance, RemoveInstance, PutOperator, DeleteOperator>;
+
+/// Parses {"kind": "put-profile", ...}. Each fault names its field.
+tl::expected<Change, SettingsFaults> changeFromJson(const nlohmann::json& value, const std::string& place);
+nlohmann::json toJson(const Change& change);
+
+/// @returns the kind as written in JSON, e.g. "withdraw-key".
+std::string_view changeKind(const Change& change);
+
+/// @returns the role that an operator needs for the change: Admin for operators' accounts, otherwise Editor.
+OperatorRole requiredRole(const Change& change);
+
+std::string_view roleName(OperatorRole role);
+
+} // namespace vanillalift
--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -14,6 +14,7 @@
 constexpr size_t maxProfiles = 256;
 constexpr size_t maxEndpointsPerService = 256;
 constexpr size_t maxEntries = 16;
+constexpr size_t maxInstances = 8192;
 
 /// Longest accepted request identifier, in bytes.
 constexpr size_t maxRequestIdLength = 128;
--- /dev/null
+++ b/src/control/control_state.cpp
@@ -0,0 +1,142 @@
+#include <vanillalift/control_state.h>
+
+#include "change_applier_p.h"
+
+#include <algorithm>
+#include <array>
+
+namespace vanillalift {
+
+namespace {
+
+    /// Operation ids are kept this long, so that a resend after a lost answer gets the first outcome.
+    constexpr int64_t operationRetentionMs = 24LL * 3600 * 1000;
+    constexpr size_t maxOperations = 10000;
+    constexpr size_t maxHistory = 10000;
+    /// Author of the first account of a group that has none yet.
+    constexpr std::string_view bootstrapAuthor = "bootstrap";
+
+    bool isSameHolder(const LimitPart& a, const LimitPart& b)
+    {
+        return a.team == b.team && a.entry == b.entry && a.incarnation == b.incarnation;
+    }
+
+    int64_t sumOf(std::span<const LimitPart> parts, std::string_view team)
+    {
+        int64_t sum = 0;
+        for (const auto& it : parts)
+            sum += it.team == team ? it.amount : 0;
+        return sum;
+    }
+
+} // namespace
+
+std::string_view changeFaultName(ChangeFault fault)
+{
+    constexpr std::array<std::string_view, static_cast<size_t>(ChangeFault::ChangeFaultCount)> names { "malformed", "not-permitted", "conflict", "reference" };
+    return names.at(static_cast<size_t>(fault));
+}
+
+ChangeOutcome ControlState::apply(const ChangeCommand& command)
+{
+    if (command.operation.empty() || command.operation.size() > config::maxRequestIdLength)
+        return ChangeRejected { ChangeFault::Malformed, "the operation id must have 1 to 128 characters", std::nullopt, m_revision };
+    if (auto known = findOperation(command.operation))
+        return *known;
+    auto outcome = decide(command);
+    remember(command, outcome);
+    return outcome;
+}
+
+ChangeOutcome ControlState::decide(const ChangeCommand& command)
+{
+    auto change = changeFromJson(command.change, "change");
+    if (!change)
+        return ChangeRejected { ChangeFault::Malformed, describe(change.error()), std::nullopt, m_revision };
+    if (!isPermitted(command, *change))
+        return ChangeRejected { ChangeFault::NotPermitted, "\"" + command.author + "\" lacks the role " + std::string(roleName(requiredRole(*change))), std::nullopt, m_revision };
+    if (command.baseRevision != m_revision)
+        return conflict(command.baseRevision);
+    auto refusal = std::visit(ChangeApplier(*this), *change);
+    if (!refusal.empty())
+        return ChangeRejected { ChangeFault::Reference, refusal, std::nullopt, m_revision };
+    ++m_revision;
+    m_history.push_back({ m_revision, command.timeMs, command.author, command.operation, vanillalift::toJson(*change) });
+    if (m_history.size() > maxHistory)
+        m_history.pop_front();
+    return ChangeAccepted { m_revision };
+}
+
+bool ControlState::isPermitted(const ChangeCommand& command, const Change& change) const
+{
+    if (m_operators.empty())
+        return command.author == bootstrapAuthor && std::holds_alternative<PutOperator>(change);
+    auto it = m_operators.find(command.author);
+    return it != m_operators.end() && it->second.role >= requiredRole(change);
+}
+
+ChangeRejected ControlState::conflict(uint64_t baseRevision) const
+{
+    ChangeRejected rejected { ChangeFault::Conflict, "the state is at revision " + std::to_string(m_revision) + ", not at the base revision " + std::to_string(baseRevision), std::nullopt, m_revision };
+    auto it = std::find_if(m_history.begin(), m_history.end(), [&](const ChangeRecord& record) { return record.revision == baseRevision + 1; });
+    if (it != m_history.end())
+        rejected.lostTo = *it;
+    return rejected;
+}
+
+void ControlState::remember(const ChangeCommand& command, const ChangeOutcome& outcome)
+{
+    m_operations[command.operation] = { command.timeMs, outcome };
+    m_operationOrder.push_back(command.operation);
+    auto isOld = [&] { return m_operationOrder.size() > maxOperations || m_operations.find(m_operationOrder.front())->second.timeMs + operationRetentionMs < command.timeMs; };
+    while (isOld()) {
+        m_operations.erase(m_operationOrder.front());
+        m_operationOrder.pop_front();
+    }
+}
+
+std::optional<ChangeOutcome> ControlState::findOperation(std::string_view operation) const
+{
+    auto it = m_operations.find(operation);
+    return it == m_operations.end() ? std::nullopt : std::optional(it->second.outcome);
+}
+
+std::optional<PartsFault> ControlState::apply(const PartsCommand& command)
+{
+    auto parts = m_parts;
+    for (const auto& it : command.parts) {
+        if (it.target > it.amount || it.target < 0)
+            return PartsFault::TargetAboveAmount;
+        std::erase_if(parts, [&](const LimitPart& held) { return isSameHolder(held, it); });
+        if (it.amount > 0)
+            parts.push_back(it);
+    }
+    for (const auto& it : command.parts) {
+        auto team = m_teams.find(it.team);
+        if (team == m_teams.end())
+            return PartsFault::TeamUnknown;
+        auto sum = sumOf(parts, it.team);
+        // After an operator lowered the limit the sum may stand above it until the holders have come down.
+        if (sum > team->second.upperLimit && sum > sumOf(m_parts, it.team))
+            return PartsFault::OverLimit;
+    }
+    m_parts = std::move(parts);
+    return std::nullopt;
+}
+
+Catalog ControlState::catalog() const
+{
+    Catalog catalog;
+    catalog.revision = m_revision;
+    for (const auto& [name, profile] : m_profiles)
+        catalog.profiles.push_back(profile);
+    for (const auto& [name, service] : m_services)
+        catalog.services.push_back(service);
+    for (const auto& [name, team] : m_teams)
+        catalog.teams.push_back(team);
+    for (const auto& [id, key] : m_keys)
+        catalog.keys.push_back(key);
+    return catalog;
+}
+
+} // namespace vanillalift
--- /dev/null
+++ b/src/control/control_state_json.cpp
@@ -0,0 +1,183 @@
+#include <vanillalift/control_state.h>
+
+namespace vanillalift {
+
+using nlohmann::json;
+
+namespace {
+
+    struct OutcomeToJson {
+        json operator()(const ChangeAccepted& accepted) const { return { { "accepted", true }, { "revision", accepted.revision } }; }
+        json operator()(const ChangeRejected& rejected) const
+        {
+            json value { { "accepted", false }, { "fault", changeFaultName(rejected.fault) }, { "detail", rejected.detail }, { "revision", rejected.currentRevision } };
+            if (rejected.lostTo)
+                value["lost_to"] = toJson(*rejected.lostTo);
+            return value;
+        }
+    };
+
+    ChangeRecord recordFromJson(const json& value)
+    {
+        return { value.at("revision"), value.at("time_ms"), value.at("author"), value.at("operation"), value.at("change") };
+    }
+
+    ChangeFault faultFromName(std::string_view name)
+    {
+        for (size_t n = 0; n < static_cast<size_t>(ChangeFault::ChangeFaultCount); ++n) {
+            if (changeFaultName(static_cast<ChangeFault>(n)) == name)
+                return static_cast<ChangeFault>(n);
+        }
+        return ChangeFault::Malformed;
+    }
+
+    ChangeOutcome outcomeFromJson(const json& value)
+    {
+        if (value.at("accepted").get<bool>())
+            return ChangeAccepted { value.at("revision") };
+        ChangeRejected rejected { faultFromName(value.at("fault").get<std::string>()), value.at("detail"), std::nullopt, value.at("revision") };
+        if (value.contains("lost_to"))
+            rejected.lostTo = recordFromJson(value.at("lost_to"));
+        return rejected;
+    }
+
+    json partToJson(const LimitPart& part)
+    {
+        return { { "team", part.team }, { "entry", part.entry }, { "incarnation", part.incarnation }, { "amount", part.amount }, { "target", part.target } };
+    }
+
+    LimitPart partFromJson(const json& value)
+    {
+        return { value.at("team"), value.at("entry"), value.at("incarnation"), value.at("amount"), value.at("target") };
+    }
+
+    template <typename Table, typename Wrap>
+    json changesOf(const Table& table, Wrap wrap)
+    {
+        auto array = json::array();
+        for (const auto& [name, value] : table)
+            array.push_back(toJson(Change { wrap(value) }));
+        return array;
+    }
+
+    template <typename T, typename Table, typename Member>
+    void restoreTable(const json& array, Table& table, Member member)
+    {
+        for (const auto& it : array) {
+            auto change = changeFromJson(it, "snapshot");
+            if (!change)
+                throw std::invalid_argument(describe(change.error()));
+            const auto& value = std::get<T>(*change).*member;
+            if constexpr (std::is_same_v<T, GiveKey>)
+                table[value.id] = value;
+            else
+                table[value.name] = value;
+        }
+    }
+
+    struct CommandToJson {
+        json operator()(const ChangeCommand& command) const
+        {
+            return { { "author", command.author }, { "operation", command.operation }, { "base_revision", command.baseRevision }, { "time_ms", command.timeMs }, { "change", command.change } };
+        }
+        json operator()(const PartsCommand& command) const
+        {
+            json value { { "parts", json::array() } };
+            for (const auto& it : command.parts)
+                value["parts"].push_back(partToJson(it));
+            return value;
+        }
+    };
+
+    ControlCommand commandFromJson(const json& value)
+    {
+        if (!value.contains("parts"))
+            return ChangeCommand { value.at("author"), value.at("operation"), value.at("base_revision"), value.at("time_ms"), value.at("change") };
+        PartsCommand command;
+        for (const auto& it : value.at("parts"))
+            command.parts.push_back(partFromJson(it));
+        return command;
+    }
+
+} // namespace
+
+json toJson(const ChangeOutcome& outcome)
+{
+    return std::visit(OutcomeToJson {}, outcome);
+}
+
+json toJson(const ChangeRecord& record)
+{
+    return { { "revision", record.revision }, { "time_ms", record.timeMs }, { "author", record.author }, { "operation", record.operation }, { "change", record.change } };
+}
+
+std::string encodeCommand(const ControlCommand& command)
+{
+    std::string bytes;
+    json::to_cbor(std::visit(CommandToJson {}, command), bytes);
+    return bytes;
+}
+
+std::optional<ControlCommand> decodeCommand(std::string_view bytes)
+{
+    auto value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (value.is_discarded())
+        return std::nullopt;
+    try {
+        return commandFromJson(value);
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+json ControlState::toJson() const
+{
+    json value { { "revision", m_revision } };
+    value["profiles"] = changesOf(m_profiles, [](const Profile& it) { return PutProfile { it }; });
+    value["services"] = changesOf(m_services, [](const Service& it) { return PutService { it }; });
+    value["teams"] = changesOf(m_teams, [](const Team& it) { return PutTeam { it }; });
+    value["keys"] = changesOf(m_keys, [](const Key& it) { return GiveKey { it }; });
+    value["pools"] = changesOf(m_pools, [](const Pool& it) { return PutPool { it }; });
+    value["instances"] = changesOf(m_instances, [](const Instance& it) { return PutInstance { it }; });
+    value["operators"] = changesOf(m_operators, [](const OperatorAccount& it) { return PutOperator { it }; });
+    value["parts"] = json::array();
+    for (const auto& it : m_parts)
+        value["parts"].push_back(partToJson(it));
+    value["history"] = json::array();
+    for (const auto& it : m_history)
+        value["history"].push_back(vanillalift::toJson(it));
+    value["operations"] = json::array();
+    for (const auto& it : m_operationOrder) {
+        const auto& record = m_operations.find(it)->second;
+        value["operations"].push_back({ { "operation", it }, { "time_ms", record.timeMs }, { "outcome", vanillalift::toJson(record.outcome) } });
+    }
+    return value;
+}
+
+tl::expected<ControlState, SettingsFaults> ControlState::fromJson(const json& value)
+{
+    ControlState state;
+    try {
+        state.m_revision = value.at("revision");
+        restoreTable<PutProfile>(value.at("profiles"), state.m_profiles, &PutProfile::profile);
+        restoreTable<PutService>(value.at("services"), state.m_services, &PutService::service);
+        restoreTable<PutTeam>(value.at("teams"), state.m_teams, &PutTeam::team);
+        restoreTable<GiveKey>(value.at("keys"), state.m_keys, &GiveKey::key);
+        restoreTable<PutPool>(value.at("pools"), state.m_pools, &PutPool::pool);
+        restoreTable<PutInstance>(value.at("instances"), state.m_instances, &PutInstance::instance);
+        restoreTable<PutOperator>(value.at("operators"), state.m_operators, &PutOperator::account);
+        for (const auto& it : value.at("parts"))
+            state.m_parts.push_back(partFromJson(it));
+        for (const auto& it : value.at("history"))
+            state.m_history.push_back(recordFromJson(it));
+        for (const auto& it : value.at("operations")) {
+            state.m_operationOrder.push_back(it.at("operation"));
+            state.m_operations[state.m_operationOrder.back()] = { it.at("time_ms"), outcomeFromJson(it.at("outcome")) };
+        }
+    } catch (const std::exception& error) {
+        return tl::unexpected(SettingsFaults { { "snapshot", error.what() } });
+    }
+    return state;
+}
+
+} // namespace vanillalift
--- a/src/core/catalog_json.cpp
+++ b/src/core/catalog_json.cpp
@@ -42,45 +42,6 @@
         }
     }
 
-    Service serviceFromJson(const json& value, const std::string& place, SettingsFaults& faults)
-    {
-        Service service;
-        SettingsReader reader(value, place, faults);
-        readName(reader, "name", service.name);
-        readName(reader, "profile", service.profile);
-        reader.read("teams", service.teams);
-        reader.finish();
-        return service;
-    }
-
-    Team teamFromJson(const json& value, const std::string& place, SettingsFaults& faults)
-    {
-        Team team;
-        SettingsReader reader(value, place, faults);
-        readName(reader, "name", team.name);
-        reader.read("share", team.share, 0.001, 1e6);
-        reader.read("upper_limit", team.upperLimit, { 0, 1000000 }, Presence::Required);
-        reader.finish();
-        return team;
-    }
-
-    Key keyFromJson(const json& value, const std::string& place, SettingsFaults& faults)
-    {
-        Key key;
-        SettingsReader reader(value, place, faults);
-        readName(reader, "id", key.id);
-        readName(reader, "team", key.team);
-        reader.read("salt", key.salt);
-        reader.read("hash", key.hash);
-        reader.read("withdrawn", key.withdrawn);
-        if (key.hash.size() != 64)
-            reader.fault("hash", "must be 64 hexadecimal digits");
-        if (!hashKeySecret(key.salt, ""))
-            reader.fault("salt", "must be an even number of hexadecimal digits");
-        reader.finish();
-        return key;
-    }
-
     template <typename T, typename Convert>
     void readTable(SettingsReader& reader, const char* field, size_t limit, std::vector<T>& table, SettingsFaults& faults, Convert convert)
     {
@@ -141,6 +102,45 @@
     return profile;
 }
 
+Service serviceFromJson(const json& value, const std::string& place, SettingsFaults& faults)
+{
+    Service service;
+    SettingsReader reader(value, place, faults);
+    readName(reader, "name", service.name);
+    readName(reader, "profile", service.profile);
+    reader.read("teams", service.teams);
+    reader.finish();
+    return service;
+}
+
+Team teamFromJson(const json& value, const std::string& place, SettingsFaults& faults)
+{
+    Team team;
+    SettingsReader reader(value, place, faults);
+    readName(reader, "name", team.name);
+    reader.read("share", team.share, 0.001, 1e6);
+    reader.read("upper_limit", team.upperLimit, { 0, 1000000 }, Presence::Required);
+    reader.finish();
+    return team;
+}
+
+Key keyFromJson(const json& value, const std::string& place, SettingsFaults& faults)
+{
+    Key key;
+    SettingsReader reader(value, place, faults);
+    readName(reader, "id", key.id);
+    readName(reader, "team", key.team);
+    reader.read("salt", key.salt);
+    reader.read("hash", key.hash);
+    reader.read("withdrawn", key.withdrawn);
+    if (key.hash.size() != 64)
+        reader.fault("hash", "must be 64 hexadecimal digits");
+    if (!hashKeySecret(key.salt, ""))
+        reader.fault("salt", "must be an even number of hexadecimal digits");
+    reader.finish();
+    return key;
+}
+
 tl::expected<Catalog, SettingsFaults> catalogFromJson(const json& value, const std::string& place)
 {
     Catalog catalog;
@@ -175,17 +175,32 @@
         { "claim_retention_ms", profile.claimRetentionMs }, { "share_weights", profile.shareWeights } };
 }
 
+json toJson(const Service& service)
+{
+    return { { "name", service.name }, { "profile", service.profile }, { "teams", service.teams } };
+}
+
+json toJson(const Team& team)
+{
+    return { { "name", team.name }, { "share", team.share }, { "upper_limit", team.upperLimit } };
+}
+
+json toJson(const Key& key)
+{
+    return { { "id", key.id }, { "team", key.team }, { "salt", key.salt }, { "hash", key.hash }, { "withdrawn", key.withdrawn } };
+}
+
 json toJson(const Catalog& catalog)
 {
     json value { { "revision", catalog.revision }, { "profiles", json::array() }, { "services", json::array() }, { "teams", json::array() }, { "keys", json::array() } };
     for (const auto& it : catalog.profiles)
         value["profiles"].push_back(toJson(it));
     for (const auto& it : catalog.services)
-        value["services"].push_back({ { "name", it.name }, { "profile", it.profile }, { "teams", it.teams } });
+        value["services"].push_back(toJson(it));
     for (const auto& it : catalog.teams)
-        value["teams"].push_back({ { "name", it.name }, { "share", it.share }, { "upper_limit", it.upperLimit } });
+        value["teams"].push_back(toJson(it));
     for (const auto& it : catalog.keys)
-        value["keys"].push_back({ { "id", it.id }, { "team", it.team }, { "salt", it.salt }, { "hash", it.hash }, { "withdrawn", it.withdrawn } });
+        value["keys"].push_back(toJson(it));
     return value;
 }
 
