Add the operators' RPC methods and the leader's side of the follow protocol

Cause: operators and entries need a server side in control. Change: propose, check, read, history, in_force, explain, status and replace_replica for operators; follow for entries, with leases confirmed by a read index; a register of entries, so that a new leader knows which entries may go on serving open services with an older revision.

--- a/include/vanillalift/change.h
+++ b/include/vanillalift/change.h
@@ -93,9 +93,13 @@
 struct DeleteOperator {
     std::string name;
 };
+/// Removes an entry that is gone for good from the register of entries.
+struct RemoveEntry {
+    std::string name;
+};
 
 using Change = std::variant<PutProfile, DeleteProfile, PutService, DeleteService, PutTeam, DeleteTeam, GiveKey, WithdrawKey,
-    PutPool, DeletePool, PutInstance, MoveInstance, RemoveInstance, PutOperator, DeleteOperator>;
+    PutPool, DeletePool, PutInstance, MoveInstance, RemoveInstance, PutOperator, DeleteOperator, RemoveEntry>;
 
 /// Parses {"kind": "put-profile", ...}. Each fault names its field.
 tl::expected<Change, SettingsFaults> changeFromJson(const nlohmann::json& value, const std::string& place);
@@ -107,6 +111,10 @@
 /// @returns the role that an operator needs for the change: Admin for operators' accounts, otherwise Editor.
 OperatorRole requiredRole(const Change& change);
 
+/// @returns whether the change concerns how a service is served, beyond keys, teams, pools and accounts. Entries that serve
+/// open services without a lease may not know of such a change.
+bool isServiceChange(const Change& change);
+
 std::string_view roleName(OperatorRole role);
 
 } // namespace vanillalift
--- a/include/vanillalift/control_state.h
+++ b/include/vanillalift/control_state.h
@@ -85,7 +85,13 @@
     PartsFaultCount,
 };
 
-using ControlCommand = std::variant<ChangeCommand, PartsCommand>;
+/// Adds an entry to the register when it polls for the first time, so that each later leader knows of it.
+struct RegisterEntryCommand {
+    std::string name;
+    std::string zone;
+};
+
+using ControlCommand = std::variant<ChangeCommand, PartsCommand, RegisterEntryCommand>;
 
 /// @returns the encoded form for the replicated log (CBOR).
 std::string encodeCommand(const ControlCommand& command);
@@ -97,6 +103,7 @@
     ChangeOutcome apply(const ChangeCommand& command);
     /// @returns nothing on success.
     std::optional<PartsFault> apply(const PartsCommand& command);
+    void apply(const RegisterEntryCommand& command);
 
     [[nodiscard]] uint64_t revision() const { return m_revision; }
     /// The catalog for entries at the current revision.
@@ -111,6 +118,8 @@
     /// @returns the longest time in milliseconds for which work that entries dispatched up to now may run: the longest
     /// timeout of any profile, those that were replaced or deleted recently included.
     [[nodiscard]] int64_t runBoundMs(int64_t nowMs) const;
+    /// Zones of all entries that ever polled and were not removed, by name.
+    [[nodiscard]] const std::map<std::string, std::string>& entries() const { return m_entries; }
     [[nodiscard]] const std::deque<ChangeRecord>& history() const { return m_history; }
     /// @returns the first outcome of an operation, or nothing if the operation is unknown.
     [[nodiscard]] std::optional<ChangeOutcome> findOperation(std::string_view operation) const;
@@ -146,6 +155,7 @@
     /// Longest timeout among replaced profiles whose work may still run, and until when.
     int64_t m_pastRunBoundMs = 0;
     int64_t m_pastRunBoundUntilMs = 0;
+    std::map<std::string, std::string> m_entries;
     std::deque<ChangeRecord> m_history;
     std::map<std::string, OperationRecord, std::less<>> m_operations;
     /// Operation ids in the order of their first submission, oldest first.
--- a/src/control/change.cpp
+++ b/src/control/change.cpp
@@ -11,7 +11,7 @@
 
     constexpr std::array<std::string_view, std::variant_size_v<Change>> kinds { "put-profile", "delete-profile", "put-service",
         "delete-service", "put-team", "delete-team", "give-key", "withdraw-key", "put-pool", "delete-pool", "put-instance",
-        "move-instance", "remove-instance", "put-operator", "delete-operator" };
+        "move-instance", "remove-instance", "put-operator", "delete-operator", "remove-entry" };
 
     constexpr std::array<std::string_view, static_cast<size_t>(OperatorRole::OperatorRoleCount)> roleNames { "viewer", "editor", "admin" };
 
@@ -158,6 +158,11 @@
     return isAccountChange ? OperatorRole::Admin : OperatorRole::Editor;
 }
 
+bool isServiceChange(const Change& change)
+{
+    return std::holds_alternative<PutProfile>(change) || std::holds_alternative<PutService>(change) || std::holds_alternative<DeleteService>(change);
+}
+
 std::string_view roleName(OperatorRole role)
 {
     return roleNames.at(static_cast<size_t>(role));
--- a/src/control/change_applier.cpp
+++ b/src/control/change_applier.cpp
@@ -179,4 +179,9 @@
     return eraseNamed(m_state.m_operators, "operator", change.name);
 }
 
+std::string ChangeApplier::operator()(const RemoveEntry& change)
+{
+    return m_state.m_entries.erase(change.name) == 0 ? unknown("entry", change.name) : std::string();
+}
+
 } // namespace vanillalift
--- a/src/control/change_applier_p.h
+++ b/src/control/change_applier_p.h
@@ -28,6 +28,7 @@
     std::string operator()(const RemoveInstance& change);
     std::string operator()(const PutOperator& change);
     std::string operator()(const DeleteOperator& change);
+    std::string operator()(const RemoveEntry& change);
 
 private:
     [[nodiscard]] size_t adminCountWithout(const std::string& name) const;
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -127,6 +127,11 @@
     return std::nullopt;
 }
 
+void ControlState::apply(const RegisterEntryCommand& command)
+{
+    m_entries[command.name] = command.zone;
+}
+
 int64_t ControlState::longestTimeoutMs() const
 {
     int64_t longest = 0;
--- a/src/control/control_state_json.cpp
+++ b/src/control/control_state_json.cpp
@@ -87,10 +87,13 @@
                 value["parts"].push_back(partToJson(it));
             return value;
         }
+        json operator()(const RegisterEntryCommand& command) const { return { { "register", command.name }, { "zone", command.zone } }; }
     };
 
     ControlCommand commandFromJson(const json& value)
     {
+        if (value.contains("register"))
+            return RegisterEntryCommand { value.at("register"), value.at("zone") };
         if (!value.contains("parts"))
             return ChangeCommand { value.at("author"), value.at("operation"), value.at("base_revision"), value.at("time_ms"), value.at("change") };
         PartsCommand command;
@@ -143,6 +146,7 @@
     value["parts"] = json::array();
     for (const auto& it : m_parts)
         value["parts"].push_back(partToJson(it));
+    value["entries"] = m_entries;
     value["history"] = json::array();
     for (const auto& it : m_history)
         value["history"].push_back(vanillalift::toJson(it));
@@ -171,6 +175,7 @@
         restoreTable<PutOperator>(value.at("operators"), state.m_operators, &PutOperator::account);
         for (const auto& it : value.at("parts"))
             state.m_parts.push_back(partFromJson(it));
+        state.m_entries = value.at("entries").get<std::map<std::string, std::string>>();
         for (const auto& it : value.at("history"))
             state.m_history.push_back(recordFromJson(it));
         for (const auto& it : value.at("operations")) {
--- a/src/follow/entry_table.cpp
+++ b/src/follow/entry_table.cpp
@@ -1,5 +1,9 @@
 #include "entry_table_p.h"
 
+#include <vanillalift/config.h>
+
+#include <limits>
+
 namespace vanillalift {
 
 namespace {
@@ -65,6 +69,21 @@
     return pending;
 }
 
+std::vector<PendingEntry> EntryTable::isolated(uint64_t revision, const std::map<std::string, std::string>& names, Duration isolatedTime, TimePoint now) const
+{
+    std::vector<PendingEntry> isolated;
+    for (const auto& [name, zone] : names) {
+        // The newest incarnation of the entry; the ones before it have ended.
+        auto it = m_entries.upper_bound({ name, std::numeric_limits<uint64_t>::max() });
+        bool isKnown = it != m_entries.begin() && std::prev(it)->first.name == name;
+        auto end = isKnown ? std::prev(it)->second.leaseEnd : unknownLeaseEnd();
+        bool hasRevision = isKnown && std::prev(it)->second.revision >= revision;
+        if (!hasRevision && now >= end && now < end + isolatedTime)
+            isolated.push_back({ { name, isKnown ? std::prev(it)->first.incarnation : 0 }, end + isolatedTime });
+    }
+    return isolated;
+}
+
 void EntryTable::forget(TimePoint limit)
 {
     std::erase_if(m_entries, [&](const auto& it) { return it.second.leaseEnd < limit; });
--- a/src/follow/entry_table_p.h
+++ b/src/follow/entry_table_p.h
@@ -47,6 +47,12 @@
     /// @returns the entries that may still act on a state before @p revision.
     [[nodiscard]] std::vector<PendingEntry> pending(uint64_t revision, TimePoint now) const;
 
+    /// @returns the registered entries without a lease that have not applied @p revision and may go on serving services
+    /// that are open to all.
+    /// @param names the register of entries.
+    /// @param isolatedTime longest time for which an entry serves an open service without a lease.
+    [[nodiscard]] std::vector<PendingEntry> isolated(uint64_t revision, const std::map<std::string, std::string>& names, Duration isolatedTime, TimePoint now) const;
+
     /// Forgets entries whose lease ended before @p limit.
     void forget(TimePoint limit);
 
--- /dev/null
+++ b/src/follow/follow_service.cpp
@@ -0,0 +1,219 @@
+#include "follow_service_p.h"
+
+#include "limit_planner_p.h"
+
+#include <glog/logging.h>
+
+namespace vanillalift {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds planInterval { 1000 };
+    constexpr milliseconds maxWait { 1000 };
+    constexpr milliseconds readTimeout { 1000 };
+    /// Records of entries are kept this long after their lease, which is longer than any run bound in use.
+    constexpr std::chrono::hours entryRetention { 2 };
+
+    RpcError notLeader(const std::string& leader)
+    {
+        return { RpcErrorCode::Refused, "not-leader " + leader };
+    }
+
+    /// @returns whether the change of the revision concerns how services are served; true if it is no longer known.
+    bool isServiceChangeAt(const ControlState& state, uint64_t revision)
+    {
+        const auto& history = state.history();
+        if (history.empty() || revision < history.front().revision || revision > history.back().revision)
+            return true;
+        auto change = changeFromJson(history[revision - history.front().revision].change, "history");
+        return !change || isServiceChange(*change);
+    }
+
+    /// @returns the longest time for which an entry serves an open service without a lease.
+    Duration longestIsolation(const ControlState& state)
+    {
+        auto catalog = state.catalog();
+        int64_t longest = 0;
+        for (uint16_t n = 0; n < catalog.services.size(); ++n) {
+            const auto& profile = catalog.profileOf({ n });
+            if (profile.openToAll)
+                longest = std::max(longest, profile.isolatedMs);
+        }
+        return milliseconds(longest);
+    }
+
+} // namespace
+
+FollowService::FollowService(ReplicatedLog& log, const ControlMachine& machine, const Clock& clock)
+    : m_log(log)
+    , m_machine(machine)
+    , m_clock(clock)
+{
+}
+
+FollowService::~FollowService() { stop(); }
+
+void FollowService::addMethods(RpcServer& server)
+{
+    server.add("follow", [this](const nlohmann::json& params) { return follow(params); });
+}
+
+void FollowService::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void FollowService::stop()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_stopped.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+bool FollowService::ensureLeadership()
+{
+    auto status = m_log.status();
+    if (status.role != ReplicaRole::Leader) {
+        m_entries.reset();
+        return false;
+    }
+    if (!m_entries || status.term != m_term) {
+        m_term = status.term;
+        m_entries.emplace(m_clock.now());
+    }
+    return true;
+}
+
+RpcResult FollowService::follow(const nlohmann::json& params)
+{
+    auto request = followRequestFromJson(params);
+    if (!request)
+        return tl::unexpected(RpcError { RpcErrorCode::ParametersMalformed, describe(request.error()) });
+    if (!registerEntry(*request))
+        return tl::unexpected(notLeader(m_log.status().leader));
+    uint64_t term = 0;
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_stats.polls;
+        if (!ensureLeadership()) {
+            ++m_stats.refusedPolls;
+            return tl::unexpected(notLeader(m_log.status().leader));
+        }
+        m_entries->recordPoll(*request, m_clock.now());
+        term = m_term;
+    }
+    m_machine.waitForNews(request->revision, request->partsVersion, m_clock.now() + std::min(maxWait, milliseconds(request->waitMs)));
+
+    auto read = m_log.readIndex();
+    if (read.wait_for(readTimeout) != std::future_status::ready || !read.get()) {
+        std::lock_guard lock(m_mutex);
+        ++m_stats.refusedPolls;
+        return tl::unexpected(notLeader(m_log.status().leader));
+    }
+    std::lock_guard lock(m_mutex);
+    if (!ensureLeadership() || m_term != term) {
+        ++m_stats.refusedPolls;
+        return tl::unexpected(notLeader(m_log.status().leader));
+    }
+    m_entries->recordAnswer(request->entry, m_clock.now());
+    return toJson(makeResponse(*request));
+}
+
+bool FollowService::registerEntry(const FollowRequest& request)
+{
+    bool isKnown = m_machine.read([&](const ControlState& state) { return state.entries().contains(request.entry.name); });
+    if (isKnown)
+        return true;
+    // The registration is committed before the entry's first lease, so that each later leader knows of the entry.
+    auto registered = m_log.propose(encodeCommand(RegisterEntryCommand { request.entry.name, request.zone }));
+    return registered.wait_for(readTimeout) == std::future_status::ready && registered.get();
+}
+
+FollowResponse FollowService::makeResponse(const FollowRequest& request) const
+{
+    return m_machine.read([&](const ControlState& state) {
+        FollowResponse response;
+        response.revision = state.revision();
+        response.partsVersion = state.partsVersion();
+        const auto& history = state.history();
+        bool isInHistory = request.revision > 0 && !history.empty() && history.front().revision <= request.revision + 1;
+        if (request.revision < state.revision() && !isInHistory)
+            response.catalog = state.catalog();
+        for (auto it = history.begin(); !response.catalog && it != history.end(); ++it) {
+            if (it->revision > request.revision)
+                response.changes.push_back(*changeFromJson(it->change, "history"));
+        }
+        if (request.partsVersion != state.partsVersion()) {
+            response.parts.emplace();
+            for (const auto& it : state.parts()) {
+                if (EntryId { it.entry, it.incarnation } == request.entry)
+                    response.parts->push_back({ it.team, it.amount, it.target });
+            }
+        }
+        return response;
+    });
+}
+
+std::optional<InForceReport> FollowService::inForce(uint64_t revision)
+{
+    std::lock_guard lock(m_mutex);
+    if (!ensureLeadership())
+        return std::nullopt;
+    auto now = m_clock.now();
+    InForceReport report { false, 0, m_entries->pending(revision, now), {} };
+    m_machine.read([&](const ControlState& state) {
+        report.revision = state.revision();
+        if (isServiceChangeAt(state, revision))
+            report.isolated = m_entries->isolated(revision, state.entries(), longestIsolation(state), now);
+    });
+    report.isInForce = report.pending.empty() && report.isolated.empty() && report.revision >= revision;
+    return report;
+}
+
+FollowServiceStats FollowService::stats() const
+{
+    std::lock_guard lock(m_mutex);
+    auto stats = m_stats;
+    if (m_entries) {
+        for (const auto& [entry, record] : m_entries->entries())
+            stats.liveEntries += m_entries->isLive(entry, m_clock.now()) ? 1 : 0;
+    }
+    return stats;
+}
+
+void FollowService::planOnce()
+{
+    std::optional<PartsCommand> command;
+    {
+        std::lock_guard lock(m_mutex);
+        if (!ensureLeadership())
+            return;
+        auto now = m_clock.now();
+        command = m_machine.read([&](const ControlState& state) {
+            return planParts({ state, *m_entries, milliseconds(state.runBoundMs(wallClockMs())), now });
+        });
+        m_entries->forget(now - entryRetention);
+        m_stats.partsCommands += command ? 1 : 0;
+    }
+    // The planner waits for the outcome, so that it never plans twice from one state.
+    if (command)
+        m_log.propose(encodeCommand(*command)).wait();
+}
+
+void FollowService::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopped.wait_for(lock, planInterval, [&] { return m_isStopping; })) {
+        lock.unlock();
+        planOnce();
+        lock.lock();
+    }
+}
+
+} // namespace vanillalift
--- /dev/null
+++ b/src/operator/operator_service_p.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "control/control_machine_p.h"
+#include "follow/follow_service_p.h"
+
+#include <vanillalift/replicated_log.h>
+#include <vanillalift/rpc.h>
+
+namespace vanillalift {
+
+/// The JSON-RPC methods for operators. Each call carries the account's name and secret; changes and reads are served by the
+/// leader only, and a refusal by another replica names it.
+///
+/// | method | parameters besides "account" and "secret" | result |
+/// |---|---|---|
+/// | propose | operation, base_revision, change | outcome of the change |
+/// | check | base_revision, change | outcome that the change would have, without applying it |
+/// | read | kind: "catalog", "pools", "instances", "teams", "keys", "operators", "parts", "entries", ... | {"revision", "items"} |
+/// | history | after, limit | {"revision", "changes"} |
+/// | in_force | revision | {"in_force", "revision", "pending", "isolated"} |
+/// | explain | kind: "instance" or "team", name | {"revision", "facts"} |
+/// | status | none | role, term, indexes and members of this replica |
+/// | replace_replica | name, storage_id | {"accepted"} |
+class OperatorService {
+public:
+    OperatorService(ReplicatedLog& log, const ControlMachine& machine, FollowService& follow);
+
+    void addMethods(RpcServer& server);
+
+private:
+    using Method = RpcResult (OperatorService::*)(const nlohmann::json& params);
+
+    void add(RpcServer& server, const char* name, Method method, OperatorRole role);
+    /// @returns whether the account exists, its secret fits and its role suffices.
+    [[nodiscard]] bool isPermitted(const nlohmann::json& params, OperatorRole role) const;
+    /// @returns nothing if this replica was confirmed as leader and has applied all that was committed before.
+    std::optional<RpcError> confirmLeadership();
+    RpcError notLeader() const;
+
+    RpcResult propose(const nlohmann::json& params);
+    RpcResult check(const nlohmann::json& params);
+    RpcResult read(const nlohmann::json& params);
+    RpcResult history(const nlohmann::json& params);
+    RpcResult inForce(const nlohmann::json& params);
+    RpcResult explain(const nlohmann::json& params);
+    RpcResult status(const nlohmann::json& params);
+    RpcResult replaceReplica(const nlohmann::json& params);
+
+    ReplicatedLog& m_log;
+    const ControlMachine& m_machine;
+    FollowService& m_follow;
+};
+
+} // namespace vanillalift
--- /dev/null
+++ b/src/operator/state_view.cpp
@@ -0,0 +1,175 @@
+#include "state_view_p.h"
+
+#include <algorithm>
+
+namespace vanillalift {
+
+using nlohmann::json;
+
+namespace {
+
+    json instanceToJson(const Instance& it)
+    {
+        return { { "name", it.name }, { "pool", it.pool }, { "zone", it.zone }, { "rack", it.rack }, { "address", it.address } };
+    }
+
+    json partToJson(const LimitPart& it)
+    {
+        return { { "team", it.team }, { "entry", it.entry }, { "amount", it.amount }, { "target", it.target } };
+    }
+
+    template <typename Table, typename Convert>
+    json arrayOf(const Table& table, Convert convert)
+    {
+        auto array = json::array();
+        for (const auto& it : table)
+            array.push_back(convert(it));
+        return array;
+    }
+
+    std::optional<json> itemsOf(const ControlState& state, std::string_view kind)
+    {
+        auto part = [](const auto& it) { return toJson(it); };
+        if (kind == "profiles")
+            return arrayOf(state.catalog().profiles, part);
+        if (kind == "services")
+            return arrayOf(state.catalog().services, part);
+        if (kind == "teams")
+            return arrayOf(state.catalog().teams, part);
+        if (kind == "keys")
+            return arrayOf(state.catalog().keys, part);
+        if (kind == "pools")
+            return arrayOf(state.pools(), [](const auto& it) { return json { { "name", it.second.name }, { "service", it.second.service } }; });
+        if (kind == "instances")
+            return arrayOf(state.instances(), [](const auto& it) { return instanceToJson(it.second); });
+        if (kind == "operators")
+            return arrayOf(state.operators(), [](const auto& it) { return json { { "name", it.second.name }, { "role", roleName(it.second.role) } }; });
+        if (kind == "entries")
+            return arrayOf(state.entries(), [](const auto& it) { return json { { "name", it.first }, { "zone", it.second } }; });
+        if (kind == "parts")
+            return arrayOf(state.parts(), partToJson);
+        return std::nullopt;
+    }
+
+    /// Fields of a change that name its subject, and the kind to read it from.
+    struct SubjectField {
+        std::string_view changeKind;
+        const char* kind;
+        const char* pointer;
+    };
+
+    constexpr std::array<SubjectField, 16> subjectFields { {
+        { "put-profile", "profiles", "/profile/name" },
+        { "delete-profile", "profiles", "/name" },
+        { "put-service", "services", "/service/name" },
+        { "delete-service", "services", "/name" },
+        { "put-team", "teams", "/team/name" },
+        { "delete-team", "teams", "/name" },
+        { "give-key", "keys", "/key/id" },
+        { "withdraw-key", "keys", "/id" },
+        { "put-pool", "pools", "/name" },
+        { "delete-pool", "pools", "/name" },
+        { "put-instance", "instances", "/name" },
+        { "move-instance", "instances", "/instance" },
+        { "remove-instance", "instances", "/name" },
+        { "put-operator", "operators", "/name" },
+        { "delete-operator", "operators", "/name" },
+        { "remove-entry", "entries", "/name" },
+    } };
+
+    /// @returns the kind and name of the subject of a change, or empty texts.
+    std::pair<std::string, std::string> subjectOf(const json& change)
+    {
+        auto kind = change.is_object() ? change.value("kind", json()) : json();
+        auto it = std::find_if(subjectFields.begin(), subjectFields.end(), [&](const SubjectField& field) { return kind == field.changeKind; });
+        if (it == subjectFields.end())
+            return {};
+        auto name = change.value(json::json_pointer(it->pointer), json());
+        return { it->kind, name.is_string() ? name.get<std::string>() : std::string() };
+    }
+
+    json changesOf(const ControlState& state, std::string_view kind, const std::string& name)
+    {
+        auto changes = json::array();
+        for (const auto& it : state.history()) {
+            if (subjectOf(it.change) == std::pair(std::string(kind), name))
+                changes.push_back(withoutSecrets(toJson(it)));
+        }
+        return changes;
+    }
+
+    json explainInstance(const ControlState& state, const Instance& instance)
+    {
+        auto pool = state.pools().find(instance.pool);
+        return { { "revision", state.revision() }, { "instance", instanceToJson(instance) },
+            { "service", pool == state.pools().end() ? std::string() : pool->second.service },
+            { "changes", changesOf(state, "instances", instance.name) } };
+    }
+
+    json explainTeam(const ControlState& state, const Team& team)
+    {
+        json value { { "revision", state.revision() }, { "team", toJson(team) }, { "parts", json::array() }, { "keys", json::array() } };
+        int64_t held = 0;
+        for (const auto& it : state.parts()) {
+            if (it.team != team.name)
+                continue;
+            held += it.amount;
+            value["parts"].push_back(partToJson(it));
+        }
+        value["limit_not_held"] = team.upperLimit - held;
+        for (const auto& it : state.catalog().keys) {
+            if (it.team == team.name)
+                value["keys"].push_back({ { "id", it.id }, { "withdrawn", it.withdrawn } });
+        }
+        value["changes"] = changesOf(state, "teams", team.name);
+        return value;
+    }
+
+} // namespace
+
+std::optional<json> readItems(const ControlState& state, std::string_view kind)
+{
+    auto items = itemsOf(state, kind);
+    if (!items)
+        return std::nullopt;
+    return json { { "revision", state.revision() }, { "items", withoutSecrets(std::move(*items)) } };
+}
+
+json describeSubject(const ControlState& state, const json& change)
+{
+    auto [kind, name] = subjectOf(change);
+    auto items = itemsOf(state, kind);
+    if (!items)
+        return nullptr;
+    for (const auto& it : *items) {
+        if (it.value("name", it.value("id", std::string())) == name)
+            return withoutSecrets(it);
+    }
+    return nullptr;
+}
+
+std::optional<json> explainSubject(const ControlState& state, std::string_view kind, const std::string& name)
+{
+    auto instance = state.instances().find(name);
+    if (kind == "instance" && instance != state.instances().end())
+        return explainInstance(state, instance->second);
+    auto team = state.teams().find(name);
+    if (kind == "team" && team != state.teams().end())
+        return explainTeam(state, team->second);
+    return std::nullopt;
+}
+
+json withoutSecrets(json value)
+{
+    if (value.is_object()) {
+        value.erase("salt");
+        value.erase("hash");
+    }
+    if (value.is_structured()) {
+        for (auto& it : value)
+            it = withoutSecrets(std::move(it));
+    }
+    return value;
+}
+
+} // namespace vanillalift
