--- /dev/null
+++ b/src/operator/operator_client.cpp
@@ -0,0 +1,65 @@
+#include "operator_client_p.h"
+
+#include <thread>
+
+namespace vanillalift {
+
+using nlohmann::json;
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Time limit of one attempt at one replica; above the leader's own limit for a commit.
+    constexpr milliseconds attemptTimeout { 6000 };
+    constexpr milliseconds retryPause { 50 };
+
+    bool startsWith(const std::string& text, std::string_view prefix)
+    {
+        return text.rfind(prefix, 0) == 0;
+    }
+
+    bool isWorthRetrying(const RpcError& error)
+    {
+        bool hasNoLeader = startsWith(error.message, "not-leader") || startsWith(error.message, "outcome-unknown") || startsWith(error.message, "overloaded");
+        return error.code == RpcErrorCode::NotConnected || error.code == RpcErrorCode::NoResponse || (error.code == RpcErrorCode::Refused && hasNoLeader);
+    }
+
+    OperatorError toOperatorError(const RpcError& error)
+    {
+        if (error.message == "not-permitted")
+            return { OperatorFault::NotPermitted, "the account is unknown, its secret is wrong, or its role does not suffice" };
+        return { isWorthRetrying(error) ? OperatorFault::Unreachable : OperatorFault::Refused, error.message };
+    }
+
+} // namespace
+
+OperatorClient::OperatorClient(OperatorClientDesc desc)
+    : m_desc(std::move(desc))
+{
+    for (const auto& it : m_desc.replicas)
+        m_clients.push_back(std::make_unique<RpcClient>(it, m_desc.token));
+}
+
+tl::expected<json, OperatorError> OperatorClient::callReplica(size_t replica, const std::string& method, json params, TimePoint deadline)
+{
+    params["account"] = m_desc.account;
+    params["secret"] = m_desc.secret;
+    auto result = m_clients.at(replica)->call(method, params, deadline);
+    if (!result)
+        return tl::unexpected(toOperatorError(result.error()));
+    return *result;
+}
+
+tl::expected<json, OperatorError> OperatorClient::call(const std::string& method, json params, TimePoint deadline)
+{
+    while (true) {
+        auto result = callReplica(m_current, method, params, std::min(deadline, BootClock::now() + attemptTimeout));
+        if (result || result.error().fault != OperatorFault::Unreachable || BootClock::now() >= deadline)
+            return result;
+        m_current = (m_current + 1) % m_clients.size();
+        std::this_thread::sleep_for(retryPause);
+    }
+}
+
+} // namespace vanillalift
--- /dev/null
+++ b/src/operator/table_printer_p.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <ostream>
+
+namespace vanillalift {
+
+/// Prints an array of objects as an aligned table with one column for each field, or any other value as indented JSON.
+void printTable(std::ostream& out, const nlohmann::json& value);
+
+} // namespace vanillalift
