Complete the endpoint table, ejection and the attempt client

Cause: the table was one list without windows, expiry or ejection, and the attempt client opened a connection for each attempt and inferred "not sent" from the library's error code.

Change: EndpointTable keeps members per service, windows, ejection, restarts and expiry, and remembers the newest announcement of a removed address. HttpAttemptClient keeps connections per incarnation and counts bytes in its own stream, which also bounds the whole attempt by one deadline. AnnouncementServer serves the announce route.

Conclusion: a "not sent" verdict rests on a count of zero written bytes.

--- a/include/vanillalift/endpoint.h
+++ b/include/vanillalift/endpoint.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <tl/expected.hpp>
 
+#include <array>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -80,6 +81,8 @@
     const std::vector<Header>* headers = nullptr;
     std::string_view body;
     TimePoint deadline;
+    /// Most connections to the endpoint's incarnation, from EndpointPlace; 0 means no bound.
+    int64_t connections = 0;
 };
 
 /// Sends attempts. Blocks until the answer, a failure or the deadline.
@@ -95,14 +98,24 @@
     std::string address;
     uint64_t incarnation = 0;
     std::string zone;
+    /// This entry's part of the endpoint's connections.
+    int64_t connections = 0;
+    /// Copied from PlaceDesc.
+    uint64_t requestKind = 0;
 };
 
+/// @returns a value other than 0 that is equal for requests of equal method and path; the query is left out.
+uint64_t requestKind(std::string_view method, std::string_view target);
+
 struct PlaceDesc {
     std::string_view service;
     /// Whether endpoints of other zones may be chosen. They are also chosen if the own zone has no usable endpoint.
     bool allowOtherZones = false;
     /// Endpoints that already failed this request; chosen only if nothing else is usable.
     std::vector<EndpointHandle> avoid;
+    /// From requestKind(). A kind that fails on several endpoints counts against the first of them only; 0 means that
+    /// the kind is unknown and each failure counts.
+    uint64_t requestKind = 0;
 };
 
 /// How an attempt went, for the endpoint's window and ejection.
@@ -140,12 +153,33 @@
     [[nodiscard]] virtual EndpointPoolStats stats(std::string_view service, TimePoint now) const = 0;
 };
 
+/// One endpoint as this entry sees it, for metrics and GET /v1/endpoints.
+struct EndpointStats {
+    std::string service;
+    std::string address;
+    std::string zone;
+    std::string instance;
+    uint64_t incarnation = 0;
+    EndpointState state = EndpointState::Serving;
+    bool isEjected = false;
+    int64_t window = 0;
+    /// Upper bound of the window.
+    int64_t windowBound = 0;
+    int64_t inFlight = 0;
+    int64_t ejections = 0;
+    /// Released places of this incarnation by verdict.
+    std::array<int64_t, static_cast<size_t>(AttemptVerdict::AttemptVerdictCount)> verdicts {};
+};
+nlohmann::json toJson(const EndpointStats& stats);
+
 /// Told when an endpoint of a service may have gained room without a release: announced, returned from ejection.
 /// Called without locks held.
 class EndpointPoolListener {
 public:
     virtual ~EndpointPoolListener() = default;
     virtual void endpointsChanged(std::string_view service) = 0;
+    /// An incarnation has expired or was replaced, so that its idle connections are of no use.
+    virtual void endpointGone(std::string_view /*address*/, uint64_t /*incarnation*/) { }
 };
 
 } // namespace vanillalift
--- a/src/endpoint/announcement.cpp
+++ b/src/endpoint/announcement.cpp
@@ -44,4 +44,22 @@
         { "connections", announcement.connections }, { "running", announcement.running }, { "expires_ms", announcement.expiresMs } };
 }
 
+uint64_t requestKind(std::string_view method, std::string_view target)
+{
+    auto path = target.substr(0, target.find('?'));
+    return std::hash<std::string> {}(std::string(method) + " " + std::string(path)) | 1U;
+}
+
+nlohmann::json toJson(const EndpointStats& stats)
+{
+    constexpr std::array<const char*, static_cast<size_t>(AttemptVerdict::AttemptVerdictCount)> names { "succeeded", "server_error", "not_started", "not_sent", "broken", "timed_out" };
+    nlohmann::json verdicts;
+    for (size_t i = 0; i < names.size(); ++i)
+        verdicts[names[i]] = stats.verdicts[i];
+    return { { "service", stats.service }, { "address", stats.address }, { "zone", stats.zone }, { "instance", stats.instance },
+        { "incarnation", stats.incarnation }, { "state", stats.state == EndpointState::Leaving ? "leaving" : "serving" },
+        { "ejected", stats.isEjected }, { "window", stats.window }, { "window_bound", stats.windowBound }, { "in_flight", stats.inFlight },
+        { "ejections", stats.ejections }, { "attempts", std::move(verdicts) } };
+}
+
 } // namespace vanillalift
--- /dev/null
+++ b/src/endpoint/attempt_connection.cpp
@@ -0,0 +1,108 @@
+#include "attempt_connection_p.h"
+
+#include "answer_check_p.h"
+
+#include <vanillalift/config.h>
+
+#include <algorithm>
+
+namespace vanillalift {
+
+namespace {
+
+    /// The library parses the status line with a recursive regular expression, whose stack use grows with the line.
+    constexpr size_t maxHeadBytes = 16U << 10U;
+    /// Chunked encoding may take more bytes than the body itself; one byte a chunk takes six.
+    constexpr size_t maxAnswerBytes = maxHeadBytes + 6 * config::maxBodyBytes;
+    constexpr std::chrono::milliseconds maxConnectTime { 1000 };
+
+} // namespace
+
+AttemptConnection::AttemptConnection(const std::string& host, int port, const Clock& clock)
+    : ClientImpl(host, port)
+    , m_clock(clock)
+{
+    set_keep_alive(true);
+    set_tcp_nodelay(true);
+    set_follow_location(false);
+    // Target and body are passed on as the caller and the endpoint wrote them.
+    set_url_encode(false);
+    set_decompress(false);
+}
+
+bool AttemptConnection::process_socket(const Socket& socket, std::function<bool(httplib::Stream&)> callback)
+{
+    AttemptStream stream(socket.sock, m_clock, m_deadline, maxHeadBytes);
+    m_stream = &stream;
+    bool isWhole = callback(stream);
+    m_stream = nullptr;
+    m_written = stream.written();
+    m_read = stream.bytesRead();
+    m_end = stream.end();
+    m_hasExtraBytes = isWhole && is_socket_open() != 0 && stream.hasExtraBytes();
+    return isWhole;
+}
+
+AttemptResult AttemptConnection::resultOfFailure(const std::string& error) const
+{
+    if (m_written == 0)
+        return AttemptNotSent { error };
+    if (m_end == StreamEnd::TimedOut)
+        return AttemptFailed { Reason::DeadlinePassed, "the deadline passed before the whole answer arrived" };
+    if (m_end == StreamEnd::Oversized)
+        return AttemptFailed { Reason::EndpointFailed, "the answer is larger than the bound" };
+    if (m_end == StreamEnd::ClosedByPeer && m_read > 0)
+        return AttemptFailed { Reason::AnswerTruncated, "the connection was closed within the answer" };
+    if (m_end == StreamEnd::ClosedByPeer)
+        return AttemptFailed { Reason::EndpointFailed, "the connection was closed without an answer" };
+    return AttemptFailed { Reason::EndpointFailed, m_read > 0 ? "the answer is malformed" : error };
+}
+
+Exchange AttemptConnection::exchange(const AttemptDesc& desc)
+{
+    bool isKept = is_socket_open() != 0;
+    if (isKept && !isQuiet(socket())) {
+        stop();
+        isKept = false;
+    }
+    auto remainingMs = millisecondsUntil(desc.deadline, m_clock.now());
+    if (remainingMs <= 0)
+        return { AttemptNotSent { "the deadline has passed" }, isKept, false };
+    set_connection_timeout(std::min<std::chrono::milliseconds>(std::chrono::milliseconds(remainingMs), maxConnectTime));
+    m_deadline = desc.deadline;
+    m_written = m_read = 0;
+    m_end = StreamEnd::Open;
+    m_hasExtraBytes = false;
+
+    AnswerHead head;
+    std::string body;
+    bool isTooLarge = false;
+    auto request = endpointRequest(desc, remainingMs);
+    request.response_handler = [&](const httplib::Response& response) {
+        head = checkHead(desc, response);
+        m_stream->setReadBound(maxAnswerBytes);
+        return !head.verdict && response.status != 304;
+    };
+    request.content_receiver = [&](const char* data, size_t n, uint64_t /*offset*/, uint64_t /*total*/) {
+        isTooLarge = body.size() + n > config::maxBodyBytes;
+        if (!isTooLarge)
+            body.append(data, n);
+        return !isTooLarge;
+    };
+    httplib::Response response;
+    auto error = httplib::Error::Success;
+    bool isWhole = send(request, response, error);
+    bool isReusable = isWhole && !m_hasExtraBytes && is_socket_open() != 0;
+    if (head.isNotStarted)
+        return { AttemptNotStarted {}, isReusable, false };
+    if (head.verdict)
+        return { *head.verdict, false, false };
+    if (isTooLarge)
+        return { AttemptFailed { Reason::EndpointFailed, "the answer is larger than the bound" }, false, false };
+    if (isWhole || (response.status == 304 && error == httplib::Error::Canceled))
+        return { AttemptAnswered { answeredFrom(response, std::move(body)) }, isReusable, false };
+    bool isRetryable = isKept && m_written == 0 && m_end == StreamEnd::ClosedByPeer;
+    return { resultOfFailure(httplib::to_string(error)), false, isRetryable };
+}
+
+} // namespace vanillalift
--- a/src/endpoint/endpoint_table.cpp
+++ b/src/endpoint/endpoint_table.cpp
@@ -1,72 +1,345 @@
 #include "endpoint_table_p.h"
 
+#include <vanillalift/config.h>
+
 #include <algorithm>
 
 namespace vanillalift {
 
-EndpointTable::EndpointTable(std::string zone, int64_t entryCount)
+namespace {
+
+    /// How long the newest announcement of a removed endpoint is remembered. An announcement is a request of at most
+    /// some seconds, so none is under way for longer.
+    constexpr std::chrono::minutes newestMemory { 10 };
+    constexpr size_t maxRows = std::min<size_t>(EndpointHandle::invalidIndex, config::maxServices* config::maxEndpointsPerService);
+
+    bool contains(const std::vector<EndpointHandle>& handles, EndpointHandle handle)
+    {
+        return std::find(handles.begin(), handles.end(), handle) != handles.end();
+    }
+
+} // namespace
+
+EndpointTable::EndpointTable(std::string zone, int64_t entryCount, std::mt19937_64 random)
     : m_zone(std::move(zone))
     , m_entryCount(std::max<int64_t>(entryCount, 1))
+    , m_random(random)
 {
 }
 
-void EndpointTable::announce(const Announcement& announcement, TimePoint now)
+void EndpointTable::addListener(EndpointPoolListener& listener)
 {
-    std::lock_guard lock(m_mutex);
-    auto it = std::find_if(m_entries.begin(), m_entries.end(), [&](const Entry& entry) { return entry.announcement.address == announcement.address; });
-    if (it == m_entries.end())
-        it = m_entries.insert(m_entries.end(), Entry {});
-    else if (std::pair(announcement.incarnation, announcement.sequence) <= std::pair(it->announcement.incarnation, it->announcement.sequence))
-        return;
-    if (it->announcement.incarnation != announcement.incarnation)
-        it->inFlight = 0;
-    it->announcement = announcement;
-    it->expiry = now + std::chrono::milliseconds(announcement.expiresMs);
+    m_listeners.push_back(&listener);
+}
+
+int64_t EndpointTable::connectionPart(const Announcement& announcement) const
+{
+    return std::max<int64_t>(1, announcement.connections / m_entryCount);
+}
+
+int64_t EndpointTable::windowBound(const Announcement& announcement) const
+{
+    return std::max<int64_t>(1, std::min(announcement.slots, connectionPart(announcement)));
+}
+
+bool EndpointTable::isServing(const Row& row, TimePoint now)
+{
+    return row.isAnnounced && row.announcement.state == EndpointState::Serving && now < row.expiry;
+}
+
+bool EndpointTable::isUsable(const Row& row, TimePoint now)
+{
+    return isServing(row, now) && !row.health.isEjected(now);
+}
+
+int64_t EndpointTable::servingCount(const Service& service, TimePoint now) const
+{
+    return std::count_if(service.members.begin(), service.members.end(), [&](EndpointHandle it) { return isServing(row(it), now); });
+}
+
+EndpointHandle EndpointTable::newRow(const Announcement& announcement)
+{
+    auto service = m_services.find(announcement.service);
+    bool isFull = service == m_services.end() ? m_services.size() >= config::maxServices : service->second.members.size() >= config::maxEndpointsPerService;
+    if (isFull || (m_freeRows.empty() && m_rows.size() >= maxRows))
+        return {};
+    EndpointHandle handle;
+    if (m_freeRows.empty()) {
+        handle.index = static_cast<uint16_t>(m_rows.size());
+        m_rows.emplace_back();
+    } else {
+        handle = m_freeRows.back();
+        m_freeRows.pop_back();
+    }
+    m_services[announcement.service].members.push_back(handle);
+    return handle;
+}
+
+void EndpointTable::restart(Row& row, const Announcement& announcement)
+{
+    row = Row {};
+    auto start = (announcement.slots + m_entryCount - 1) / m_entryCount;
+    row.window = std::min(start, windowBound(announcement));
+}
+
+void EndpointTable::removeRow(EndpointHandle handle)
+{
+    auto it = m_services.find(row(handle).announcement.service);
+    std::erase(it->second.members, handle);
+    if (it->second.members.empty())
+        m_services.erase(it);
+    m_newest[row(handle).announcement.address].row = {};
+    row(handle) = Row {};
+    m_freeRows.push_back(handle);
 }
 
-int64_t EndpointTable::window(const Entry& entry) const
+tl::expected<void, AnnouncementFault> EndpointTable::announce(const Announcement& announcement, TimePoint now)
 {
-    return std::max<int64_t>(1, std::min(entry.announcement.slots, entry.announcement.connections / m_entryCount));
+    Changes changes;
+    {
+        std::lock_guard lock(m_mutex);
+        auto known = m_newest.find(announcement.address);
+        auto newest = known == m_newest.end() ? Newest {} : known->second;
+        if (known != m_newest.end() && std::pair(announcement.incarnation, announcement.sequence) <= std::pair(newest.incarnation, newest.sequence))
+            return {};
+        bool isSame = newest.row.isValid() && newest.incarnation == announcement.incarnation && row(newest.row).announcement.service == announcement.service;
+        if (newest.row.isValid() && !isSame) {
+            changes.gone.push_back({ announcement.address, newest.incarnation });
+            removeRow(newest.row);
+            newest.row = {};
+        }
+        if (!newest.row.isValid()) {
+            newest.row = newRow(announcement);
+            if (newest.row.isValid())
+                restart(row(newest.row), announcement);
+        }
+        if (newest.row.isValid() || known != m_newest.end())
+            m_newest[announcement.address] = { announcement.incarnation, announcement.sequence, newest.row, now };
+        if (newest.row.isValid()) {
+            auto& it = row(newest.row);
+            it.announcement = announcement;
+            it.expiry = now + std::min<Duration>(std::chrono::milliseconds(announcement.expiresMs), config::announcementExpiry);
+            it.isAnnounced = true;
+            it.window = std::min(it.window, windowBound(announcement));
+            keepEjectionBound(m_services[announcement.service], now);
+            changes.services.push_back(announcement.service);
+        }
+    }
+    notify(changes);
+    if (changes.services.empty())
+        return tl::unexpected(AnnouncementFault::TableFull);
+    return {};
+}
+
+EndpointHandle EndpointTable::choose(const Service& service, const PlaceDesc& desc, TimePoint now)
+{
+    auto usable = [&](EndpointHandle it) { return isUsable(row(it), now); };
+    auto isOwn = [&](EndpointHandle it) { return row(it).announcement.zone == m_zone; };
+    const auto& members = service.members;
+    bool useAvoided = std::none_of(members.begin(), members.end(), [&](EndpointHandle it) { return usable(it) && !contains(desc.avoid, it); });
+    auto candidate = [&](EndpointHandle it) { return usable(it) && (useAvoided || !contains(desc.avoid, it)); };
+    bool useOthers = desc.allowOtherZones || std::none_of(members.begin(), members.end(), [&](EndpointHandle it) { return candidate(it) && isOwn(it); });
+    EndpointHandle best;
+    uint64_t ties = 0;
+    for (auto it : members) {
+        const auto& row = this->row(it);
+        if (!candidate(it) || row.inFlight >= row.window || !(isOwn(it) || useOthers))
+            continue;
+        auto rank = [&](EndpointHandle handle) { return std::pair(!isOwn(handle), static_cast<double>(this->row(handle).inFlight) / static_cast<double>(this->row(handle).announcement.slots)); };
+        bool isBetter = !best.isValid() || rank(it) < rank(best);
+        ties = isBetter ? 1 : ties + (rank(it) == rank(best) ? 1 : 0);
+        bool winsTie = !isBetter && rank(it) == rank(best) && std::uniform_int_distribution<uint64_t>(1, ties)(m_random) == 1;
+        if (isBetter || winsTie)
+            best = it;
+    }
+    return best;
 }
 
 std::optional<EndpointPlace> EndpointTable::acquire(const PlaceDesc& desc, TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    Entry* best = nullptr;
-    auto rank = [&](const Entry& entry) {
-        return std::pair(entry.announcement.zone != m_zone, static_cast<double>(entry.inFlight) / static_cast<double>(entry.announcement.slots));
-    };
-    for (auto& it : m_entries) {
-        bool isUsable = it.announcement.service == desc.service && it.announcement.state == EndpointState::Serving && now < it.expiry && it.inFlight < window(it);
-        if (isUsable && (!best || rank(it) < rank(*best)))
-            best = &it;
-    }
-    if (!best)
+    auto service = m_services.find(desc.service);
+    if (service == m_services.end())
+        return std::nullopt;
+    keepEjectionBound(service->second, now);
+    auto handle = choose(service->second, desc, now);
+    if (!handle.isValid())
         return std::nullopt;
-    ++best->inFlight;
-    return EndpointPlace { { static_cast<uint16_t>(best - m_entries.data()) }, best->announcement.address, best->announcement.incarnation, best->announcement.zone };
+    auto& it = row(handle);
+    ++it.inFlight;
+    const auto& announcement = it.announcement;
+    return EndpointPlace { handle, announcement.address, announcement.incarnation, announcement.zone, connectionPart(announcement), desc.requestKind };
+}
+
+void EndpointTable::resizeWindow(Row& row, AttemptVerdict verdict, bool isDemandWaiting)
+{
+    if (verdict == AttemptVerdict::NotStarted || verdict == AttemptVerdict::TimedOut) {
+        row.window = std::max<int64_t>(1, row.window / 2);
+        row.successes = 0;
+        return;
+    }
+    if (verdict != AttemptVerdict::Succeeded || !isDemandWaiting || ++row.successes < row.window)
+        return;
+    row.window = std::min(row.window + 1, windowBound(row.announcement));
+    row.successes = 0;
+}
+
+double EndpointTable::medianShare(const Service& service, EndpointHandle except, TimePoint now) const
+{
+    std::vector<double> shares;
+    for (auto it : service.members) {
+        if (it != except && isServing(row(it), now))
+            shares.push_back(row(it).health.failureShare(now));
+    }
+    if (shares.empty())
+        return 0;
+    std::sort(shares.begin(), shares.end());
+    auto middle = shares.size() / 2;
+    return shares.size() % 2 == 1 ? shares[middle] : (shares[middle - 1] + shares[middle]) / 2;
+}
+
+void EndpointTable::judge(Service& service, EndpointHandle handle, AttemptVerdict verdict, uint64_t kind, TimePoint now)
+{
+    auto& it = row(handle);
+    bool hasFailed = verdict == AttemptVerdict::ServerError || verdict == AttemptVerdict::Broken || verdict == AttemptVerdict::TimedOut;
+    if (verdict == AttemptVerdict::Succeeded) {
+        it.health.recordSuccess(now);
+        service.kinds.recordSuccess(kind);
+    } else if (verdict == AttemptVerdict::NotSent) {
+        it.health.recordUnreachable();
+    } else if (hasFailed && service.kinds.recordFailure(kind, handle.index, now)) {
+        it.health.recordFailure(now);
+    }
+    if (!isUsable(it, now))
+        return;
+    auto ejected = std::count_if(service.members.begin(), service.members.end(), [&](EndpointHandle member) { return isServing(row(member), now) && row(member).health.countsTowardsBound(now); });
+    bool isFailing = it.health.isFailing(medianShare(service, handle, now), now) && ejected < ejectionBound(servingCount(service, now));
+    if (!isFailing && !it.health.isUnreachable())
+        return;
+    it.health.eject(isFailing ? EjectionCause::Failing : EjectionCause::Unreachable, now);
+    it.isEjectionReported = false;
+    it.window = 1;
+    it.successes = 0;
+    ++it.ejections;
+}
+
+void EndpointTable::keepEjectionBound(Service& service, TimePoint now)
+{
+    auto bound = ejectionBound(servingCount(service, now));
+    std::vector<EndpointHandle> ejected;
+    std::copy_if(service.members.begin(), service.members.end(), std::back_inserter(ejected), [&](EndpointHandle it) { return isServing(row(it), now) && row(it).health.countsTowardsBound(now); });
+    std::sort(ejected.begin(), ejected.end(), [&](EndpointHandle a, EndpointHandle b) { return row(a).health.ejectedUntil() < row(b).health.ejectedUntil(); });
+    for (size_t i = 0; i + static_cast<size_t>(bound) < ejected.size(); ++i)
+        row(ejected[i]).health.readmit();
 }
 
-void EndpointTable::release(const EndpointPlace& place, AttemptVerdict /*verdict*/, bool /*isDemandWaiting*/, TimePoint /*now*/)
+void EndpointTable::release(const EndpointPlace& place, AttemptVerdict verdict, bool isDemandWaiting, TimePoint now)
 {
     std::lock_guard lock(m_mutex);
-    auto& entry = m_entries.at(place.endpoint.index);
-    if (entry.announcement.incarnation == place.incarnation)
-        --entry.inFlight;
+    if (place.endpoint.index >= m_rows.size())
+        return;
+    auto& it = row(place.endpoint);
+    bool isSame = it.announcement.address == place.address && it.announcement.incarnation == place.incarnation;
+    if (!isSame || it.inFlight == 0)
+        return;
+    --it.inFlight;
+    ++it.verdicts.at(static_cast<size_t>(verdict));
+    // An ejected endpoint returns with a window of one, whatever its last attempts did.
+    resizeWindow(it, verdict, isDemandWaiting && !it.health.isEjected(now));
+    judge(m_services.find(it.announcement.service)->second, place.endpoint, verdict, place.requestKind, now);
+    if (!it.isAnnounced && it.inFlight == 0)
+        removeRow(place.endpoint);
 }
 
 EndpointPoolStats EndpointTable::stats(std::string_view service, TimePoint now) const
 {
     std::lock_guard lock(m_mutex);
     EndpointPoolStats stats;
-    for (const auto& it : m_entries) {
-        if (it.announcement.service != service || it.announcement.state != EndpointState::Serving || now >= it.expiry)
-            continue;
-        ++stats.serving;
-        stats.window += window(it);
+    auto found = m_services.find(service);
+    if (found == m_services.end())
+        return stats;
+    for (auto handle : found->second.members) {
+        const auto& it = row(handle);
         stats.inFlight += it.inFlight;
+        stats.serving += isServing(it, now) ? 1 : 0;
+        stats.ejected += isServing(it, now) && it.health.isEjected(now) ? 1 : 0;
+        stats.window += isUsable(it, now) ? it.window : 0;
     }
     return stats;
 }
 
+std::vector<EndpointStats> EndpointTable::endpoints(TimePoint now) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<EndpointStats> all;
+    for (const auto& [name, service] : m_services) {
+        for (auto handle : service.members) {
+            const auto& it = row(handle);
+            const auto& from = it.announcement;
+            if (it.isAnnounced && now < it.expiry)
+                all.push_back({ name, from.address, from.zone, from.instance, from.incarnation, from.state, it.health.isEjected(now), it.window, windowBound(from), it.inFlight, it.ejections, it.verdicts });
+        }
+    }
+    return all;
+}
+
+TimePoint EndpointTable::nextChange() const
+{
+    std::lock_guard lock(m_mutex);
+    auto next = TimePoint::max();
+    for (const auto& it : m_rows) {
+        if (it.isAnnounced)
+            next = std::min(next, it.expiry);
+        if (it.isAnnounced && !it.isEjectionReported)
+            next = std::min(next, it.health.ejectedUntil());
+    }
+    return next;
+}
+
+void EndpointTable::expireMembers(Service& service, TimePoint now, Changes& changes)
+{
+    for (auto handle : service.members) {
+        auto& it = row(handle);
+        if (!it.isAnnounced || now < it.expiry)
+            continue;
+        it.isAnnounced = false;
+        changes.gone.push_back({ it.announcement.address, it.announcement.incarnation });
+    }
+    keepEjectionBound(service, now);
+    for (auto handle : service.members) {
+        auto& it = row(handle);
+        if (it.isEjectionReported || it.health.isEjected(now))
+            continue;
+        it.isEjectionReported = true;
+        if (changes.services.empty() || changes.services.back() != it.announcement.service)
+            changes.services.push_back(it.announcement.service);
+    }
+}
+
+void EndpointTable::expire(TimePoint now)
+{
+    Changes changes;
+    {
+        std::lock_guard lock(m_mutex);
+        for (auto& [name, service] : m_services)
+            expireMembers(service, now, changes);
+        for (size_t i = 0; i < m_rows.size(); ++i) {
+            if (!m_rows[i].isAnnounced && m_rows[i].inFlight == 0 && !m_rows[i].announcement.address.empty())
+                removeRow({ static_cast<uint16_t>(i) });
+        }
+        std::erase_if(m_newest, [&](const auto& it) { return !it.second.row.isValid() && now - it.second.seen >= newestMemory; });
+    }
+    notify(changes);
+}
+
+void EndpointTable::notify(const Changes& changes)
+{
+    for (auto* listener : m_listeners) {
+        for (const auto& it : changes.gone)
+            listener->endpointGone(it.address, it.incarnation);
+        for (const auto& it : changes.services)
+            listener->endpointsChanged(it);
+    }
+}
+
 } // namespace vanillalift
--- a/src/endpoint/endpoint_table_p.h
+++ b/src/endpoint/endpoint_table_p.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "ejection_p.h"
+
 #include <vanillalift/endpoint.h>
 
 #include <map>
 #include <mutex>
+#include <random>
+#include <unordered_map>
 
 namespace vanillalift {
 
@@ -11,28 +15,90 @@
 class EndpointTable final : public EndpointPool {
 public:
     /// @param zone availability zone of this entry, preferred in acquire().
-    EndpointTable(std::string zone, int64_t entryCount);
+    /// @param random breaks ties between equally loaded endpoints.
+    EndpointTable(std::string zone, int64_t entryCount, std::mt19937_64 random = std::mt19937_64 {});
+
+    /// Listeners must outlive the table and are added before the first announcement.
+    void addListener(EndpointPoolListener& listener);
 
-    /// Applies an announcement unless a newer one of the same address is known.
-    void announce(const Announcement& announcement, TimePoint now);
+    /// Applies an announcement unless one at least as new of the same address is known.
+    /// @returns AnnouncementFault::TableFull if there is no room for another endpoint.
+    tl::expected<void, AnnouncementFault> announce(const Announcement& announcement, TimePoint now);
 
     std::optional<EndpointPlace> acquire(const PlaceDesc& desc, TimePoint now) override;
     void release(const EndpointPlace& place, AttemptVerdict verdict, bool isDemandWaiting, TimePoint now) override;
     [[nodiscard]] EndpointPoolStats stats(std::string_view service, TimePoint now) const override;
+    [[nodiscard]] std::vector<EndpointStats> endpoints(TimePoint now) const;
+
+    /// @returns when expire() next has something to do, or TimePoint::max().
+    [[nodiscard]] TimePoint nextChange() const;
+    /// Removes expired endpoints and reports ended ejections to the listeners.
+    void expire(TimePoint now);
 
 private:
-    struct Entry {
+    struct Row {
         Announcement announcement;
         TimePoint expiry;
+        /// False from expiry on. The row itself is kept while places of the endpoint are in flight.
+        bool isAnnounced = false;
+        bool isEjectionReported = true;
+        int64_t window = 1;
+        int64_t successes = 0;
         int64_t inFlight = 0;
+        int64_t ejections = 0;
+        EndpointHealth health;
+        std::array<int64_t, static_cast<size_t>(AttemptVerdict::AttemptVerdictCount)> verdicts {};
+    };
+    struct Service {
+        std::vector<EndpointHandle> members;
+        KindFailures kinds;
     };
+    using Services = std::map<std::string, Service, std::less<>>;
+    /// Newest announcement of an address. It outlives the row, so that a late announcement cannot revive an endpoint.
+    struct Newest {
+        uint64_t incarnation = 0;
+        uint64_t sequence = 0;
+        EndpointHandle row;
+        TimePoint seen;
+    };
+    struct Gone {
+        std::string address;
+        uint64_t incarnation = 0;
+    };
+    struct Changes {
+        std::vector<std::string> services;
+        std::vector<Gone> gone;
+    };
+
+    [[nodiscard]] int64_t windowBound(const Announcement& announcement) const;
+    [[nodiscard]] int64_t connectionPart(const Announcement& announcement) const;
+    [[nodiscard]] static bool isServing(const Row& row, TimePoint now);
+    [[nodiscard]] static bool isUsable(const Row& row, TimePoint now);
+    [[nodiscard]] int64_t servingCount(const Service& service, TimePoint now) const;
+    [[nodiscard]] double medianShare(const Service& service, EndpointHandle except, TimePoint now) const;
+    Row& row(EndpointHandle handle) { return m_rows[handle.index]; }
+    [[nodiscard]] const Row& row(EndpointHandle handle) const { return m_rows[handle.index]; }
 
-    [[nodiscard]] int64_t window(const Entry& entry) const;
+    EndpointHandle newRow(const Announcement& announcement);
+    void restart(Row& row, const Announcement& announcement);
+    void removeRow(EndpointHandle handle);
+    void expireMembers(Service& service, TimePoint now, Changes& changes);
+    /// Ends ejections while more of the pool than the bound is ejected, those first that would end first.
+    void keepEjectionBound(Service& service, TimePoint now);
+    EndpointHandle choose(const Service& service, const PlaceDesc& desc, TimePoint now);
+    void judge(Service& service, EndpointHandle handle, AttemptVerdict verdict, uint64_t kind, TimePoint now);
+    void resizeWindow(Row& row, AttemptVerdict verdict, bool isDemandWaiting);
+    void notify(const Changes& changes);
 
     std::string m_zone;
     int64_t m_entryCount;
+    std::vector<EndpointPoolListener*> m_listeners;
     mutable std::mutex m_mutex;
-    std::vector<Entry> m_entries;
+    std::mt19937_64 m_random;
+    std::vector<Row> m_rows;
+    std::vector<EndpointHandle> m_freeRows;
+    Services m_services;
+    std::unordered_map<std::string, Newest> m_newest;
 };
 
 } // namespace vanillalift
--- a/src/endpoint/http_attempt_client.cpp
+++ b/src/endpoint/http_attempt_client.cpp
@@ -1,26 +1,29 @@
 #include "http_attempt_client_p.h"
 
-#include <vanillalift/request.h>
+#include "attempt_connection_p.h"
 
-#include <httplib.h>
+#include <charconv>
 
 namespace vanillalift {
 
 namespace {
 
-    AttemptResult judgeAnswer(const AttemptDesc& desc, const httplib::Response& response)
+    struct HostAndPort {
+        std::string host;
+        int port = 0;
+    };
+
+    std::optional<HostAndPort> parseAddress(std::string_view address)
     {
-        if (response.status == 503 && response.get_header_value(header::notStarted) == desc.attemptId)
-            return AttemptNotStarted {};
-        if (response.get_header_value(header::attemptId) != desc.attemptId)
-            return AttemptFailed { Reason::AnswerCrossed, "the answer does not carry this attempt's id" };
-        bool hasLength = response.has_header("Content-Length") || response.get_header_value("Transfer-Encoding") == "chunked";
-        if (!hasLength)
-            return AttemptFailed { Reason::AnswerTruncated, "the answer has neither a length nor chunked encoding" };
-        Answered answer { response.status, {}, response.body };
-        for (const auto& [name, value] : response.headers)
-            answer.headers.emplace_back(name, value);
-        return AttemptAnswered { std::move(answer) };
+        auto colon = address.rfind(':');
+        if (colon == std::string_view::npos)
+            return std::nullopt;
+        HostAndPort parsed { std::string(address.substr(0, colon)) };
+        const auto* last = address.data() + address.size();
+        auto [end, ec] = std::from_chars(address.data() + colon + 1, last, parsed.port);
+        if (ec != std::errc {} || end != last || parsed.port < 1 || parsed.port > 65535)
+            return std::nullopt;
+        return parsed;
     }
 
 } // namespace
@@ -30,32 +33,82 @@
 {
 }
 
+HttpAttemptClient::~HttpAttemptClient() = default;
+
+bool HttpAttemptClient::checkOut(const Key& key, int64_t bound, ConnectionPtr& connection)
+{
+    std::lock_guard lock(m_mutex);
+    auto& pool = m_pools[key];
+    pool.bound = bound;
+    if (bound > 0 && pool.inUse >= bound)
+        return false;
+    ++pool.inUse;
+    if (!pool.idle.empty()) {
+        connection = std::move(pool.idle.back());
+        pool.idle.pop_back();
+    }
+    return true;
+}
+
+void HttpAttemptClient::checkIn(const Key& key, ConnectionPtr connection)
+{
+    // Declared before the lock, so that connections are closed after it is released.
+    ConnectionPtr closing;
+    std::lock_guard lock(m_mutex);
+    auto it = m_pools.find(key);
+    auto& pool = it->second;
+    --pool.inUse;
+    auto open = pool.inUse + static_cast<int64_t>(pool.idle.size());
+    if (pool.isGone || (pool.bound > 0 && open >= pool.bound))
+        closing = std::move(connection);
+    else if (connection)
+        pool.idle.push_back(std::move(connection));
+    if (pool.inUse == 0 && pool.idle.empty())
+        m_pools.erase(it);
+}
+
+void HttpAttemptClient::endpointGone(std::string_view address, uint64_t incarnation)
+{
+    std::vector<ConnectionPtr> closing;
+    std::lock_guard lock(m_mutex);
+    auto it = m_pools.find({ std::string(address), incarnation });
+    if (it == m_pools.end())
+        return;
+    closing.swap(it->second.idle);
+    it->second.isGone = true;
+    if (it->second.inUse == 0)
+        m_pools.erase(it);
+}
+
+size_t HttpAttemptClient::idleConnections(std::string_view address) const
+{
+    std::lock_guard lock(m_mutex);
+    size_t n = 0;
+    for (auto it = m_pools.lower_bound({ std::string(address), 0 }); it != m_pools.end() && it->first.first == address; ++it)
+        n += it->second.idle.size();
+    return n;
+}
+
 AttemptResult HttpAttemptClient::send(const AttemptDesc& desc)
 {
-    auto remainingMs = millisecondsUntil(desc.deadline, m_clock.now());
-    if (remainingMs <= 0)
-        return AttemptNotSent { "the deadline has passed" };
-    httplib::Client client("http://" + std::string(desc.address));
-    client.set_connection_timeout(std::chrono::milliseconds(std::min<int64_t>(remainingMs, 1000)));
-    client.set_read_timeout(std::chrono::milliseconds(remainingMs));
-    client.set_write_timeout(std::chrono::milliseconds(remainingMs));
-    client.set_tcp_nodelay(true);
-    httplib::Request request;
-    request.method = desc.method;
-    request.path = desc.target;
-    request.body = desc.body;
-    for (const auto& [name, value] : *desc.headers)
-        request.headers.emplace(name, value);
-    request.headers.emplace(header::requestId, desc.requestId);
-    request.headers.emplace(header::attemptId, desc.attemptId);
-    request.headers.emplace(header::team, desc.team);
-    request.headers.emplace(header::timeoutMs, std::to_string(remainingMs));
-    auto result = client.send(request);
-    if (result)
-        return judgeAnswer(desc, *result);
-    if (result.error() == httplib::Error::Connection || result.error() == httplib::Error::ConnectionTimeout)
-        return AttemptNotSent { httplib::to_string(result.error()) };
-    return AttemptFailed { Reason::EndpointFailed, httplib::to_string(result.error()) };
+    auto address = parseAddress(desc.address);
+    if (!address)
+        return AttemptNotSent { "the endpoint's address is not ip:port" };
+    Key key { desc.address, desc.incarnation };
+    ConnectionPtr connection;
+    if (!checkOut(key, desc.connections, connection))
+        return AttemptNotSent { "all connections to the endpoint are in use" };
+    if (!connection)
+        connection = std::make_unique<AttemptConnection>(address->host, address->port, m_clock);
+    auto exchange = connection->exchange(desc);
+    if (exchange.isRetryable) {
+        connection = std::make_unique<AttemptConnection>(address->host, address->port, m_clock);
+        exchange = connection->exchange(desc);
+    }
+    if (!exchange.isReusable)
+        connection.reset();
+    checkIn(key, std::move(connection));
+    return std::move(exchange.result);
 }
 
 } // namespace vanillalift
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -1,5 +1,6 @@
 #include "caller/caller_server_p.h"
 #include "core/static_authority_p.h"
+#include "endpoint/announcement_server_p.h"
 #include "endpoint/endpoint_table_p.h"
 #include "endpoint/http_attempt_client_p.h"
 #include "request/request_runner_p.h"
@@ -41,32 +42,19 @@
     return settings;
 }
 
-void addAnnouncementRoute(httplib::Server& server, EndpointTable& endpoints, const Clock& clock)
-{
-    server.Post("/v1/announce", [&](const httplib::Request& request, httplib::Response& response) {
-        auto value = nlohmann::json::parse(request.body, nullptr, false);
-        std::string detail;
-        auto announcement = announcementFromJson(value, detail);
-        if (!announcement) {
-            response.status = 400;
-            response.set_content(detail, "text/plain");
-            return;
-        }
-        endpoints.announce(*announcement, clock.now());
-    });
-}
-
 int run(const EntrySettings& settings, Catalog catalog)
 {
     SystemClock clock;
     StaticAuthority authority(std::move(catalog), settings.entryCount);
     EndpointTable endpoints(settings.zone, settings.entryCount);
     HttpAttemptClient client(clock);
+    endpoints.addListener(client);
     RequestRunner runner(settings.name, clock, authority, endpoints, client);
     CallerServer callers(clock, authority, runner);
 
     httplib::Server announceServer;
-    addAnnouncementRoute(announceServer, endpoints, clock);
+    AnnouncementServer announcements(settings.name, settings.entryCount, endpoints, clock);
+    announcements.addRoutes(announceServer);
     std::thread announceThread([&] { announceServer.listen(settings.address, static_cast<int>(settings.announcePort)); });
 
     httplib::Server callerServer;
