--- /dev/null
+++ b/tests/standin_endpoint_test.cpp
@@ -0,0 +1,208 @@
+#include <catch2/catch.hpp>
+
+#include "endpoint/announcement_server_p.h"
+#include "endpoint/http_attempt_client_p.h"
+#include "standin/announcer_p.h"
+#include "standin/endpoint_server_p.h"
+
+#include <vanillalift/request.h>
+
+#include <cstdio>
+
+using namespace vanillalift;
+using namespace vanillalift::standin;
+
+namespace {
+
+/// A server on a free loopback port that runs in its own thread.
+struct Serving {
+    explicit Serving(httplib::Server& served)
+        : server(served)
+        , port(served.bind_to_any_port("127.0.0.1"))
+        , thread([&served] { served.listen_after_bind(); })
+    {
+        while (!server.is_running())
+            std::this_thread::yield();
+    }
+    ~Serving()
+    {
+        server.stop();
+        thread.join();
+    }
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port); }
+
+    httplib::Server& server;
+    int port;
+    std::thread thread;
+};
+
+EndpointSettings settingsWith(const std::function<void(EndpointSettings&)>& change)
+{
+    EndpointSettings settings;
+    settings.announcement = { "count", "127.0.0.1:1", "z1", "i1", 1, 0, EndpointState::Serving, 2, 16 };
+    change(settings);
+    return settings;
+}
+
+struct Endpoint {
+    explicit Endpoint(const std::function<void(EndpointSettings&)>& change)
+        : work(settingsWith(change), clock)
+    {
+    }
+    AttemptResult send(const std::string& id, int64_t timeoutMs = 20000)
+    {
+        std::vector<Header> headers;
+        auto address = serving.address();
+        return client.send({ address, 1, id, "r" + id, "blue", "POST", "/x", &headers, "body", clock.now() + std::chrono::milliseconds(timeoutMs) });
+    }
+    /// @returns the failure of an attempt that started and got no whole answer.
+    Reason failureOf(const std::string& id)
+    {
+        auto result = send(id);
+        REQUIRE(std::holds_alternative<AttemptFailed>(result));
+        return std::get<AttemptFailed>(result).reason;
+    }
+
+    SystemClock clock;
+    EndpointWork work;
+    EndpointServer server { work, 16 };
+    Serving serving { server };
+    HttpAttemptClient client { clock };
+};
+
+int statusOf(const AttemptResult& result)
+{
+    REQUIRE(std::holds_alternative<AttemptAnswered>(result));
+    return std::get<AttemptAnswered>(result).answer.status;
+}
+
+} // namespace
+
+TEST_CASE("a fault that is enabled but does not happen would make fault tests pass for nothing", "[standin]")
+{
+    CHECK(statusOf(Endpoint([](auto&) {}).send("1")) == 200);
+    CHECK(Endpoint([](auto& it) { it.faults.truncate = 1; }).failureOf("1") == Reason::AnswerTruncated);
+    CHECK(Endpoint([](auto& it) { it.faults.close = 1; }).failureOf("1") == Reason::EndpointFailed);
+    CHECK(statusOf(Endpoint([](auto& it) { it.faults.failFast = 1; }).send("1")) == 500);
+    Endpoint frozen([](auto& it) { it.faults.freeze = 1; });
+    CHECK(std::holds_alternative<AttemptFailed>(frozen.send("1", 100)));
+    Endpoint twice([](auto& it) { it.faults.twice = 1; });
+    CHECK(statusOf(twice.send("1")) == 200);
+    CHECK(twice.client.idleConnections(twice.serving.address()) == 0);
+}
+
+TEST_CASE("swapped answers are delivered to neither caller", "[standin]")
+{
+    Endpoint endpoint([](auto& it) { it.faults.cross = 1; });
+    std::array<AttemptResult, 2> results;
+    std::thread other([&] { results[0] = endpoint.send("1"); });
+    results[1] = endpoint.send("2");
+    other.join();
+    // Without a partner in time the endpoint answers correctly, so both outcomes are allowed, but only together.
+    auto isCrossed = [](const AttemptResult& it) { return std::holds_alternative<AttemptFailed>(it) && std::get<AttemptFailed>(it).reason == Reason::AnswerCrossed; };
+    CHECK(isCrossed(results[0]) == isCrossed(results[1]));
+    CHECK(std::holds_alternative<AttemptAnswered>(results[0]) != isCrossed(results[0]));
+}
+
+TEST_CASE("a request beyond the slots or after closing is refused with proof that it did not start", "[standin]")
+{
+    Endpoint endpoint([](auto& it) { it.announcement.slots = 1; it.faults.freeze = 1; });
+    std::thread holder([&] { endpoint.send("1", 1000); });
+    while (endpoint.work.running() == 0)
+        std::this_thread::yield();
+    CHECK(std::holds_alternative<AttemptNotStarted>(endpoint.send("2")));
+    holder.join();
+    endpoint.work.close();
+    CHECK(std::holds_alternative<AttemptNotStarted>(endpoint.send("3")));
+}
+
+TEST_CASE("work that outlives its deadline or is missing from the record would falsify histories", "[standin]")
+{
+    char name[] = "/tmp/standin_endpoint_test.XXXXXX";
+    REQUIRE(mkstemp(name) >= 0);
+    {
+        Endpoint endpoint([&](auto& it) { it.recordFile = name; it.serviceMs = 50; });
+        CHECK(statusOf(endpoint.send("1")) == 200);
+        (void)endpoint.send("2", 20);
+        while (endpoint.work.running() != 0)
+            std::this_thread::yield();
+    }
+    std::ifstream in(name);
+    std::vector<nlohmann::json> lines;
+    for (std::string it; std::getline(in, it);)
+        lines.push_back(nlohmann::json::parse(it));
+    std::remove(name);
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[0]["request"] == "r1");
+    CHECK(lines[0]["attempt"] == "1");
+    CHECK(lines[0]["finished"] == true);
+    CHECK(lines[1]["finished"] == false);
+    CHECK(lines[0]["end_ns"].get<int64_t>() >= lines[0]["start_ns"].get<int64_t>() + 50000000);
+}
+
+TEST_CASE("announcements reach the living entries beside a dead one, and leaving reaches them at once", "[standin]")
+{
+    SystemClock clock;
+    EndpointTable table("z1", 3);
+    AnnouncementServer announcements("e1", 3, table, clock);
+    httplib::Server server;
+    announcements.addRoutes(server);
+    Serving serving(server);
+    Announcement announcement { "count", "127.0.0.1:1", "z1", "i1", 1, 0, EndpointState::Serving, 8, 64 };
+    Announcer announcer(announcement, { "127.0.0.1:1", serving.address() }, [] { return 3; });
+    auto waitFor = [&](EndpointState state) {
+        // Bounded by the timeout of the test program.
+        while (table.endpoints(clock.now()).empty() || table.endpoints(clock.now()).front().state != state)
+            std::this_thread::yield();
+    };
+    waitFor(EndpointState::Serving);
+    announcer.leave();
+    waitFor(EndpointState::Leaving);
+    CHECK_FALSE(table.acquire({ "count" }, clock.now()));
+}
+
+TEST_CASE("malformed announcements are refused with the fault instead of entering the table", "[standin]")
+{
+    SystemClock clock;
+    EndpointTable table("z1", 3);
+    AnnouncementServer announcements("e1", 3, table, clock);
+    httplib::Server server;
+    announcements.addRoutes(server);
+    Serving serving(server);
+    httplib::Client client("http://" + serving.address());
+    Announcement announcement { "count", "127.0.0.1:9", "z1", "i1", 1, 1, EndpointState::Serving, 8, 64 };
+    auto post = [&](const std::string& body) { return client.Post("/v1/announce", body, "application/json"); };
+    auto good = toJson(announcement);
+    auto result = post(good.dump());
+    REQUIRE(result);
+    CHECK(result->status == 200);
+    CHECK(nlohmann::json::parse(result->body) == nlohmann::json { { "entry", "e1" }, { "entries", 3 } });
+    auto slotless = good;
+    slotless["slots"] = 0;
+    for (const auto& body : { std::string("{"), std::string("[]"), slotless.dump() }) {
+        auto refused = post(body);
+        REQUIRE(refused);
+        CHECK(refused->status == 400);
+        CHECK_FALSE(nlohmann::json::parse(refused->body)["detail"].get<std::string>().empty());
+    }
+    CHECK(table.endpoints(clock.now()).size() == 1);
+}
+
+TEST_CASE("a misspelt or impossible setting is refused instead of running without the fault", "[standin]")
+{
+    auto read = [](std::vector<const char*> arguments) {
+        for (const auto* it : { "--service=count", "--address=127.0.0.1:1", "--zone=z1", "--instance=i1", "--entries=127.0.0.1:2,127.0.0.1:3" })
+            arguments.push_back(it);
+        arguments.insert(arguments.begin(), "vanillalift-endpoint");
+        return endpointSettingsFromCommandLine(static_cast<int>(arguments.size()), arguments.data());
+    };
+    auto settings = read({ "--truncate=0.5", "--ignore-leaving", "--slots=3" });
+    REQUIRE(settings);
+    CHECK(settings->faults.truncate == 0.5);
+    CHECK(settings->faults.ignoreLeaving);
+    CHECK(settings->announcement.slots == 3);
+    CHECK(settings->entries.size() == 2);
+    CHECK_FALSE(read({ "--truncate=2" }));
+    CHECK_FALSE(read({ "--truncat=0.5" }));
+    CHECK_FALSE(read({ "--slots=many" }));
+}
