Stop the stand-in endpoint while entries keep connections open

Cause: the connection threads watched is_running(), which the library resets only after joining them, so a leaving endpoint with one idle connection never exited.

Change: the threads watch the listening socket, which stop() resets. A test holds an idle connection over the stop. Lint findings are corrected.

--- a/src/standin/endpoint_server.cpp
+++ b/src/standin/endpoint_server.cpp
@@ -14,7 +14,7 @@
 
     constexpr int pollMs = 100;
     /// Set by the handler for the answer that the same thread writes next.
-    thread_local WriteFault s_writeFault = WriteFault::None;
+    thread_local WriteFault writeFaultOfThread = WriteFault::None;
 
     /// Reads from the socket and collects what is written, so that the answer can be damaged as a whole.
     class CollectingStream final : public httplib::Stream {
@@ -106,7 +106,7 @@
 {
     set_tcp_nodelay(true);
     new_task_queue = [connections] { return new httplib::ThreadPool(static_cast<size_t>(connections)); };
-    auto handler = [this](const httplib::Request& request, httplib::Response& response) { s_writeFault = m_work.handle(request, response); };
+    auto handler = [this](const httplib::Request& request, httplib::Response& response) { writeFaultOfThread = m_work.handle(request, response); };
     Get(".*", handler);
     Post(".*", handler);
     Put(".*", handler);
@@ -119,15 +119,16 @@
 {
     CollectingStream stream(sock);
     bool isOpen = true;
-    while (isOpen && is_running()) {
+    // is_running() stays true until all connection threads have ended; stop() resets the socket at once.
+    while (isOpen && svr_sock_ != INVALID_SOCKET) {
         if (!stream.hasInput() && !isReadable(sock))
             continue;
         bool isClosed = false;
-        s_writeFault = WriteFault::None;
+        writeFaultOfThread = WriteFault::None;
         isOpen = process_request(stream, false, isClosed, nullptr) && !isClosed;
         auto answer = stream.take();
         if (!answer.empty())
-            isOpen = writeAnswer(sock, answer, s_writeFault) && isOpen;
+            isOpen = writeAnswer(sock, answer, writeFaultOfThread) && isOpen;
     }
     shutdown(sock, SHUT_RDWR);
     ::close(sock);
--- a/tests/attempt_client_test.cpp
+++ b/tests/attempt_client_test.cpp
@@ -291,6 +291,7 @@
     std::atomic<int> wrong { 0 };
     std::atomic<size_t> started { 0 };
     std::vector<std::thread> threads;
+    threads.reserve(8);
     for (int t = 0; t < 8; ++t) {
         threads.emplace_back([&, t] {
             for (int i = 0; i < 50; ++i) {
--- a/tests/endpoint_table_property_test.cpp
+++ b/tests/endpoint_table_property_test.cpp
@@ -148,6 +148,7 @@
     };
     announceAll(1);
     std::vector<std::thread> threads;
+    threads.reserve(8);
     for (int t = 0; t < 8; ++t) {
         threads.emplace_back([&, t] {
             for (int i = 0; i < 5000; ++i) {
--- a/tests/endpoint_table_test.cpp
+++ b/tests/endpoint_table_test.cpp
@@ -26,7 +26,7 @@
             change(it);
         CHECK(table.announce(it, now));
     }
-    std::optional<EndpointPlace> acquire(TimePoint now = start, PlaceDesc desc = { "count" }) { return table.acquire(desc, now); }
+    std::optional<EndpointPlace> acquire(TimePoint now = start, const PlaceDesc& desc = { "count" }) { return table.acquire(desc, now); }
     void run(AttemptVerdict verdict, TimePoint now = start, const PlaceDesc& desc = { "count" })
     {
         auto place = table.acquire(desc, now);
--- a/tests/standin_endpoint_test.cpp
+++ b/tests/standin_endpoint_test.cpp
@@ -116,6 +116,18 @@
     CHECK(std::holds_alternative<AttemptNotStarted>(endpoint.send("3")));
 }
 
+TEST_CASE("an idle connection of an entry must not keep a stopped endpoint from exiting", "[standin]")
+{
+    SystemClock clock;
+    HttpAttemptClient client(clock);
+    Endpoint endpoint([](auto&) {});
+    std::vector<Header> headers;
+    auto address = endpoint.serving.address();
+    CHECK(statusOf(client.send({ address, 1, "1", "r1", "blue", "POST", "/x", &headers, "body", clock.now() + std::chrono::seconds(20) })) == 200);
+    // The endpoint is destroyed first; its server has to join its threads while this connection is open.
+    CHECK(client.idleConnections(address) == 1);
+}
+
 TEST_CASE("work that outlives its deadline or is missing from the record would falsify histories", "[standin]")
 {
     char name[] = "/tmp/standin_endpoint_test.XXXXXX";
