End the byte-by-byte server of a test with the test

Cause: the server of the slow-endpoint test wrote all its bytes for 20 s after the client had stopped at its deadline.

Change: the test tells the server when the attempt has ended.

Conclusion: the checks are the same; only the wait after them is gone.

--- a/tests/attempt_client_test.cpp
+++ b/tests/attempt_client_test.cpp
@@ -177,17 +177,20 @@
 TEST_CASE("a slow endpoint cannot pass the deadline byte by byte", "[attempt]")
 {
     std::atomic<int> bytes { 0 };
+    std::atomic<bool> isOver { false };
     RawServer server([&](RawConnection& it, int) {
         it.readRequest();
         it.write(it.head("200 OK", 1000));
-        for (; bytes < 1000 && server.closed() == 0; ++bytes) {
+        for (; bytes < 1000 && !isOver; ++bytes) {
             it.write("x");
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
         }
     });
     Client client;
-    CHECK(failureOf(client.send(server, "a1", 200)) == Reason::DeadlinePassed);
+    auto result = client.send(server, "a1", 200);
     CHECK(bytes < 1000);
+    isOver = true;
+    CHECK(failureOf(result) == Reason::DeadlinePassed);
 }
 
 TEST_CASE("an endpoint that never answers ends at the deadline as possibly run", "[attempt]")
