Add scheduler, retry budget and the whole request lifecycle

Cause: the request runner sent each request straight to an endpoint, without queues, shares, limits, claims or retries, and said "not run" without proof.

Change: Scheduler keeps one queue per service divided by team (stride order), limits over all services, admission, eviction, spill, lease checks at grant and right before the attempt, and units held after a lost connection until the deadline. RequestRunner claims, queues, attempts, settles or releases. RetryBudget bounds retries. New: CallerConnection::onClose(), AttemptVerdict::Unused. The entry refuses non-idempotent requests with claims-unavailable until it has a claim table. A random run found that a young head, next by share, kept an older head of another team from other zones; the oldest head now decides on spilling.

The wait estimate does not know of limits.

--- a/include/vanillalift/endpoint.h
+++ b/include/vanillalift/endpoint.h
@@ -117,6 +117,8 @@
     /// Cut connection, truncated or crossed answer.
     Broken,
     TimedOut,
+    /// The place was given back without an attempt; says nothing about the endpoint.
+    Unused,
     AttemptVerdictCount,
 };
 
--- a/include/vanillalift/request.h
+++ b/include/vanillalift/request.h
@@ -4,6 +4,7 @@
 #include <vanillalift/handle.h>
 #include <vanillalift/outcome.h>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
     virtual ~CallerConnection() = default;
     /// @returns whether the caller has closed its connection.
     [[nodiscard]] virtual bool isClosed() const = 0;
+    /// @param callback called at most once, from any thread, when the caller disconnects; cleared when handle() returns.
+    virtual void onClose(std::function<void()> callback) const = 0;
 };
 
 /// Runs requests to their outcome.
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -11,6 +11,7 @@
     class OpenConnection final : public CallerConnection {
     public:
         [[nodiscard]] bool isClosed() const override { return false; }
+        void onClose(std::function<void()> /*callback*/) const override { }
     };
 
     bool isForwardedHeader(const std::string& name)
--- /dev/null
+++ b/src/request/service_queue.cpp
@@ -0,0 +1,109 @@
+#include "service_queue_p.h"
+
+#include <algorithm>
+
+namespace vanillalift {
+
+TeamQueue& ServiceQueue::queueOf(TeamState& team)
+{
+    auto it = std::find_if(teams.begin(), teams.end(), [&](const auto& queue) { return queue->team == &team; });
+    if (it != teams.end())
+        return **it;
+    auto& queue = *teams.emplace_back(std::make_unique<TeamQueue>());
+    queue.service = this;
+    queue.team = &team;
+    team.queues.push_back(&queue);
+    return queue;
+}
+
+void ServiceQueue::pushBack(Ticket& ticket, TeamQueue& queue)
+{
+    // A team that returns from idle starts at the current virtual time and has no credit for the time it was idle.
+    if (queue.tickets.empty())
+        queue.pass = std::max(queue.pass, virtualTime);
+    ticket.queue = &queue;
+    ticket.position = queue.tickets.insert(queue.tickets.end(), &ticket);
+    ++stats.queued;
+    ++queue.team->stats.queued;
+}
+
+void ServiceQueue::pushFront(Ticket& ticket)
+{
+    auto& queue = *ticket.queue;
+    ticket.position = queue.tickets.insert(queue.tickets.begin(), &ticket);
+    ++stats.queued;
+    ++queue.team->stats.queued;
+}
+
+void ServiceQueue::remove(Ticket& ticket)
+{
+    auto& queue = *ticket.queue;
+    queue.tickets.erase(ticket.position);
+    --stats.queued;
+    --queue.team->stats.queued;
+    if (stats.queued == 0)
+        m_lastCompletion = {};
+}
+
+void ServiceQueue::charge(Ticket& ticket)
+{
+    auto& queue = *ticket.queue;
+    queue.pass = passOf(queue);
+    queue.wasSkipped = false;
+    virtualTime = std::max(virtualTime, queue.pass);
+    ticket.charge = 1 / queue.weight;
+    queue.pass += ticket.charge;
+}
+
+void ServiceQueue::refund(Ticket& ticket)
+{
+    ticket.queue->pass -= ticket.charge;
+    ticket.charge = 0;
+}
+
+TeamQueue* ServiceQueue::mostOverShare(TeamQueue& arriving) const
+{
+    auto* worst = &arriving;
+    auto worstLoad = arriving.load(1);
+    for (const auto& it : teams) {
+        if (it.get() != &arriving && it->load() > worstLoad) {
+            worst = it.get();
+            worstLoad = it->load();
+        }
+    }
+    return worst;
+}
+
+void ServiceQueue::recordCompletion(TimePoint now)
+{
+    // Completions without queued requests show the demand, not the rate that the pool could reach.
+    if (stats.queued == 0) {
+        m_lastCompletion = {};
+        return;
+    }
+    if (m_lastCompletion != TimePoint {}) {
+        auto gap = static_cast<double>((now - m_lastCompletion).count());
+        constexpr double smoothing = 0.05;
+        m_meanGap = m_gaps == 0 ? gap : m_meanGap + smoothing * (gap - m_meanGap);
+        ++m_gaps;
+    }
+    m_lastCompletion = now;
+}
+
+Duration ServiceQueue::estimatedWait(const TeamQueue& queue) const
+{
+    double activeWeight = 0;
+    for (const auto& it : teams)
+        activeWeight += it->tickets.empty() && it.get() != &queue ? 0 : it->weight;
+    return Duration(static_cast<int64_t>(queue.load() * activeWeight * gap()));
+}
+
+std::optional<Duration> ServiceQueue::timeToHalf() const
+{
+    if (gap() == 0)
+        return std::nullopt;
+    auto excess = std::max<int64_t>(0, stats.queued - policy.bound / 2);
+    return Duration(static_cast<int64_t>(static_cast<double>(excess) * gap()));
+}
+
+} // namespace vanillalift
--- /dev/null
+++ b/tests/request_runner_test.cpp
@@ -0,0 +1,333 @@
+#include <catch2/catch.hpp>
+
+#include "request_fakes.h"
+
+#include <future>
+#include <thread>
+
+using namespace vanillalift;
+using namespace vanillalift::test;
+
+namespace {
+
+/// A gate that holds attempts until it is opened.
+class Gate {
+public:
+    void open()
+    {
+        std::lock_guard lock(m_mutex);
+        m_isOpen = true;
+        m_changed.notify_all();
+    }
+    void pass()
+    {
+        std::unique_lock lock(m_mutex);
+        ++m_arrived;
+        m_changed.notify_all();
+        m_changed.wait(lock, [&] { return m_isOpen; });
+    }
+    void awaitArrivals(int n)
+    {
+        std::unique_lock lock(m_mutex);
+        m_changed.wait(lock, [&] { return m_arrived >= n; });
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    int m_arrived = 0;
+    bool m_isOpen = false;
+};
+
+struct RunnerBed : SchedulerBed {
+    using SchedulerBed::SchedulerBed;
+
+    static Request request(std::string service, std::string id, int64_t timeoutMs = 60000, std::string team = "x")
+    {
+        Request request { .service = std::move(service), .team = std::move(team), .id = std::move(id), .hasCallerId = true, .method = "POST", .target = "/" };
+        request.deadline = BootClock::now() + milliseconds(timeoutMs);
+        return request;
+    }
+    Outcome handle(const Request& request) { return runner.handle(request, FakeCaller {}); }
+    std::future<Outcome> start(Request request, const FakeCaller& caller)
+    {
+        return std::async(std::launch::async, [this, request = std::move(request), &caller] { return runner.handle(request, caller); });
+    }
+    /// Waits until the service has @p n queued requests.
+    void awaitQueued(int64_t n) const
+    {
+        auto queued = [&] {
+            int64_t sum = 0;
+            for (const auto& it : scheduler.serviceStats())
+                sum += it.queued;
+            return sum;
+        };
+        while (queued() != n)
+            std::this_thread::yield();
+    }
+
+    SystemClock clock;
+    FakeClient client;
+    FakeClaims claims;
+    RequestRunner runner { "e1", clock, authority, scheduler, client, claims };
+};
+
+template <typename T>
+Reason reasonOf(const Outcome& outcome)
+{
+    REQUIRE(std::holds_alternative<T>(outcome));
+    return std::get<T>(outcome).reason;
+}
+
+AttemptResult fail(const AttemptDesc& /*desc*/)
+{
+    return AttemptFailed { Reason::EndpointFailed, "cut" };
+}
+
+} // namespace
+
+TEST_CASE("concurrent resends under faults never start a non-idempotent request twice, and every not-run is true", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["o"] = { 3, 2 };
+    std::mutex mutex;
+    std::map<std::string, int> starts;
+    std::mt19937 faults(7);
+    bed.client.onSend = [&](const AttemptDesc& desc) -> AttemptResult {
+        std::lock_guard lock(mutex);
+        auto fault = faults() % 10;
+        if (fault < 2)
+            return AttemptNotStarted {};
+        if (fault < 4)
+            return AttemptNotSent { "refused" };
+        ++starts[std::string(desc.requestId)];
+        if (fault < 6)
+            return AttemptFailed { Reason::AnswerTruncated, "cut" };
+        return AttemptAnswered { { 200, {}, std::string(desc.attemptId) } };
+    };
+    int releases = 0;
+    int falseReleases = 0;
+    bed.claims.onRelease = [&](const ClaimKey& key) {
+        std::lock_guard lock(mutex);
+        ++releases;
+        falseReleases += starts[key.requestId];
+    };
+    constexpr int ids = 300;
+    std::map<std::string, std::vector<Outcome>> history;
+    std::vector<std::jthread> threads;
+    for (unsigned thread = 0; thread < 8; ++thread) {
+        threads.emplace_back([&, thread] {
+            std::mt19937 generator(thread);
+            for (int i = 0; i < ids; ++i) {
+                auto request = RunnerBed::request("o", std::to_string(generator() % ids));
+                if (generator() % 8 == 0)
+                    request.deadline = bed.clock.now();
+                auto outcome = bed.handle(request);
+                std::lock_guard lock(mutex);
+                history[request.id].push_back(std::move(outcome));
+            }
+        });
+    }
+    threads.clear();
+    int notRun = 0;
+    for (const auto& [id, outcomes] : history) {
+        CHECK(starts[id] <= 1);
+        std::set<std::string> answers;
+        for (const auto& it : outcomes) {
+            if (const auto* answered = std::get_if<Answered>(&it))
+                answers.insert(answered->body);
+            notRun += std::holds_alternative<NotRun>(it) ? 1 : 0;
+        }
+        CHECK(answers.size() <= 1);
+    }
+    // A later receipt may start the request after a true "not run", so its truth is checked at the release.
+    CHECK(falseReleases == 0);
+    CHECK(notRun == releases);
+    CHECK(notRun > 0);
+    CHECK(bed.pool.taken() == 0);
+}
+
+TEST_CASE("a refusal says not-run only after the claim was released, and unknown if the release is not confirmed", "[runner]")
+{
+    RunnerBed bed;
+    CHECK(reasonOf<NotRun>(bed.handle(RunnerBed::request("o", "1"))) == Reason::NoEndpoint);
+    bed.pool.rooms["o"].own = 1;
+    CHECK(std::holds_alternative<Answered>(bed.handle(RunnerBed::request("o", "1"))));
+    bed.pool.rooms["o"].own = 0;
+    bed.claims.isReleaseConfirmed = false;
+    CHECK(reasonOf<Unknown>(bed.handle(RunnerBed::request("o", "2"))) == Reason::NoEndpoint);
+}
+
+TEST_CASE("without claims a caller's own id is answered unknown, since an earlier receipt may have run", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["o"].own = 1;
+    bed.claims.isUnavailable = true;
+    auto request = RunnerBed::request("o", "1");
+    CHECK(reasonOf<Unknown>(bed.handle(request)) == Reason::ClaimsUnavailable);
+    request.hasCallerId = false;
+    CHECK(reasonOf<NotRun>(bed.handle(request)) == Reason::ClaimsUnavailable);
+}
+
+TEST_CASE("the outcome is settled before the caller has it, and a resend gets the first outcome", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["o"].own = 1;
+    Gate gate;
+    bed.client.onSend = [&](const AttemptDesc& desc) -> AttemptResult {
+        gate.pass();
+        return fail(desc);
+    };
+    FakeCaller caller;
+    auto first = bed.start(RunnerBed::request("o", "1"), caller);
+    gate.awaitArrivals(1);
+    CHECK(reasonOf<Unknown>(bed.handle(RunnerBed::request("o", "1"))) == Reason::InProgress);
+    // The caller's disconnection does not end a dispatched request.
+    caller.close();
+    gate.open();
+    CHECK(reasonOf<Unknown>(first.get()) == Reason::EndpointFailed);
+    CHECK(bed.claims.settled.size() == 1);
+    CHECK(reasonOf<Unknown>(bed.handle(RunnerBed::request("o", "1"))) == Reason::EndpointFailed);
+}
+
+TEST_CASE("an idempotent request touches no claim and is retried on another endpoint", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["a"] = { 1, 1 };
+    std::vector<std::string> attempts;
+    bed.client.onSend = [&](const AttemptDesc& desc) -> AttemptResult {
+        attempts.emplace_back(desc.attemptId);
+        if (attempts.size() == 1)
+            return fail(desc);
+        return AttemptAnswered { { 200, {}, "ok" } };
+    };
+    CHECK(std::holds_alternative<Answered>(bed.handle(RunnerBed::request("a", "1"))));
+    CHECK(bed.claims.calls == 0);
+    REQUIRE(attempts.size() == 2);
+    CHECK(attempts[0] != attempts[1]);
+    CHECK(bed.pool.rooms["a"].ownTaken + bed.pool.rooms["a"].otherTaken == 0);
+    // The first attempt may still run, so it keeps its unit.
+    CHECK(bed.running("x") == 1);
+}
+
+TEST_CASE("retries stay within the budget when the pool fails everything", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["a"].own = 4;
+    bed.authority.parts["x"] = 100000;
+    std::atomic<int> attempts { 0 };
+    bed.client.onSend = [&](const AttemptDesc& desc) {
+        ++attempts;
+        return fail(desc);
+    };
+    constexpr int perThread = 250;
+    std::atomic<int> budgetRefusals { 0 };
+    std::vector<std::jthread> threads;
+    threads.reserve(4);
+    for (int thread = 0; thread < 4; ++thread) {
+        threads.emplace_back([&] {
+            for (int i = 0; i < perThread; ++i) {
+                auto outcome = bed.handle(RunnerBed::request("a", "1"));
+                auto* unknown = std::get_if<Unknown>(&outcome);
+                budgetRefusals += unknown && unknown->reason == Reason::RetryBudgetEmpty ? 1 : 0;
+            }
+        });
+    }
+    threads.clear();
+    CHECK(attempts <= 4 * perThread * 1.1 + RetryBudget::cap);
+    CHECK(attempts > 4 * perThread);
+    CHECK(budgetRefusals > 0);
+}
+
+TEST_CASE("an attempt proved unstarted is repeated beyond max_attempts and draws nothing from the budget", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["o"].own = 1;
+    int attempts = 0;
+    bed.client.onSend = [&](const AttemptDesc&) -> AttemptResult {
+        if (++attempts < 6)
+            return AttemptNotStarted {};
+        return AttemptAnswered { { 200, {}, "ok" } };
+    };
+    CHECK(std::holds_alternative<Answered>(bed.handle(RunnerBed::request("o", "1"))));
+    CHECK(attempts == 6);
+}
+
+TEST_CASE("a request whose attempts were all proved unstarted ends as not-run", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["o"].own = 1;
+    bed.client.onSend = [&](const AttemptDesc&) -> AttemptResult { return AttemptNotStarted {}; };
+    CHECK(reasonOf<NotRun>(bed.handle(RunnerBed::request("o", "1", 30))) == Reason::DeadlinePassed);
+}
+
+TEST_CASE("an evicted request is answered while the queue is still blocked, not at its deadline", "[runner]")
+{
+    RunnerBed bed(1);
+    bed.pool.rooms["a"].own = 1;
+    Gate gate;
+    bed.client.onSend = [&](const AttemptDesc&) -> AttemptResult {
+        gate.pass();
+        return AttemptAnswered { { 200, {}, "ok" } };
+    };
+    FakeCaller caller;
+    auto running = bed.start(RunnerBed::request("a", "1", 3600000, "y"), caller);
+    gate.awaitArrivals(1);
+    auto evicted = bed.start(RunnerBed::request("a", "2", 3600000, "y"), caller);
+    bed.awaitQueued(1);
+    auto arriving = bed.start(RunnerBed::request("a", "3", 3600000, "x"), caller);
+    // The gate is closed and the deadlines are an hour away: only the eviction can answer.
+    CHECK(reasonOf<NotRun>(evicted.get()) == Reason::OverShare);
+    gate.open();
+    CHECK(std::holds_alternative<Answered>(running.get()));
+    CHECK(std::holds_alternative<Answered>(arriving.get()));
+}
+
+TEST_CASE("a lease that lapses while a request is queued or granted leads to not-run without an attempt", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["o"].own = 1;
+    int attempts = 0;
+    bed.client.onSend = [&](const AttemptDesc&) -> AttemptResult {
+        ++attempts;
+        return AttemptAnswered { { 200, {}, "ok" } };
+    };
+    bed.pool.onAcquire = [&] { bed.authority.lease = TimePoint {}; };
+    CHECK(reasonOf<NotRun>(bed.handle(RunnerBed::request("o", "1"))) == Reason::ConfigurationStale);
+    CHECK(attempts == 0);
+    CHECK(bed.running("x") == 0);
+}
+
+TEST_CASE("the expiry thread refuses queued keyed requests when the lease ends and frees held units when due", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["a"].own = 1;
+    bed.authority.parts["x"] = 1;
+    std::jthread expiry([&](const std::stop_token& stop) { bed.scheduler.runExpiry(stop, bed.clock); });
+    bed.client.onSend = fail;
+    auto lost = RunnerBed::request("o", "1", 50);
+    bed.pool.rooms["o"].own = 1;
+    CHECK(std::holds_alternative<Unknown>(bed.handle(lost)));
+    bed.client.onSend = [](const AttemptDesc&) -> AttemptResult { return AttemptAnswered { { 200, {}, "ok" } }; };
+    // Waits an hour unless the lost attempt's unit comes back.
+    CHECK(std::holds_alternative<Answered>(bed.handle(RunnerBed::request("a", "2", 3600000))));
+    bed.authority.parts["x"] = 0;
+    bed.authority.lease = bed.clock.now() + milliseconds(20);
+    bed.scheduler.authorityChanged(bed.clock.now());
+    CHECK(reasonOf<NotRun>(bed.handle(RunnerBed::request("a", "3", 3600000))) == Reason::ConfigurationStale);
+}
+
+TEST_CASE("a queued request ends as not-run at its deadline or when its caller disconnects", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["o"].own = 1;
+    bed.authority.parts["x"] = 0;
+    CHECK(reasonOf<NotRun>(bed.handle(RunnerBed::request("o", "1", 20))) == Reason::DeadlinePassed);
+    FakeCaller caller;
+    auto waiting = bed.start(RunnerBed::request("o", "1", 3600000), caller);
+    bed.awaitQueued(1);
+    caller.close();
+    CHECK(reasonOf<NotRun>(waiting.get()) == Reason::CallerGone);
+    bed.authority.parts["x"] = 1;
+    CHECK(std::holds_alternative<Answered>(bed.handle(RunnerBed::request("o", "1"))));
+}
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -41,7 +41,18 @@
     return settings;
 }
 
-void addAnnouncementRoute(httplib::Server& server, EndpointTable& endpoints, const Clock& clock)
+/// Refuses every claim until entries share a claim table, so that no non-idempotent request runs unprotected.
+class UnavailableClaims final : public ClaimService {
+public:
+    ClaimResult claim(const ClaimKey& /*key*/, TimePoint /*deadline*/, TimePoint /*retainUntil*/) override
+    {
+        return ClaimUnavailable { "this entry has no claim table" };
+    }
+    void settle(const ClaimKey& /*key*/, const Outcome& /*outcome*/) override { }
+    bool release(const ClaimKey& /*key*/) override { return false; }
+};
+
+void addAnnouncementRoute(httplib::Server& server, EndpointTable& endpoints, const Clock& clock, EndpointPoolListener& listener)
 {
     server.Post("/v1/announce", [&](const httplib::Request& request, httplib::Response& response) {
         auto value = nlohmann::json::parse(request.body, nullptr, false);
@@ -53,6 +64,7 @@
             return;
         }
         endpoints.announce(*announcement, clock.now());
+        listener.endpointsChanged(announcement->service);
     });
 }
 
@@ -62,11 +74,14 @@
     StaticAuthority authority(std::move(catalog), settings.entryCount);
     EndpointTable endpoints(settings.zone, settings.entryCount);
     HttpAttemptClient client(clock);
-    RequestRunner runner(settings.name, clock, authority, endpoints, client);
+    Scheduler scheduler(authority, endpoints, std::mt19937_64(std::random_device {}()));
+    std::jthread expiryThread([&](const std::stop_token& stop) { scheduler.runExpiry(stop, clock); });
+    UnavailableClaims claims;
+    RequestRunner runner(settings.name, clock, authority, scheduler, client, claims);
     CallerServer callers(clock, authority, runner);
 
     httplib::Server announceServer;
-    addAnnouncementRoute(announceServer, endpoints, clock);
+    addAnnouncementRoute(announceServer, endpoints, clock, runner);
     std::thread announceThread([&] { announceServer.listen(settings.address, static_cast<int>(settings.announcePort)); });
 
     httplib::Server callerServer;
--- /dev/null
+++ b/tools/scheduler-bench/main.cpp
@@ -0,0 +1,72 @@
+#include "request/scheduler_p.h"
+
+#include <iostream>
+
+using namespace vanillalift;
+
+/// Measures the decisions per second of the scheduler at several queue lengths.
+namespace {
+
+class OpenAuthority final : public Authority {
+public:
+    [[nodiscard]] CatalogPtr catalog() const override { return nullptr; }
+    [[nodiscard]] TimePoint leaseEnd() const override { return TimePoint::max(); }
+    [[nodiscard]] int64_t limitPart(std::string_view /*team*/, TimePoint /*now*/) const override { return 1000000; }
+};
+
+/// A pool with one place.
+class OnePlace final : public EndpointPool {
+public:
+    std::optional<EndpointPlace> acquire(const PlaceDesc& /*desc*/, TimePoint /*now*/) override
+    {
+        if (std::exchange(m_isTaken, true))
+            return std::nullopt;
+        return EndpointPlace { { 0 }, "10.0.0.1:80", 1, "zone" };
+    }
+    void release(const EndpointPlace& /*place*/, AttemptVerdict /*verdict*/, bool /*isDemandWaiting*/, TimePoint /*now*/) override { m_isTaken = false; }
+    [[nodiscard]] EndpointPoolStats stats(std::string_view /*service*/, TimePoint /*now*/) const override { return { 1, 0, 1, 1 }; }
+
+private:
+    bool m_isTaken = false;
+};
+
+/// Keeps the queue at one length: each step ends the running request, which dispatches the next, and enqueues another.
+double decisionsPerSecond(size_t queueLength, size_t teamCount)
+{
+    OpenAuthority authority;
+    OnePlace pool;
+    Scheduler scheduler(authority, pool, std::mt19937_64(1));
+    Profile profile { .name = "bench", .queueBound = static_cast<int64_t>(queueLength) + 10 };
+    std::list<Ticket> tickets;
+    size_t enqueued = 0;
+    auto now = TimePoint(std::chrono::hours(1));
+    auto enqueue = [&] {
+        auto& it = tickets.emplace_back("service", "team-" + std::to_string(enqueued++ % teamCount), now + std::chrono::hours(10000));
+        scheduler.enqueue(it, profile, 1, now);
+    };
+    for (size_t i = 0; i <= queueLength; ++i)
+        enqueue();
+    constexpr int steps = 200000;
+    auto start = BootClock::now();
+    for (int i = 0; i < steps; ++i) {
+        // Equal weights serve the teams in turn, so the oldest ticket is the running one.
+        if (tickets.front().state != TicketState::Granted)
+            return 0;
+        now += std::chrono::microseconds(10);
+        scheduler.endAttempt(tickets.front(), AttemptVerdict::Succeeded, AfterAttempt::Finish, now);
+        tickets.pop_front();
+        enqueue();
+    }
+    return steps / std::chrono::duration<double>(BootClock::now() - start).count();
+}
+
+} // namespace
+
+int main()
+{
+    for (size_t teams : { 6, 50 }) {
+        for (size_t length : { 100, 1000, 10000, 100000 })
+            std::cout << "teams " << teams << " queued " << length << " decisions/s " << static_cast<int64_t>(decisionsPerSecond(length, teams)) << std::endl;
+    }
+    return 0;
+}
