--- a/src/endpoint/announcement.cpp
+++ b/src/endpoint/announcement.cpp
@@ -52,7 +52,7 @@
 
 nlohmann::json toJson(const EndpointStats& stats)
 {
-    constexpr std::array<const char*, static_cast<size_t>(AttemptVerdict::AttemptVerdictCount)> names { "succeeded", "server_error", "not_started", "not_sent", "broken", "timed_out" };
+    constexpr std::array<const char*, static_cast<size_t>(AttemptVerdict::AttemptVerdictCount)> names { "succeeded", "server_error", "not_started", "not_sent", "broken", "timed_out", "unused" };
     nlohmann::json verdicts;
     for (size_t i = 0; i < names.size(); ++i)
         verdicts[names[i]] = stats.verdicts[i];
--- a/src/endpoint/endpoint_table.cpp
+++ b/src/endpoint/endpoint_table.cpp
@@ -246,7 +246,8 @@
     ++it.verdicts.at(static_cast<size_t>(verdict));
     // An ejected endpoint returns with a window of one, whatever its last attempts did.
     resizeWindow(it, verdict, isDemandWaiting && !it.health.isEjected(now));
-    judge(m_services.find(it.announcement.service)->second, place.endpoint, verdict, place.requestKind, now);
+    if (verdict != AttemptVerdict::Unused)
+        judge(m_services.find(it.announcement.service)->second, place.endpoint, verdict, place.requestKind, now);
     if (!it.isAnnounced && it.inFlight == 0)
         removeRow(place.endpoint);
 }
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -1,6 +1,5 @@
 #include "caller/caller_server_p.h"
 #include "core/static_authority_p.h"
-#include "endpoint/announcement_server_p.h"
 #include "endpoint/endpoint_table_p.h"
 #include "endpoint/http_attempt_client_p.h"
 #include "request/request_runner_p.h"
@@ -42,19 +41,47 @@
     return settings;
 }
 
+/// Refuses every claim until entries share a claim table, so that no non-idempotent request runs unprotected.
+class UnavailableClaims final : public ClaimService {
+public:
+    ClaimResult claim(const ClaimKey& /*key*/, TimePoint /*deadline*/, TimePoint /*retainUntil*/) override
+    {
+        return ClaimUnavailable { "this entry has no claim table" };
+    }
+    void settle(const ClaimKey& /*key*/, const Outcome& /*outcome*/) override { }
+    bool release(const ClaimKey& /*key*/) override { return false; }
+};
+
+void addAnnouncementRoute(httplib::Server& server, EndpointTable& endpoints, const Clock& clock, EndpointPoolListener& listener)
+{
+    server.Post("/v1/announce", [&](const httplib::Request& request, httplib::Response& response) {
+        auto value = nlohmann::json::parse(request.body, nullptr, false);
+        std::string detail;
+        auto announcement = announcementFromJson(value, detail);
+        if (!announcement) {
+            response.status = 400;
+            response.set_content(detail, "text/plain");
+            return;
+        }
+        endpoints.announce(*announcement, clock.now());
+        listener.endpointsChanged(announcement->service);
+    });
+}
+
 int run(const EntrySettings& settings, Catalog catalog)
 {
     SystemClock clock;
     StaticAuthority authority(std::move(catalog), settings.entryCount);
     EndpointTable endpoints(settings.zone, settings.entryCount);
     HttpAttemptClient client(clock);
-    endpoints.addListener(client);
-    RequestRunner runner(settings.name, clock, authority, endpoints, client);
+    Scheduler scheduler(authority, endpoints, std::mt19937_64(std::random_device {}()));
+    std::jthread expiryThread([&](const std::stop_token& stop) { scheduler.runExpiry(stop, clock); });
+    UnavailableClaims claims;
+    RequestRunner runner(settings.name, clock, authority, scheduler, client, claims);
     CallerServer callers(clock, authority, runner);
 
     httplib::Server announceServer;
-    AnnouncementServer announcements(settings.name, settings.entryCount, endpoints, clock);
-    announcements.addRoutes(announceServer);
+    addAnnouncementRoute(announceServer, endpoints, clock, runner);
     std::thread announceThread([&] { announceServer.listen(settings.address, static_cast<int>(settings.announcePort)); });
 
     httplib::Server callerServer;
