Serve HTTP without a thread for each idle connection

Cause: cpp-httplib's server holds and polls a thread per open connection, skips malformed header lines, decodes header values and reads a POST without a length until the connection ends. Heads are checked strictly. RpcServer uses it and accepts port 0 (RpcServer::port()).

--- a/include/vanillalift/request.h
+++ b/include/vanillalift/request.h
@@ -4,6 +4,7 @@
 #include <vanillalift/handle.h>
 #include <vanillalift/outcome.h>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,10 @@
     virtual ~CallerConnection() = default;
     /// @returns whether the caller has closed its connection.
     [[nodiscard]] virtual bool isClosed() const = 0;
+    /// Calls @p callback at most once, from any thread, after the caller has closed its connection or its sending
+    /// side. A later call replaces the callback. It is not called after RequestHandler::handle() has returned.
+    /// @remarks Never called from within onClose(), so the callback may take a lock that is held here.
+    virtual void onClose(std::function<void()> callback) const = 0;
 };
 
 /// Runs requests to their outcome.
--- a/include/vanillalift/rpc.h
+++ b/include/vanillalift/rpc.h
@@ -36,6 +36,7 @@
 
 struct RpcServerDesc {
     std::string address;
+    /// 0: any free port, see RpcServer::port().
     int port = 0;
     int threads = 8;
     /// Shared secret that each call has to carry; empty for none.
@@ -58,6 +59,8 @@
     [[nodiscard]] bool start();
     /// Stops accepting and waits for calls in progress.
     void stop();
+    /// @returns the bound port; valid after start().
+    [[nodiscard]] int port() const;
 
 private:
     class Impl;
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,379 @@
+#include "http_server_p.h"
+
+#include <nlohmann/json.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace vanillalift {
+
+namespace {
+
+    constexpr uint64_t wakeId = 0;
+    constexpr const char* workersBusy = "all workers of this entry are busy";
+    constexpr std::chrono::seconds lingerTime { 1 };
+    constexpr size_t refuserThreads = 2;
+    /// Threads beyond those of active requests, for answers that are still being written.
+    constexpr size_t writerThreads = 8;
+    constexpr size_t refuserQueueBound = 1024;
+    /// cpp-httplib listens with a backlog of 5, which a burst of new connections overflows.
+    constexpr int backlog = 1024;
+    constexpr size_t maxRoutedPath = 256;
+
+    thread_local const HttpConnection* currentConnection = nullptr;
+
+    /// Runs the task on the accepting thread: taking a connection into the epoll set does not block.
+    class InlineQueue final : public httplib::TaskQueue {
+    public:
+        void enqueue(std::function<void()> fn) override { fn(); }
+        void shutdown() override { }
+    };
+
+    void setSocketOptions(socket_t socket)
+    {
+        // cpp-httplib's default is SO_REUSEPORT, with which two processes can share a port unnoticed.
+        int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    }
+
+    std::string refusalText(const HttpRefusal& refusal, const std::string& outcome)
+    {
+        nlohmann::json body { { "outcome", outcome }, { "reason", reasonName(refusal.reason) }, { "detail", refusal.detail } };
+        auto content = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+        std::string text = "HTTP/1.1 " + std::to_string(reasonStatus(refusal.reason)) + " Refused\r\nConnection: close\r\n";
+        text += std::string(header::outcome) + ": " + outcome + "\r\n" + header::reason + ": " + std::string(reasonName(refusal.reason)) + "\r\n";
+        if (refusal.retryAfterMs > 0) {
+            text += "Retry-After: " + std::to_string((refusal.retryAfterMs + 999) / 1000) + "\r\n";
+            text += std::string(header::retryAfterMs) + ": " + std::to_string(refusal.retryAfterMs) + "\r\n";
+        }
+        return text + "Content-Type: application/json\r\nContent-Length: " + std::to_string(content.size()) + "\r\n\r\n" + content;
+    }
+
+} // namespace
+
+const HttpConnection* HttpServer::current() { return currentConnection; }
+
+HttpServer::HttpServer(HttpServerDesc desc)
+    : m_desc(std::move(desc))
+    , m_workers({ m_desc.maxActiveRequests + m_desc.maxActiveRequests / 4 + writerThreads, m_desc.maxActiveRequests, m_desc.stackBytes })
+    , m_refusers({ refuserThreads, refuserQueueBound })
+{
+    new_task_queue = [] { return new InlineQueue; };
+    set_socket_options(setSocketOptions);
+    set_payload_max_length(m_desc.maxBodyBytes);
+    // Both are announced in the Keep-Alive header of each response; only the time is enforced, by the epoll set.
+    set_keep_alive_max_count(std::numeric_limits<int32_t>::max());
+    set_keep_alive_timeout(std::max<time_t>(m_desc.idleTimeout.count() / 1000, 1));
+    set_post_routing_handler([this](const httplib::Request& /*request*/, httplib::Response& response) {
+        currentConnection->clearCloseCallback();
+        {
+            std::lock_guard lock(m_mutex);
+            deactivate(m_slots[currentConnection->id()]);
+        }
+        if (!m_isStopping)
+            return;
+        response.headers.erase("Keep-Alive");
+        response.headers.erase("Connection");
+        response.set_header("Connection", "close");
+    });
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+    for (int it : { m_epoll, m_wake }) {
+        if (it >= 0)
+            close(it);
+    }
+}
+
+bool HttpServer::start()
+{
+    m_port = m_desc.port;
+    if (m_desc.port == 0)
+        m_port = bind_to_any_port(m_desc.address);
+    else if (!bind_to_port(m_desc.address, m_desc.port))
+        return false;
+    if (m_port <= 0 || ::listen(svr_sock_, backlog) != 0)
+        return false;
+    m_epoll = epoll_create1(EPOLL_CLOEXEC);
+    m_wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    epoll_event event { EPOLLIN, { .u64 = wakeId } };
+    if (m_epoll < 0 || m_wake < 0 || epoll_ctl(m_epoll, EPOLL_CTL_ADD, m_wake, &event) != 0)
+        return false;
+    m_pollThread = std::thread([this] { pollEvents(); });
+    m_acceptThread = std::thread([this] { listen_after_bind(); });
+    while (!is_running())
+        std::this_thread::yield();
+    return true;
+}
+
+void HttpServer::stop()
+{
+    if (!m_pollThread.joinable())
+        return;
+    Server::stop();
+    m_acceptThread.join();
+    m_isStopping = true;
+    wakePolling();
+    {
+        std::unique_lock lock(m_mutex);
+        m_allClosed.wait(lock, [this] { return m_slots.empty(); });
+    }
+    wakePolling();
+    m_pollThread.join();
+    m_workers.stop();
+    m_refusers.stop();
+}
+
+HttpServerStats HttpServer::stats() const
+{
+    std::lock_guard lock(m_mutex);
+    return { static_cast<int64_t>(m_slots.size()), static_cast<int64_t>(m_active),
+        static_cast<int64_t>(m_workers.startedThreads()), m_refused };
+}
+
+bool HttpServer::process_and_close_socket(socket_t sock)
+{
+    int on = 1;
+    setsockopt(sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    std::shared_ptr<HttpConnection> connection;
+    bool isRefused = false;
+    {
+        std::lock_guard lock(m_mutex);
+        connection = std::make_shared<HttpConnection>(sock, m_epoll, ++m_lastId);
+        isRefused = m_slots.size() >= m_desc.maxConnections;
+        // Refused connections linger within a bound of their own; past it they are closed without an answer.
+        if (m_slots.size() >= m_desc.maxConnections + refuserQueueBound)
+            return false;
+        m_slots[connection->id()] = { connection, State::Busy };
+    }
+    if (isRefused)
+        refuse(*connection, { Reason::ConnectionLimit, "this entry has as many connections as it accepts", {}, 1000 });
+    else
+        park(*connection, State::Parked, BootClock::now() + m_desc.idleTimeout);
+    return true;
+}
+
+void HttpServer::wakePolling() const
+{
+    uint64_t one = 1;
+    [[maybe_unused]] auto n = write(m_wake, &one, sizeof(one));
+}
+
+int HttpServer::nextTimeoutMs()
+{
+    std::lock_guard lock(m_mutex);
+    if (m_waits.empty())
+        return -1;
+    // One more, since the time left is rounded down.
+    return static_cast<int>(millisecondsUntil(m_waits.begin()->first, BootClock::now()) + 1);
+}
+
+void HttpServer::pollEvents()
+{
+    std::array<epoll_event, 64> events;
+    while (true) {
+        int n = epoll_wait(m_epoll, events.data(), events.size(), nextTimeoutMs());
+        for (int it = 0; it < n; ++it)
+            onEvent(events[it].data.u64, events[it].events);
+        closeExpired(BootClock::now());
+        std::lock_guard lock(m_mutex);
+        if (m_isStopping && m_slots.empty())
+            return;
+    }
+}
+
+void HttpServer::onEvent(uint64_t id, uint32_t events)
+{
+    if (id == wakeId) {
+        uint64_t count = 0;
+        [[maybe_unused]] auto n = read(m_wake, &count, sizeof(count));
+        return;
+    }
+    std::shared_ptr<HttpConnection> connection;
+    State state = State::Busy;
+    {
+        std::lock_guard lock(m_mutex);
+        auto it = m_slots.find(id);
+        if (it == m_slots.end())
+            return;
+        connection = it->second.connection;
+        state = it->second.state;
+        if (state == State::Parked) {
+            m_waits.erase({ connection->parkedUntil, id });
+            it->second.state = State::Busy;
+        }
+    }
+    bool isClosed = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+    if (state == State::Parked)
+        return dispatch(connection);
+    if (state == State::Busy && isClosed)
+        return connection->reportClosed();
+    if (state == State::Lingering) {
+        connection->discardInput();
+        if (isClosed)
+            return remove(id);
+        connection->watch(EPOLLIN | EPOLLRDHUP);
+    }
+}
+
+void HttpServer::closeExpired(TimePoint now)
+{
+    std::vector<std::shared_ptr<HttpConnection>> closed;
+    std::lock_guard lock(m_mutex);
+    for (auto it = m_waits.begin(); it != m_waits.end();) {
+        auto slot = m_slots.find(it->second);
+        const auto& waiting = *slot->second.connection;
+        bool isIdleAtStop = m_isStopping && slot->second.state == State::Parked && waiting.input().empty() && !waiting.hasArrivedInput();
+        if (it->first > now && !isIdleAtStop) {
+            // Without a stop the rest is ordered by its end and is later still.
+            if (!m_isStopping)
+                break;
+            ++it;
+            continue;
+        }
+        closed.push_back(std::move(slot->second.connection));
+        m_slots.erase(slot);
+        it = m_waits.erase(it);
+    }
+    if (m_slots.empty())
+        m_allClosed.notify_all();
+}
+
+void HttpServer::park(HttpConnection& connection, State state, TimePoint until)
+{
+    uint32_t events = EPOLLIN | EPOLLRDHUP;
+    bool isFirst = false;
+    {
+        std::lock_guard lock(m_mutex);
+        connection.parkedUntil = until;
+        auto& slot = m_slots[connection.id()];
+        slot.state = state;
+        deactivate(slot);
+        auto it = m_waits.insert({ until, connection.id() }).first;
+        isFirst = it == m_waits.begin();
+        // Under the lock: once it is released, the connection may be closed and its descriptor used again.
+        connection.watch(events);
+    }
+    if (isFirst || m_isStopping)
+        wakePolling();
+}
+
+void HttpServer::remove(uint64_t id)
+{
+    std::shared_ptr<HttpConnection> connection;
+    std::lock_guard lock(m_mutex);
+    auto it = m_slots.find(id);
+    if (it == m_slots.end())
+        return;
+    deactivate(it->second);
+    connection = std::move(it->second.connection);
+    m_waits.erase({ connection->parkedUntil, id });
+    m_slots.erase(it);
+    if (m_slots.empty())
+        m_allClosed.notify_all();
+    if (m_isStopping)
+        wakePolling();
+}
+
+bool HttpServer::activate(uint64_t id)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_active >= m_desc.maxActiveRequests)
+        return false;
+    ++m_active;
+    m_slots[id].isActive = true;
+    return true;
+}
+
+void HttpServer::deactivate(Slot& slot)
+{
+    if (std::exchange(slot.isActive, false))
+        --m_active;
+}
+
+void HttpServer::dispatch(const std::shared_ptr<HttpConnection>& connection)
+{
+    if (activate(connection->id()) && m_workers.tryRun([this, connection] { serve(*connection); }))
+        return;
+    bool isQueued = m_refusers.tryRun([this, connection] {
+        auto state = connection->readHead();
+        if (state == HeadState::Closed)
+            return remove(connection->id());
+        refuse(*connection, { Reason::ConnectionLimit, workersBusy, connection->input(), 1000 });
+    });
+    if (!isQueued)
+        remove(connection->id());
+}
+
+void HttpServer::serve(HttpConnection& connection)
+{
+    for (bool isFirst = true;; isFirst = false) {
+        auto state = connection.readHead();
+        auto now = BootClock::now();
+        if (state == HeadState::Closed)
+            return remove(connection.id());
+        if (state == HeadState::TooLarge)
+            return refuse(connection, { Reason::MalformedHeader, "the request line and headers are too large", connection.input() });
+        if (state == HeadState::Incomplete) {
+            bool isIdle = connection.input().empty();
+            if (!isIdle && connection.headDeadline == TimePoint {})
+                connection.headDeadline = now + m_desc.requestTimeout;
+            return park(connection, State::Parked, isIdle ? now + m_desc.idleTimeout : connection.headDeadline);
+        }
+        if (!isFirst && !activate(connection.id()))
+            return refuse(connection, { Reason::ConnectionLimit, workersBusy, connection.input(), 1000 });
+        if (!serveOne(connection))
+            return;
+    }
+}
+
+bool HttpServer::serveOne(HttpConnection& connection)
+{
+    auto head = parseHttpHead(connection.input(), m_desc.maxBodyBytes);
+    if (head.fault) {
+        refuse(connection, { *head.fault, head.detail, connection.input() });
+        return false;
+    }
+    // cpp-httplib does not tell whether it read a chunked body to its end, so the connection is not used again.
+    bool isLast = m_isStopping || head.isChunked;
+    connection.beginRequest(std::move(head), m_desc.maxBodyBytes, BootClock::now() + m_desc.requestTimeout);
+    bool isCloseRequested = false;
+    bool isRouted = false;
+    currentConnection = &connection;
+    bool isWritten = process_request(connection, isLast, isCloseRequested, [&](httplib::Request& request) {
+        isRouted = true;
+        bool hasPrefix = !m_desc.routePrefix.empty() && request.target.rfind(m_desc.routePrefix, 0) == 0;
+        if (hasPrefix)
+            request.path = m_desc.routePrefix;
+        else if (request.path.size() > maxRoutedPath)
+            request.path = "/";
+    });
+    currentConnection = nullptr;
+    connection.clearCloseCallback();
+    if (isWritten && isRouted && !isCloseRequested && !isLast && !connection.hasUnreadBody())
+        return true;
+    if (isWritten && (connection.hasUnreadBody() || isLast)) {
+        shutdown(connection.socket(), SHUT_WR);
+        park(connection, State::Lingering, BootClock::now() + lingerTime);
+    } else {
+        remove(connection.id());
+    }
+    return false;
+}
+
+void HttpServer::refuse(HttpConnection& connection, const HttpRefusal& refusal)
+{
+    ++m_refused;
+    auto outcome = m_desc.judgeRefusal ? m_desc.judgeRefusal(refusal) : std::string("unknown");
+    connection.sendNow(refusalText(refusal, outcome));
+    connection.discardInput();
+    shutdown(connection.socket(), SHUT_WR);
+    park(connection, State::Lingering, BootClock::now() + lingerTime);
+}
+
+} // namespace vanillalift
--- a/src/rpc/rpc_server.cpp
+++ b/src/rpc/rpc_server.cpp
@@ -1,11 +1,9 @@
 #include <vanillalift/rpc.h>
 
+#include "http/http_server_p.h"
 #include "jsonrpc_codec.h"
 
-#include <httplib.h>
-
 #include <map>
-#include <thread>
 
 namespace vanillalift {
 
@@ -14,6 +12,8 @@
     // JSON-RPC 2.0 reserves -32768 to -32000; refusals of our methods use a code outside that range.
     constexpr int refusedCode = 2;
     constexpr int malformedCode = -32602;
+    // The JSON decoder of jsonrpccpp recurses up to 1,000 levels deep.
+    constexpr size_t stackBytes = 1U << 20U;
 
 } // namespace
 
@@ -22,12 +22,12 @@
     explicit Impl(RpcServerDesc desc)
         : m_desc(std::move(desc))
         , m_dispatcher([this](const std::string& method, const std::string& params) { return invoke(method, params); })
+        , m_server({ .address = m_desc.address,
+              .port = m_desc.port,
+              .maxActiveRequests = static_cast<size_t>(m_desc.threads),
+              .stackBytes = stackBytes,
+              .maxBodyBytes = m_desc.maxRequestBytes })
     {
-        m_server.set_tcp_nodelay(true);
-        m_server.set_keep_alive_max_count(1000000);
-        m_server.set_keep_alive_timeout(60);
-        m_server.set_payload_max_length(m_desc.maxRequestBytes);
-        m_server.new_task_queue = [threads = m_desc.threads] { return new httplib::ThreadPool(static_cast<size_t>(threads)); };
         m_server.Post("/rpc", [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); });
     }
 
@@ -37,23 +37,11 @@
         m_dispatcher.addMethod(method);
     }
 
-    bool start()
-    {
-        if (!m_server.bind_to_port(m_desc.address, m_desc.port))
-            return false;
-        m_thread = std::thread([this] { m_server.listen_after_bind(); });
-        while (!m_server.is_running())
-            std::this_thread::yield();
-        return true;
-    }
+    bool start() { return m_server.start(); }
 
-    void stop()
-    {
-        if (!m_thread.joinable())
-            return;
-        m_server.stop();
-        m_thread.join();
-    }
+    void stop() { m_server.stop(); }
+
+    [[nodiscard]] int port() const { return m_server.port(); }
 
 private:
     void serve(const httplib::Request& request, httplib::Response& response)
@@ -82,8 +70,7 @@
     RpcServerDesc m_desc;
     std::map<std::string, RpcHandler> m_handlers;
     JsonRpcDispatcher m_dispatcher;
-    httplib::Server m_server;
-    std::thread m_thread;
+    HttpServer m_server;
 };
 
 RpcServer::RpcServer(RpcServerDesc desc)
@@ -99,4 +86,6 @@
 
 void RpcServer::stop() { m_impl->stop(); }
 
+int RpcServer::port() const { return m_impl->port(); }
+
 } // namespace vanillalift
--- /dev/null
+++ b/tests/raw_client.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <utility>
+
+/// A loopback connection that sends bytes as given, for requests that no HTTP library would send.
+class RawClient {
+public:
+    explicit RawClient(int port)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        // Ends a test whose answer never comes; no test passes by this time-out.
+        timeval limit { 20, 0 };
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        m_isConnected = connect(m_socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    }
+    ~RawClient() { close(); }
+    RawClient(const RawClient&) = delete;
+    RawClient& operator=(const RawClient&) = delete;
+
+    [[nodiscard]] bool isConnected() const { return m_isConnected; }
+
+    void close()
+    {
+        if (m_socket >= 0)
+            ::close(m_socket);
+        m_socket = -1;
+    }
+
+    void closeSending() const { shutdown(m_socket, SHUT_WR); }
+
+    bool send(std::string_view text) const { return ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()); }
+
+    /// @returns one response with its body by Content-Length, or what came before the connection ended.
+    std::string readResponse()
+    {
+        while (true) {
+            auto end = m_input.find("\r\n\r\n");
+            if (end != std::string::npos) {
+                auto length = m_input.find("Content-Length: ");
+                size_t total = end + 4 + (length < end ? std::stoul(m_input.substr(length + 16)) : 0);
+                if (m_input.size() >= total) {
+                    auto response = m_input.substr(0, total);
+                    m_input.erase(0, total);
+                    return response;
+                }
+            }
+            if (!receive())
+                return std::exchange(m_input, {});
+        }
+    }
+
+    /// @returns whether the other side ended the connection in order.
+    bool isEnded()
+    {
+        while (receive())
+            continue;
+        return m_lastResult == 0;
+    }
+
+    std::string ask(std::string_view request)
+    {
+        send(request);
+        return readResponse();
+    }
+
+private:
+    bool receive()
+    {
+        std::array<char, 4096> buf;
+        m_lastResult = recv(m_socket, buf.data(), buf.size(), 0);
+        if (m_lastResult > 0)
+            m_input.append(buf.data(), static_cast<size_t>(m_lastResult));
+        return m_lastResult > 0;
+    }
+
+    int m_socket;
+    bool m_isConnected = false;
+    ssize_t m_lastResult = 0;
+    std::string m_input;
+};
