Complete the caller front end and the entry program

Cause: the thin entry accepted malformed requests, had no admin port, no shutdown, and repeated its generated ids after a restart.

--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -1,137 +1,196 @@
 #include "caller_server_p.h"
 
-#include <httplib.h>
-
-#include <charconv>
+#include <glog/logging.h>
 
 namespace vanillalift {
 
 namespace {
 
-    class OpenConnection final : public CallerConnection {
-    public:
-        [[nodiscard]] bool isClosed() const override { return false; }
-    };
+    constexpr const char* routePrefix = "/s/";
+    /// Time to come back for refusals that can succeed later but come without an estimate.
+    constexpr std::chrono::milliseconds defaultRetry { 1000 };
 
-    bool isForwardedHeader(const std::string& name)
+    bool canSucceedLater(Reason reason)
     {
-        constexpr std::array<const char*, 9> own { "Authorization", "Connection", "Content-Length", "Host", "Keep-Alive", "REMOTE_ADDR", "REMOTE_PORT", "Transfer-Encoding", "LOCAL_ADDR" };
-        auto isSame = [&](const char* it) { return strcasecmp(name.c_str(), it) == 0; };
-        return std::none_of(own.begin(), own.end(), isSame) && strncasecmp(name.c_str(), "Vanillalift-", 12) != 0;
+        int status = reasonStatus(reason);
+        return status == 429 || status == 503 || status == 504 || reason == Reason::InProgress;
     }
 
-    bool isValidRequestId(std::string_view id)
-    {
-        auto isVisible = [](char c) { return c > ' ' && c <= '~'; };
-        return !id.empty() && id.size() <= config::maxRequestIdLength && std::all_of(id.begin(), id.end(), isVisible);
-    }
+    bool hasLineBreak(std::string_view value) { return value.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos; }
 
-    struct WriteOutcome {
-        httplib::Response& response;
+    /// Reason, detail and time to come back of an outcome that is no answer.
+    struct RefusalView {
+        Reason reason;
+        std::string_view detail;
+        int64_t retryAfterMs;
+    };
+
+    struct ViewRefusal {
         TimePoint now;
 
-        void operator()(const Answered& answered) const
+        std::optional<RefusalView> operator()(const Answered& /*answered*/) const { return std::nullopt; }
+        template <typename Refusal>
+        std::optional<RefusalView> operator()(const Refusal& it) const
         {
-            response.status = answered.status;
-            std::string contentType = "application/octet-stream";
-            for (const auto& [name, value] : answered.headers) {
-                if (strcasecmp(name.c_str(), "Content-Type") == 0)
-                    contentType = value;
-                else if (isForwardedHeader(name))
-                    response.headers.emplace(name, value);
-            }
-            response.set_content(answered.body, contentType);
+            auto retryAt = it.retryAt;
+            if (retryAt <= now && canSucceedLater(it.reason))
+                retryAt = now + defaultRetry;
+            return RefusalView { it.reason, it.detail, millisecondsUntil(retryAt, now) };
         }
-        void operator()(const NotRun& refusal) const { writeRefusal("not-run", refusal.reason, refusal.detail, refusal.retryAt); }
-        void operator()(const Unknown& refusal) const { writeRefusal("unknown", refusal.reason, refusal.detail, refusal.retryAt); }
+    };
 
-        void writeRefusal(std::string_view outcome, Reason reason, const std::string& detail, TimePoint retryAt) const
-        {
-            response.status = reasonStatus(reason);
-            response.set_header(header::reason, std::string(reasonName(reason)));
-            if (retryAt > now) {
-                auto ms = millisecondsUntil(retryAt, now);
-                response.set_header("Retry-After", std::to_string((ms + 999) / 1000));
-                response.set_header(header::retryAfterMs, std::to_string(ms));
-            }
-            nlohmann::json body { { "outcome", outcome }, { "reason", reasonName(reason) }, { "detail", detail } };
-            response.set_content(body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n", "application/json");
-        }
+    /// The callback refers to the handler's own data, so it must not outlive the call of handle().
+    struct CloseCallbackScope {
+        const HttpConnection& connection;
+        ~CloseCallbackScope() { connection.clearCloseCallback(); }
     };
 
+    void writeAnswer(httplib::Response& response, const Answered& answered)
+    {
+        response.status = answered.status;
+        for (const auto& [name, value] : answered.headers) {
+            // A value with a line break would let an endpoint's header forge further headers.
+            if (isForwardedHeader(name) && !hasLineBreak(value))
+                response.headers.emplace(name, value);
+        }
+        response.body = answered.body;
+        // cpp-httplib adds text/plain to a body without a type.
+        if (!response.body.empty() && !response.has_header("Content-Type"))
+            response.set_header("Content-Type", "application/octet-stream");
+    }
+
+    void writeRefusal(httplib::Response& response, std::string_view outcome, const RefusalView& refusal)
+    {
+        response.status = reasonStatus(refusal.reason);
+        response.set_header(header::reason, std::string(reasonName(refusal.reason)));
+        if (refusal.retryAfterMs > 0) {
+            response.set_header("Retry-After", std::to_string((refusal.retryAfterMs + 999) / 1000));
+            response.set_header(header::retryAfterMs, std::to_string(refusal.retryAfterMs));
+        }
+        nlohmann::json body { { "outcome", outcome }, { "reason", reasonName(refusal.reason) }, { "detail", refusal.detail } };
+        response.set_content(body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n", "application/json");
+    }
+
 } // namespace
 
-CallerServer::CallerServer(const Clock& clock, const Authority& authority, RequestHandler& handler)
+CallerServer::CallerServer(CallerServerDesc desc, const Clock& clock, const Authority& authority, RequestHandler& handler, Metrics& metrics, DecisionLog& decisions)
     : m_clock(clock)
     , m_authority(authority)
     , m_handler(handler)
+    , m_metrics(metrics)
+    , m_decisions(decisions)
+    , m_parser(authority, desc.entryName)
+    , m_server(completed(std::move(desc.http)))
 {
+    addRoutes();
 }
 
-void CallerServer::addRoutes(httplib::Server& server)
+HttpServerDesc CallerServer::completed(HttpServerDesc http)
+{
+    http.routePrefix = routePrefix;
+    http.judgeRefusal = [this](const HttpRefusal& refusal) { return judgeRefusal(refusal); };
+    return http;
+}
+
+void CallerServer::addRoutes()
 {
     auto handler = [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); };
-    constexpr const char* pattern = R"(/s/([^/]+)(/.*)?)";
-    server.Get(pattern, handler);
-    server.Post(pattern, handler);
-    server.Put(pattern, handler);
-    server.Patch(pattern, handler);
-    server.Delete(pattern, handler);
+    m_server.Get(routePrefix, handler);
+    m_server.Post(routePrefix, handler);
+    m_server.Put(routePrefix, handler);
+    m_server.Patch(routePrefix, handler);
+    m_server.Delete(routePrefix, handler);
+    m_server.Options(routePrefix, handler);
+    m_server.set_error_handler(httplib::Server::HandlerWithResponse([this](const httplib::Request& /*request*/, httplib::Response& response) { return writeError(response); }));
 }
 
-void CallerServer::serve(const httplib::Request& httpRequest, httplib::Response& httpResponse)
+httplib::Server::HandlerResponse CallerServer::writeError(httplib::Response& response)
 {
-    auto outcome = run(httpRequest);
-    httpResponse.set_header(header::outcome, std::string(outcomeName(outcome)));
-    std::visit(WriteOutcome { httpResponse, m_clock.now() }, outcome);
+    if (response.has_header(header::outcome))
+        return httplib::Server::HandlerResponse::Unhandled;
+    const auto* connection = HttpServer::current();
+    HttpRefusal refusal { Reason::MalformedHeader, "the body is not whole", {} };
+    if (response.status == 404)
+        refusal = { Reason::ServiceUnknown, "the path must be /s/{service}/{path}", {} };
+    else if (connection && connection->isBodyTooLarge())
+        refusal = { Reason::PayloadTooLarge, "the body is too large", {} };
+    // The head is whole here, so the outcome depends on the service and on whether it carries an id.
+    std::string input;
+    if (connection) {
+        const auto& head = connection->head();
+        input = head.method + " " + head.target + "\r\n" + (head.find(header::requestId) ? header::requestId : "") + "\r\n\r\n";
+    }
+    refusal.input = input;
+    auto outcome = judgeRefusal(refusal);
+    response.set_header(header::outcome, outcome);
+    writeRefusal(response, outcome, { refusal.reason, refusal.detail, 0 });
+    return httplib::Server::HandlerResponse::Handled;
 }
 
-Outcome CallerServer::run(const httplib::Request& httpRequest)
+std::string CallerServer::judgeRefusal(const HttpRefusal& refusal)
 {
     auto catalog = m_authority.catalog();
-    if (!catalog)
-        return NotRun { Reason::ConfigurationStale, "no configuration has been received yet", {} };
+    std::string outcome = mayHaveRunEarlier(catalog.get(), refusal.input) ? "unknown" : "not-run";
+    m_metrics.count({ "", "", outcome, reasonName(refusal.reason), 0 });
+    m_decisions.record({ wallClockMs(), "", "", "", outcome, refusal.reason, std::string(refusal.detail), { { "retry_after_ms", refusal.retryAfterMs } } });
+    return outcome;
+}
+
+void CallerServer::serve(const httplib::Request& httpRequest, httplib::Response& httpResponse)
+{
+    auto receivedAt = m_clock.now();
     Request request;
-    request.service = httpRequest.matches[1];
-    auto service = catalog->findService(request.service);
-    if (!service.isValid())
-        return NotRun { Reason::ServiceUnknown, "no service has this name", {} };
-    const auto& profile = catalog->profileOf(service);
-
-    request.hasCallerId = httpRequest.has_header(header::requestId);
-    request.id = request.hasCallerId ? httpRequest.get_header_value(header::requestId) : "generated-" + std::to_string(++m_generatedIds);
-    if (!isValidRequestId(request.id))
-        return NotRun { Reason::MalformedId, "the request id must be 1 to 128 visible ASCII characters", {} };
-
-    int64_t timeoutMs = profile.timeoutMs;
-    if (httpRequest.has_header(header::timeoutMs)) {
-        auto text = httpRequest.get_header_value(header::timeoutMs);
-        auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), timeoutMs);
-        if (ec != std::errc {} || end != text.data() + text.size() || timeoutMs <= 0)
-            return NotRun { Reason::MalformedTimeout, "the timeout must be a whole number of milliseconds above 0", {} };
+    auto outcome = run(HttpServer::current()->head(), httpRequest.body, request, receivedAt);
+    httpResponse.set_header(header::outcome, std::string(outcomeName(outcome)));
+    if (auto refusal = std::visit(ViewRefusal { m_clock.now() }, outcome))
+        writeRefusal(httpResponse, outcomeName(outcome), *refusal);
+    else
+        writeAnswer(httpResponse, std::get<Answered>(outcome));
+    record(request, outcome, receivedAt);
+}
+
+Outcome CallerServer::run(const HttpHead& head, std::string body, Request& request, TimePoint receivedAt)
+{
+    auto parsed = m_parser.parse(head, receivedAt);
+    if (!parsed) {
+        auto& it = parsed.error();
+        request.service = it.service;
+        request.team = it.team;
+        request.id = it.requestId;
+        if (it.mayHaveRun)
+            return Unknown { it.reason, std::move(it.detail), {} };
+        return NotRun { it.reason, std::move(it.detail), {} };
     }
-    request.deadline = m_clock.now() + std::chrono::milliseconds(std::min(timeoutMs, profile.timeoutMs));
-
-    auto authorization = httpRequest.get_header_value("Authorization");
-    if (authorization.rfind("Bearer ", 0) == 0) {
-        auto check = checkKey(*catalog, std::string_view(authorization).substr(7));
-        if (check.verdict != KeyVerdict::Accepted)
-            return NotRun { check.verdict == KeyVerdict::Withdrawn ? Reason::KeyWithdrawn : Reason::KeyUnknown, "the key is not accepted", {} };
-        if (!catalog->isTeamAllowed(service, check.team))
-            return NotRun { Reason::TeamNotAllowed, "the service does not accept this team", {} };
-        request.team = catalog->at(check.team).name;
-    } else if (!profile.openToAll) {
-        return NotRun { Reason::KeyMissing, "the service needs a key", {} };
+    request = std::move(*parsed);
+    request.body = std::move(body);
+    if (m_isShuttingDown) {
+        auto catalog = m_authority.catalog();
+        auto service = catalog->findService(request.service);
+        bool isIdempotent = service.isValid() && catalog->profileOf(service).idempotent;
+        if (request.hasCallerId && !isIdempotent)
+            return Unknown { Reason::ShuttingDown, "this entry is shutting down", {} };
+        return NotRun { Reason::ShuttingDown, "this entry is shutting down", {} };
     }
-
-    request.method = httpRequest.method;
-    request.target = "/" + httpRequest.target.substr(std::min(httpRequest.target.size(), request.service.size() + 4));
-    request.body = httpRequest.body;
-    for (const auto& [name, value] : httpRequest.headers) {
-        if (isForwardedHeader(name))
-            request.headers.emplace_back(name, value);
+    try {
+        CloseCallbackScope scope { *HttpServer::current() };
+        return m_handler.handle(request, scope.connection);
+    } catch (const std::exception& error) {
+        LOG(ERROR) << "request handler failed: " << error.what();
+        return Unknown { Reason::InternalError, "the entry failed while it handled the request", {} };
     }
-    return m_handler.handle(request, OpenConnection {});
+}
+
+void CallerServer::record(const Request& request, const Outcome& outcome, TimePoint receivedAt)
+{
+    auto now = m_clock.now();
+    auto refusal = std::visit(ViewRefusal { now }, outcome);
+    auto seconds = std::chrono::duration<double>(now - receivedAt).count();
+    m_metrics.count({ request.service, request.team, outcomeName(outcome), refusal ? reasonName(refusal->reason) : "", seconds });
+    if (!refusal)
+        return;
+    m_decisions.record({ wallClockMs(), request.service, request.team, request.id, std::string(outcomeName(outcome)), refusal->reason, std::string(refusal->detail),
+        { { "retry_after_ms", refusal->retryAfterMs }, { "waited_ms", static_cast<int64_t>(seconds * 1000) },
+            { "left_until_deadline_ms", millisecondsUntil(request.deadline, now) } } });
 }
 
 } // namespace vanillalift
--- a/src/caller/caller_server_p.h
+++ b/src/caller/caller_server_p.h
@@ -1,34 +1,49 @@
 #pragma once
 
-#include <vanillalift/authority.h>
-#include <vanillalift/request.h>
-
-#include <atomic>
-
-namespace httplib {
-class Server;
-struct Request;
-struct Response;
-}
+#include "core/decision_log_p.h"
+#include "core/metrics_p.h"
+#include "http/http_server_p.h"
+#include "request_parser_p.h"
 
 namespace vanillalift {
 
+struct CallerServerDesc {
+    /// Name of the entry, unique in the site.
+    std::string entryName;
+    /// Caller port of the HTTP server; its routePrefix and judgeRefusal are set by CallerServer.
+    HttpServerDesc http;
+};
+
 /// HTTP front end for callers: parses requests, checks keys, and writes outcomes as responses.
 class CallerServer {
 public:
-    CallerServer(const Clock& clock, const Authority& authority, RequestHandler& handler);
+    CallerServer(CallerServerDesc desc, const Clock& clock, const Authority& authority, RequestHandler& handler, Metrics& metrics, DecisionLog& decisions);
 
-    /// Adds the routes /s/{service}/{path} to the server.
-    void addRoutes(httplib::Server& server);
+    [[nodiscard]] bool start() { return m_server.start(); }
+    /// Refuses each new request with shutting-down; requests in progress go on.
+    void beginShutdown() { m_isShuttingDown = true; }
+    /// Waits until the requests in progress are answered.
+    void stop() { m_server.stop(); }
+    [[nodiscard]] int port() const { return m_server.port(); }
+    [[nodiscard]] HttpServerStats stats() const { return m_server.stats(); }
 
 private:
+    HttpServerDesc completed(HttpServerDesc http);
+    void addRoutes();
     void serve(const httplib::Request& httpRequest, httplib::Response& httpResponse);
-    Outcome run(const httplib::Request& httpRequest);
+    Outcome run(const HttpHead& head, std::string body, Request& request, TimePoint receivedAt);
+    void record(const Request& request, const Outcome& outcome, TimePoint receivedAt);
+    std::string judgeRefusal(const HttpRefusal& refusal);
+    httplib::Server::HandlerResponse writeError(httplib::Response& response);
 
     const Clock& m_clock;
     const Authority& m_authority;
     RequestHandler& m_handler;
-    std::atomic<uint64_t> m_generatedIds { 0 };
+    Metrics& m_metrics;
+    DecisionLog& m_decisions;
+    RequestParser m_parser;
+    std::atomic<bool> m_isShuttingDown { false };
+    HttpServer m_server;
 };
 
 } // namespace vanillalift
--- /dev/null
+++ b/tests/entry_shutdown_e2e.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Guards against an entry that stops serving before the balancer can notice, that does not end after SIGTERM, that
+# ignores a second signal, or whose --check passes over faults. Usage: tests/entry_shutdown_e2e.sh BUILD_DIR
+set -euo pipefail
+entry=$(realpath "$1")/bin/vanillalift-entry
+cd "$(dirname "$0")/.."
+folder=$(mktemp -d)
+pid=
+trap '[ -z "$pid" ] || kill -KILL "$pid" 2>/dev/null || true; rm -rf "$folder"' EXIT
+fail() { echo "FAILED: $1" >&2; cat "$folder/log" >&2; exit 1; }
+
+# start DRAIN_NOTICE_MS: starts the entry on free ports and reads them from its log.
+start() {
+    echo "{ \"name\": \"entry-1\", \"zone\": \"z1\", \"caller_port\": 0, \"announce_port\": 0, \"admin_port\": 0,
+        \"catalog_file\": \"examples/demo/catalog.json\", \"drain_notice_ms\": $1 }" > "$folder/entry.json"
+    "$entry" "$folder/entry.json" 2> "$folder/log" &
+    pid=$!
+    for _ in $(seq 200); do
+        grep -q 'serves callers' "$folder/log" && break
+        sleep 0.05
+    done
+    callers=$(sed -n 's/.*callers on port \([0-9]*\).*/\1/p' "$folder/log")
+    admin=$(sed -n 's/.*administration on port \([0-9]*\).*/\1/p' "$folder/log")
+}
+status() { curl -s -o /dev/null -m 10 -w '%{http_code}' "http://127.0.0.1:$1" || true; }
+# ended STATUS: waits for the entry and compares its exit status.
+ended() {
+    local rc=0
+    wait "$pid" || rc=$?
+    pid=
+    [ "$rc" = "$1" ] || fail "exit status $rc instead of $1"
+}
+
+start 3000
+"$entry" --check "$folder/entry.json" || fail "--check refused good settings"
+[ "$(status "$admin/readyz")" = 200 ] || fail "not ready"
+kill -TERM "$pid"
+for _ in $(seq 40); do
+    ready=$(status "$admin/readyz")
+    [ "$ready" = 503 ] && break
+    sleep 0.05
+done
+[ "$ready" = 503 ] || fail "still ready after SIGTERM"
+[ "$(status "$callers/s/quote/")" = 401 ] || fail "callers are not served during the drain notice"
+ended 0
+grep -q 'has stopped' "$folder/log" || fail "did not finish its shutdown"
+
+start 600000
+kill -INT "$pid"
+for _ in $(seq 200); do
+    grep -q 'is shutting down' "$folder/log" && break
+    sleep 0.05
+done
+kill -TERM "$pid"
+ended 143
+
+echo '{ "name": "Entry" }' > "$folder/bad.json"
+rc=0
+"$entry" --check "$folder/bad.json" 2> "$folder/faults" || rc=$?
+[ "$rc" = 2 ] || fail "--check ended with $rc on faulty settings"
+grep -q 'bad.json/zone: is required' "$folder/faults" || fail "--check did not name the missing field"
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -1,46 +1,21 @@
 #include "caller/caller_server_p.h"
+#include "core/command_line_p.h"
 #include "core/static_authority_p.h"
 #include "endpoint/endpoint_table_p.h"
 #include "endpoint/http_attempt_client_p.h"
+#include "entry/admin_routes_p.h"
+#include "entry/entry_settings_p.h"
 #include "request/request_runner_p.h"
 
 #include <glog/logging.h>
-#include <httplib.h>
 
+#include <csignal>
 #include <iostream>
 
 using namespace vanillalift;
 
 namespace {
 
-struct EntrySettings {
-    std::string name;
-    std::string zone;
-    std::string address = "127.0.0.1";
-    int64_t callerPort = 0;
-    int64_t announcePort = 0;
-    int64_t entryCount = 1;
-    std::string catalogFile;
-};
-
-tl::expected<EntrySettings, SettingsFaults> entrySettingsFromJson(const nlohmann::json& value, const std::string& place)
-{
-    EntrySettings settings;
-    SettingsFaults faults;
-    SettingsReader reader(value, place, faults);
-    reader.read("name", settings.name);
-    reader.read("zone", settings.zone);
-    reader.read("address", settings.address, Presence::Optional);
-    reader.read("caller_port", settings.callerPort, { 1, 65535 }, Presence::Required);
-    reader.read("announce_port", settings.announcePort, { 1, 65535 }, Presence::Required);
-    reader.read("entry_count", settings.entryCount, { 1, config::maxEntries });
-    reader.read("catalog_file", settings.catalogFile);
-    reader.finish();
-    if (!faults.empty())
-        return tl::unexpected(std::move(faults));
-    return settings;
-}
-
 void addAnnouncementRoute(httplib::Server& server, EndpointTable& endpoints, const Clock& clock)
 {
     server.Post("/v1/announce", [&](const httplib::Request& request, httplib::Response& response) {
@@ -56,58 +31,115 @@
     });
 }
 
+HttpServerDesc serverDesc(const EntrySettings& settings, int64_t port)
+{
+    return { .address = settings.address, .port = static_cast<int>(port), .idleTimeout = std::chrono::milliseconds(settings.idleTimeoutMs) };
+}
+
+HttpServerDesc callerDesc(const EntrySettings& settings)
+{
+    auto desc = serverDesc(settings, settings.callerPort);
+    desc.maxActiveRequests = static_cast<size_t>(settings.maxActiveRequests);
+    desc.maxConnections = static_cast<size_t>(settings.maxConnections);
+    desc.maxBodyBytes = static_cast<uint64_t>(settings.maxBodyBytes);
+    return desc;
+}
+
+void addGauges(Metrics& metrics, const CallerServer& callers)
+{
+    metrics.addGauge("vanillalift_caller_connections", "Open connections of callers", [&] { return static_cast<double>(callers.stats().connections); });
+    metrics.addGauge("vanillalift_active_requests", "Requests queued or running", [&] { return static_cast<double>(callers.stats().activeRequests); });
+    metrics.addGauge("vanillalift_worker_threads", "Started worker threads", [&] { return static_cast<double>(callers.stats().startedThreads); });
+}
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+/// Waits for SIGTERM or SIGINT, then gives both their default effect, so that a second signal ends the process at once.
+void waitForStopSignal()
+{
+    auto signals = stopSignals();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 int run(const EntrySettings& settings, Catalog catalog)
 {
     SystemClock clock;
+    Metrics metrics;
+    DecisionLog decisions;
+    std::atomic<bool> isStopping { false };
     StaticAuthority authority(std::move(catalog), settings.entryCount);
     EndpointTable endpoints(settings.zone, settings.entryCount);
     HttpAttemptClient client(clock);
     RequestRunner runner(settings.name, clock, authority, endpoints, client);
-    CallerServer callers(clock, authority, runner);
-
-    httplib::Server announceServer;
+    CallerServer callers({ settings.name, callerDesc(settings) }, clock, authority, runner, metrics, decisions);
+    addGauges(metrics, callers);
+    HttpServer announceServer(serverDesc(settings, settings.announcePort));
     addAnnouncementRoute(announceServer, endpoints, clock);
-    std::thread announceThread([&] { announceServer.listen(settings.address, static_cast<int>(settings.announcePort)); });
+    HttpServer adminServer(serverDesc(settings, settings.adminPort));
+    addAdminRoutes(adminServer, metrics, decisions, [&] { return !isStopping && authority.catalog() != nullptr; });
 
-    httplib::Server callerServer;
-    callerServer.set_tcp_nodelay(true);
-    callers.addRoutes(callerServer);
-    LOG(INFO) << "entry " << settings.name << " starts";
-    bool listened = callerServer.listen(settings.address, static_cast<int>(settings.callerPort));
+    if (!announceServer.start() || !adminServer.start() || !callers.start()) {
+        LOG(ERROR) << "entry " << settings.name << " cannot bind its ports on " << settings.address;
+        return 1;
+    }
+    LOG(INFO) << "entry " << settings.name << " serves callers on port " << callers.port() << ", announcements on port " << announceServer.port()
+              << ", administration on port " << adminServer.port();
+    waitForStopSignal();
+    LOG(INFO) << "entry " << settings.name << " is shutting down";
+    isStopping = true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(settings.drainNoticeMs));
+    callers.beginShutdown();
+    callers.stop();
     announceServer.stop();
-    announceThread.join();
-    return listened ? 0 : 1;
+    adminServer.stop();
+    LOG(INFO) << "entry " << settings.name << " has stopped";
+    return 0;
+}
+
+tl::expected<Catalog, SettingsFaults> loadCatalog(const std::string& path)
+{
+    auto value = loadSettings(path);
+    if (!value)
+        return tl::unexpected(std::move(value.error()));
+    return catalogFromJson(*value, path);
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
-    google::InitGoogleLogging(argv[0]);
-    FLAGS_logtostderr = true;
-    if (argc != 2) {
-        std::cerr << "usage: vanillalift-entry SETTINGS\n";
-        return 2;
-    }
-    auto value = loadSettings(argv[1]);
-    if (!value) {
-        std::cerr << describe(value.error());
-        return 2;
-    }
-    auto settings = entrySettingsFromJson(*value, argv[1]);
+    bool isCheckOnly = false;
+    CommandLine commandLine("vanillalift-entry", "SETTINGS", 1, 1);
+    commandLine.add("check", 'c', "Check the settings and the catalog, print their faults and exit", isCheckOnly);
+    auto operands = commandLine.parse(argc, argv);
+    if (!operands)
+        return operands.error();
+    auto settings = loadEntrySettings(operands->front());
     if (!settings) {
         std::cerr << describe(settings.error());
         return 2;
     }
-    auto catalogValue = loadSettings(settings->catalogFile);
-    if (!catalogValue) {
-        std::cerr << describe(catalogValue.error());
-        return 2;
-    }
-    auto catalog = catalogFromJson(*catalogValue, settings->catalogFile);
+    auto catalog = loadCatalog(settings->catalogFile);
     if (!catalog) {
         std::cerr << describe(catalog.error());
         return 2;
     }
+    if (isCheckOnly)
+        return 0;
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    // Blocked before any thread starts, so that only waitForStopSignal() receives them.
+    auto signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
     return run(*settings, std::move(*catalog));
 }
