--- a/src/core/command_line.cpp
+++ b/src/core/command_line.cpp
@@ -36,9 +36,9 @@
     int isVersionAsked = 0;
     std::vector<poptOption> table { { "version", 'V', POPT_ARG_NONE, &isVersionAsked, 0, "Print the version and exit", nullptr } };
     for (auto& it : m_options) {
-        if (it.flag)
+        if (it.flag != nullptr)
             table.push_back({ it.name, it.shortName, POPT_ARG_NONE, &it.flagStorage, 0, it.help, nullptr });
-        else if (it.text)
+        else if (it.text != nullptr)
             table.push_back({ it.name, it.shortName, POPT_ARG_STRING, static_cast<void*>(&it.textStorage), 0, it.help, it.valueName });
         else
             table.push_back({ it.name, it.shortName, POPT_ARG_LONGLONG, &it.numberStorage, 0, it.help, it.valueName });
@@ -56,11 +56,11 @@
         return tl::unexpected(0);
     }
     for (auto& it : m_options) {
-        if (it.flag)
+        if (it.flag != nullptr)
             *it.flag = *it.flag || it.flagStorage != 0;
-        else if (it.number)
+        else if (it.number != nullptr)
             *it.number = it.numberStorage;
-        else if (it.textStorage)
+        else if (it.textStorage != nullptr)
             *it.text = it.textStorage;
         std::free(std::exchange(it.textStorage, nullptr));
     }
