Add replicated claims for at-most-once execution

Cause: a resend of a non-idempotent request may arrive at any entry. Change: holder ring, claim table, restart recovery, the claiming side and its RPC methods, with history tests. Conclusion: claims can be used by the request lifecycle.

--- /dev/null
+++ b/src/peer/claim_messages.cpp
@@ -0,0 +1,95 @@
+#include "claim_messages_p.h"
+
+#include <openssl/evp.h>
+
+namespace vanillalift {
+
+namespace {
+
+    nlohmann::json attemptsToJson(const std::vector<ClaimAttempt>& attempts)
+    {
+        auto value = nlohmann::json::array();
+        for (const auto& it : attempts)
+            value.push_back(toJson(it));
+        return value;
+    }
+
+    /// A moment of retryAt has no meaning on another machine and is left out.
+    struct OutcomeToJson {
+        nlohmann::json operator()(const Answered& it) const { return { { "status", it.status }, { "headers", it.headers }, { "body", it.body } }; }
+        nlohmann::json operator()(const NotRun& it) const { return { { "reason", it.reason }, { "detail", it.detail } }; }
+        nlohmann::json operator()(const Unknown& it) const { return { { "reason", it.reason }, { "detail", it.detail } }; }
+    };
+
+} // namespace
+
+nlohmann::json toJson(const ClaimKey& key) { return nlohmann::json::array({ key.team, key.service, key.requestId }); }
+
+ClaimKey claimKeyFromJson(const nlohmann::json& value)
+{
+    return { value.at(0).get<std::string>(), value.at(1).get<std::string>(), value.at(2).get<std::string>() };
+}
+
+nlohmann::json toJson(const ClaimAttempt& attempt)
+{
+    return nlohmann::json::array({ attempt.entry, attempt.incarnation, attempt.number });
+}
+
+ClaimAttempt claimAttemptFromJson(const nlohmann::json& value)
+{
+    return { value.at(0).get<std::string>(), value.at(1).get<uint64_t>(), value.at(2).get<uint64_t>() };
+}
+
+nlohmann::json toJson(const KeyedClaim& claim, TimePoint now)
+{
+    std::vector<ClaimAttempt> holds;
+    for (const auto& it : claim.record.holds)
+        holds.push_back(it.attempt);
+    nlohmann::json value { { "key", toJson(claim.key) }, { "holds", attemptsToJson(holds) }, { "closed", attemptsToJson(claim.record.closed) },
+        { "retain_ms", millisecondsUntil(claim.record.expiry, now) + 1 } };
+    if (claim.record.settled)
+        value["settled"] = toJson(*claim.record.settled);
+    return value;
+}
+
+KeyedClaim keyedClaimFromJson(const nlohmann::json& value, TimePoint now)
+{
+    KeyedClaim claim { claimKeyFromJson(value.at("key")), {} };
+    for (const auto& it : value.at("holds"))
+        claim.record.holds.push_back({ claimAttemptFromJson(it), true });
+    for (const auto& it : value.at("closed"))
+        claim.record.closed.push_back(claimAttemptFromJson(it));
+    if (value.contains("settled"))
+        claim.record.settled = claimAttemptFromJson(value.at("settled"));
+    claim.record.expiry = now + std::chrono::milliseconds(value.at("retain_ms").get<int64_t>());
+    return claim;
+}
+
+std::string encodeOutcome(const Outcome& outcome)
+{
+    auto bytes = nlohmann::json::to_cbor(nlohmann::json::array({ outcome.index(), std::visit(OutcomeToJson {}, outcome) }));
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    auto n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), bytes.data(), static_cast<int>(bytes.size()));
+    text.resize(static_cast<size_t>(n));
+    return text;
+}
+
+Outcome decodeOutcome(const std::string& text)
+{
+    std::vector<uint8_t> bytes(text.size() / 4 * 3 + 3);
+    auto n = EVP_DecodeBlock(bytes.data(), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    bytes.resize(static_cast<size_t>(std::max(n, 0)));
+    // EVP_DecodeBlock counts the padding as zero bytes after the end of the value.
+    auto value = nlohmann::json::from_cbor(bytes, false);
+    const auto& fields = value.at(1);
+    if (value.at(0) == 0)
+        return Answered { fields.at("status").get<int>(), fields.at("headers").get<std::vector<Header>>(), fields.at("body").get<std::string>() };
+    auto reason = fields.at("reason").get<Reason>();
+    if (reason >= Reason::ReasonCount)
+        reason = Reason::InternalError;
+    if (value.at(0) == 1)
+        return NotRun { reason, fields.at("detail").get<std::string>(), {} };
+    return Unknown { reason, fields.at("detail").get<std::string>(), {} };
+}
+
+} // namespace vanillalift
--- /dev/null
+++ b/src/peer/claim_table.cpp
@@ -0,0 +1,172 @@
+#include "claim_table_p.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace vanillalift {
+
+namespace {
+
+    /// Attempts of one entry incarnation are tried one after the other, so a newer one shows the older ones given up.
+    /// Nothing follows for another incarnation: its last attempt may have run.
+    bool supersedes(const ClaimAttempt& closed, const ClaimAttempt& attempt)
+    {
+        return closed.entry == attempt.entry && closed.incarnation == attempt.incarnation && closed.number >= attempt.number;
+    }
+
+    /// Claims of an older incarnation are late too: that process no longer waits for the vote.
+    bool isLate(const ClaimRecord& record, const ClaimAttempt& attempt)
+    {
+        return std::any_of(record.closed.begin(), record.closed.end(),
+            [&](const auto& closed) { return closed.entry == attempt.entry && closed >= attempt; });
+    }
+
+    void close(ClaimRecord& record, const ClaimAttempt& attempt)
+    {
+        std::erase_if(record.holds, [&](const auto& hold) { return supersedes(attempt, hold.attempt); });
+        auto it = std::find_if(record.closed.begin(), record.closed.end(), [&](const auto& closed) { return closed.entry == attempt.entry; });
+        if (it == record.closed.end())
+            record.closed.push_back(attempt);
+        else
+            *it = std::max(*it, attempt);
+    }
+
+    void addCopiedHold(ClaimRecord& record, const ClaimAttempt& attempt)
+    {
+        bool isKnown = std::any_of(record.holds.begin(), record.holds.end(), [&](const auto& hold) { return hold.attempt == attempt; });
+        bool isClosed = std::any_of(record.closed.begin(), record.closed.end(), [&](const auto& closed) { return supersedes(closed, attempt); });
+        if (!isKnown && !isClosed)
+            record.holds.push_back({ attempt, true });
+    }
+
+} // namespace
+
+size_t ClaimTable::KeyHash::operator()(const ClaimKey& key) const
+{
+    std::hash<std::string> hash;
+    return (hash(key.requestId) * 31 + hash(key.service)) * 31 + hash(key.team);
+}
+
+ClaimTable::ClaimTable(size_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+ClaimTable::Shard& ClaimTable::shardOf(const ClaimKey& key) { return m_shards.at(KeyHash {}(key) % shardCount); }
+
+void ClaimTable::expire(Shard& shard, TimePoint now)
+{
+    m_size -= std::erase_if(shard.records, [&](const auto& it) { return it.second.expiry <= now; });
+}
+
+ClaimRecord* ClaimTable::obtain(Shard& shard, const ClaimKey& key, TimePoint now)
+{
+    auto it = shard.records.find(key);
+    if (it != shard.records.end()) {
+        if (it->second.expiry <= now)
+            it->second = {};
+        return &it->second;
+    }
+    if (m_size >= m_capacity)
+        expire(shard, now);
+    if (++m_size > m_capacity) {
+        --m_size;
+        return nullptr;
+    }
+    return &shard.records[key];
+}
+
+ClaimReply ClaimTable::claim(const ClaimKey& key, const ClaimAttempt& attempt, TimePoint expiry, TimePoint now)
+{
+    auto& shard = shardOf(key);
+    std::lock_guard lock(shard.mutex);
+    auto* record = obtain(shard, key, now);
+    if (!record)
+        return { ClaimVerdict::Full, {} };
+    if (record->settled)
+        return { ClaimVerdict::Settled, *record->settled };
+    if (isLate(*record, attempt))
+        return { ClaimVerdict::Closed, attempt };
+    if (attempt.number > 0)
+        close(*record, { attempt.entry, attempt.incarnation, attempt.number - 1 });
+    if (record->holds.empty()) {
+        record->holds.push_back({ attempt, false });
+        record->expiry = std::max(record->expiry, expiry);
+        return { ClaimVerdict::Granted, attempt };
+    }
+    const auto& hold = record->holds.front();
+    bool isGranted = hold.attempt == attempt && !hold.isCopied && record->holds.size() == 1;
+    return { isGranted ? ClaimVerdict::Granted : ClaimVerdict::Held, hold.attempt };
+}
+
+bool ClaimTable::settle(const ClaimKey& key, const ClaimAttempt& attempt, TimePoint expiry, TimePoint now)
+{
+    auto& shard = shardOf(key);
+    std::lock_guard lock(shard.mutex);
+    auto* record = obtain(shard, key, now);
+    if (!record)
+        return false;
+    if (record->settled)
+        return *record->settled == attempt;
+    if (std::any_of(record->closed.begin(), record->closed.end(), [&](const auto& closed) { return supersedes(closed, attempt); }))
+        return false;
+    record->settled = attempt;
+    // Only the winner settles, so the other holds are votes that lost.
+    record->holds.clear();
+    record->expiry = std::max(record->expiry, expiry);
+    return true;
+}
+
+bool ClaimTable::release(const ClaimKey& key, const ClaimAttempt& attempt, TimePoint expiry, TimePoint now)
+{
+    auto& shard = shardOf(key);
+    std::lock_guard lock(shard.mutex);
+    auto* record = obtain(shard, key, now);
+    if (!record)
+        return false;
+    if (record->settled)
+        return *record->settled != attempt;
+    close(*record, attempt);
+    record->expiry = std::max(record->expiry, expiry);
+    return true;
+}
+
+std::vector<KeyedClaim> ClaimTable::copy(size_t shardIndex, TimePoint now) const
+{
+    const auto& shard = m_shards.at(shardIndex);
+    std::lock_guard lock(shard.mutex);
+    std::vector<KeyedClaim> claims;
+    for (const auto& [key, record] : shard.records) {
+        if (record.expiry > now)
+            claims.push_back({ key, record });
+    }
+    return claims;
+}
+
+bool ClaimTable::merge(const KeyedClaim& claim, TimePoint now)
+{
+    auto& shard = shardOf(claim.key);
+    std::lock_guard lock(shard.mutex);
+    auto* record = obtain(shard, claim.key, now);
+    if (!record)
+        return false;
+    record->expiry = std::max(record->expiry, claim.record.expiry);
+    if (!record->settled)
+        record->settled = claim.record.settled;
+    for (const auto& it : claim.record.closed)
+        close(*record, it);
+    for (const auto& it : claim.record.holds)
+        addCopiedHold(*record, it.attempt);
+    if (record->settled)
+        record->holds.clear();
+    return true;
+}
+
+void ClaimTable::expireNextShard(TimePoint now)
+{
+    auto& shard = m_shards.at(m_nextExpiry++ % shardCount);
+    std::lock_guard lock(shard.mutex);
+    expire(shard, now);
+}
+
+} // namespace vanillalift
--- /dev/null
+++ b/src/peer/holder_ring_p.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <vanillalift/claim.h>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace vanillalift {
+
+/// An entry of the site as the settings name it.
+struct PeerEntry {
+    std::string name;
+    std::string zone;
+    /// "ip:port" of the peer server.
+    std::string address;
+};
+
+/// Chooses the holders of a claim by rendezvous hashing. All entries with the same list agree on the holders.
+class HolderRing {
+public:
+    static constexpr size_t holdersPerKey = 3;
+
+    explicit HolderRing(std::vector<PeerEntry> entries);
+
+    /// @returns indices into entries(), min(3, entries) of them, at most one per zone while zones are left.
+    [[nodiscard]] std::vector<size_t> holders(const ClaimKey& key) const;
+    [[nodiscard]] std::span<const PeerEntry> entries() const { return m_entries; }
+    /// @returns the index of the entry, or entries().size() if there is none of that name.
+    [[nodiscard]] size_t find(std::string_view name) const;
+
+    /// @returns how many of @p holderCount holders form a majority.
+    static constexpr size_t majority(size_t holderCount) { return holderCount / 2 + 1; }
+
+private:
+    std::vector<PeerEntry> m_entries;
+};
+
+} // namespace vanillalift
--- /dev/null
+++ b/tests/claim_history_test.cpp
@@ -0,0 +1,160 @@
+#include "claim_network.h"
+
+#include <catch2/catch.hpp>
+
+using namespace vanillalift;
+using namespace vanillalift::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::chrono::minutes s_retention { 5 };
+
+/// What happened to one key, in the order in which it happened.
+struct KeyHistory {
+    /// Wins that were not yet given back by a call of release().
+    int openWins = 0;
+    int mostOpenWins = 0;
+    std::vector<std::string> runs;
+    std::vector<std::string> reported;
+};
+
+class History {
+public:
+    void won(const ClaimKey& key)
+    {
+        std::lock_guard lock(m_mutex);
+        auto& it = m_keys[key];
+        it.mostOpenWins = std::max(it.mostOpenWins, ++it.openWins);
+        ++m_wins;
+    }
+    void releaseStarts(const ClaimKey& key)
+    {
+        std::lock_guard lock(m_mutex);
+        --m_keys[key].openWins;
+    }
+    /// @returns the answer of the run.
+    std::string run(const ClaimKey& key)
+    {
+        std::lock_guard lock(m_mutex);
+        auto& runs = m_keys[key].runs;
+        runs.push_back(key.requestId + "/" + std::to_string(runs.size()));
+        return runs.back();
+    }
+    void reported(const ClaimKey& key, const Outcome& outcome)
+    {
+        std::lock_guard lock(m_mutex);
+        if (const auto* answered = std::get_if<Answered>(&outcome)) {
+            m_keys[key].reported.push_back(answered->body);
+            ++m_answers;
+        }
+    }
+    /// @returns one line for each broken promise.
+    std::vector<std::string> faults() const
+    {
+        std::vector<std::string> faults;
+        for (const auto& [key, it] : m_keys) {
+            if (it.runs.size() > 1)
+                faults.push_back(key.requestId + " ran " + std::to_string(it.runs.size()) + " times");
+            if (it.mostOpenWins > 1)
+                faults.push_back(key.requestId + " was won " + std::to_string(it.mostOpenWins) + " times at once");
+            for (const auto& body : it.reported) {
+                if (it.runs.empty() || body != it.runs.front())
+                    faults.push_back(key.requestId + " was reported as " + body);
+            }
+        }
+        return faults;
+    }
+    [[nodiscard]] int wins() const { return m_wins; }
+    [[nodiscard]] int answers() const { return m_answers; }
+
+private:
+    std::mutex m_mutex;
+    std::map<ClaimKey, KeyHistory> m_keys;
+    int m_wins = 0;
+    int m_answers = 0;
+};
+
+/// One receipt of a request at an entry: the claim, and for a winner either the run or a release.
+void receive(Site& site, History& history, size_t entry, const ClaimKey& key)
+{
+    auto process = site.process(entry);
+    auto now = BootClock::now();
+    auto result = process->claims.claim(key, now + milliseconds(100), now + s_retention);
+    if (process->wire.isCrashed)
+        return;
+    if (const auto* settled = std::get_if<ClaimSettled>(&result))
+        history.reported(key, settled->outcome);
+    if (!std::holds_alternative<ClaimWon>(result))
+        return;
+    history.won(key);
+    if (site.chance(30)) {
+        history.releaseStarts(key);
+        process->claims.release(key);
+        return;
+    }
+    auto body = history.run(key);
+    std::this_thread::sleep_for(milliseconds(site.draw(4)));
+    process->claims.settle(key, Answered { 200, {}, body });
+}
+
+void restartInTurn(Site& site, size_t entryCount, const std::atomic<bool>& isDone)
+{
+    while (!isDone) {
+        auto entry = static_cast<size_t>(site.draw(static_cast<int>(entryCount)));
+        site.restart(entry);
+        // Some restarts overlap, so that a holder copies from one that is copying itself.
+        for (int n = 0; n < 200 && !isDone && !site.process(entry)->claims.isReady() && !site.chance(1); ++n)
+            std::this_thread::sleep_for(milliseconds(2));
+        std::this_thread::sleep_for(milliseconds(site.draw(20)));
+    }
+}
+
+void runHistory(History& history, const NetworkDesc& network, bool isRestarting)
+{
+    constexpr size_t entryCount = 5;
+    constexpr int threadCount = 8;
+    constexpr int receiptsPerThread = 150;
+    Site site(network, entryCount, s_retention);
+    std::atomic<bool> isDone { false };
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < threadCount; ++thread) {
+        threads.emplace_back([&] {
+            for (int n = 0; n < receiptsPerThread; ++n) {
+                ClaimKey key { "team", "service", std::to_string(n / 10 * 10 + site.draw(20)) };
+                receive(site, history, static_cast<size_t>(site.draw(entryCount)), key);
+            }
+        });
+    }
+    std::thread restarter([&] {
+        if (isRestarting)
+            restartInTurn(site, entryCount, isDone);
+    });
+    for (auto& it : threads)
+        it.join();
+    isDone = true;
+    restarter.join();
+}
+
+} // namespace
+
+TEST_CASE("no request runs twice when messages are lost, late, doubled and reordered", "[claims]")
+{
+    auto seed = GENERATE(1U, 2U, 3U);
+    History history;
+    runHistory(history, { seed }, false);
+    CAPTURE(seed);
+    CHECK(history.faults() == std::vector<std::string> {});
+    CHECK(history.wins() > 50);
+    CHECK(history.answers() > 50);
+}
+
+TEST_CASE("no request runs twice when holders and claiming entries crash and restart in the middle", "[claims]")
+{
+    auto seed = GENERATE(11U, 12U, 13U, 14U);
+    History history;
+    runHistory(history, { seed }, true);
+    CAPTURE(seed);
+    CHECK(history.faults() == std::vector<std::string> {});
+    CHECK(history.wins() > 20);
+}
