--- /dev/null
+++ b/tests/claim_restart_test.cpp
@@ -0,0 +1,214 @@
+#include "peer/claim_server_p.h"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace vanillalift;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::chrono::minutes s_retention { 5 };
+
+class SetClock final : public Clock {
+public:
+    [[nodiscard]] TimePoint now() const override { return m_now; }
+    void advance(Duration by) { m_now += by; }
+
+private:
+    TimePoint m_now { std::chrono::hours(1) };
+};
+
+HolderRing ringOf(size_t count)
+{
+    std::vector<PeerEntry> entries;
+    for (size_t n = 0; n < count; ++n)
+        entries.push_back({ "entry-" + std::to_string(n), "zone-" + std::to_string(n), "" });
+    return HolderRing(entries);
+}
+
+/// Holders alone, asked directly.
+struct Holders {
+    explicit Holders(size_t count)
+        : ring(ringOf(count))
+        , holders(count)
+    {
+        for (size_t n = 0; n < count; ++n)
+            start(n, milliseconds(0));
+    }
+    void start(size_t n, milliseconds recoveryTime)
+    {
+        ClaimHolderDesc desc { ring.entries()[n].name, ++lastIncarnation, 100, recoveryTime };
+        holders[n] = std::make_unique<ClaimHolder>(desc, ring, clock);
+    }
+    void restart(size_t n) { start(n, s_retention); }
+    void recover(size_t n)
+    {
+        holders[n]->recover([this](const std::string& peer, const nlohmann::json& params) -> std::optional<nlohmann::json> {
+            return isCut ? std::nullopt : std::optional(holders[ring.find(peer)]->copyClaims(params));
+        });
+    }
+    ClaimVerdict claim(size_t n, const ClaimAttempt& attempt)
+    {
+        auto message = holders[n]->message({ "team", "service", "request" }, attempt, clock.now() + s_retention);
+        return holders[n]->claim(message).at("verdict").get<ClaimVerdict>();
+    }
+
+    SetClock clock;
+    HolderRing ring;
+    uint64_t lastIncarnation = 0;
+    bool isCut = false;
+    std::vector<std::unique_ptr<ClaimHolder>> holders;
+};
+
+const ClaimAttempt s_a { "entry-a", 1, 1 };
+const ClaimAttempt s_b { "entry-b", 1, 1 };
+
+} // namespace
+
+TEST_CASE("a restarted holder votes only after copying, and then knows the claims it had lost", "[claims]")
+{
+    auto count = GENERATE(2U, 3U);
+    Holders site(count);
+    CHECK(site.claim(0, s_a) == ClaimVerdict::Granted);
+    CHECK(site.claim(1, s_a) == ClaimVerdict::Granted);
+    site.restart(0);
+    site.isCut = true;
+    site.recover(0);
+    CHECK(site.claim(0, s_b) == ClaimVerdict::Recovering);
+    site.isCut = false;
+    site.recover(0);
+    CHECK(site.holders[0]->isRecovered());
+    CHECK(site.claim(0, s_b) == ClaimVerdict::Held);
+}
+
+TEST_CASE("two holders restarted at once do not vouch for each other's lost claims", "[claims]")
+{
+    Holders site(3);
+    site.claim(0, s_a);
+    site.claim(1, s_a);
+    site.restart(0);
+    site.restart(1);
+    for (int n = 0; n < 3; ++n) {
+        site.recover(0);
+        site.recover(1);
+    }
+    CHECK(site.claim(0, s_b) == ClaimVerdict::Recovering);
+    CHECK(site.claim(1, s_b) == ClaimVerdict::Recovering);
+    site.clock.advance(s_retention);
+    CHECK(site.claim(0, s_b) == ClaimVerdict::Granted);
+}
+
+TEST_CASE("two of four holders restarted at once go on voting on keys that only one of them holds", "[claims]")
+{
+    Holders site(4);
+    site.restart(0);
+    site.restart(1);
+    for (int n = 0; n < 3; ++n) {
+        site.recover(0);
+        site.recover(1);
+    }
+    bool isOneServed = false;
+    for (int n = 0; n < 40; ++n) {
+        ClaimKey key { "team", "service", std::to_string(n) };
+        auto holders = site.ring.holders(key);
+        bool hasBoth = std::count(holders.begin(), holders.end(), 0U) + std::count(holders.begin(), holders.end(), 1U) == 2;
+        for (auto it : holders) {
+            auto reply = site.holders[it]->claim(site.holders[it]->message(key, s_a, site.clock.now() + s_retention));
+            bool isRestarted = it < 2;
+            CHECK((reply.at("verdict") == ClaimVerdict::Granted) == !(hasBoth && isRestarted));
+            isOneServed = isOneServed || (isRestarted && !hasBoth);
+        }
+    }
+    CHECK(isOneServed);
+}
+
+TEST_CASE("when all entries restart at once, none votes before the longest claim has expired", "[claims]")
+{
+    auto count = GENERATE(1U, 2U, 3U);
+    Holders site(count);
+    for (size_t n = 0; n < count; ++n)
+        site.restart(n);
+    for (size_t n = 0; n < count; ++n)
+        site.recover(n);
+    site.clock.advance(s_retention - std::chrono::nanoseconds(1));
+    for (size_t n = 0; n < count; ++n)
+        CHECK(site.claim(n, s_a) == ClaimVerdict::Recovering);
+    site.clock.advance(std::chrono::nanoseconds(1));
+    for (size_t n = 0; n < count; ++n) {
+        CHECK(site.holders[n]->isRecovered());
+        CHECK(site.claim(n, s_a) == ClaimVerdict::Granted);
+    }
+}
+
+TEST_CASE("a rolling restart that waits for each entry loses no claim", "[claims]")
+{
+    Holders site(3);
+    site.claim(0, s_a);
+    site.claim(1, s_a);
+    for (size_t n = 0; n < 3; ++n) {
+        site.restart(n);
+        site.recover(n);
+        REQUIRE(site.holders[n]->isRecovered());
+    }
+    for (size_t n = 0; n < 3; ++n)
+        CHECK(site.claim(n, s_b) == ClaimVerdict::Held);
+}
+
+namespace {
+
+/// Restarts entry-1 between its vote and that of entry-2; entry-0 claims, and its own holder has no vote.
+class RestartBetweenVotes final : public PeerTransport {
+public:
+    explicit RestartBetweenVotes(Holders& site)
+        : m_site(site)
+    {
+    }
+    RpcResult call(const std::string& peer, const std::string& method, const nlohmann::json& params, TimePoint /*deadline*/) override
+    {
+        std::lock_guard lock(m_mutex);
+        if (method != "claim" || peer == "entry-3")
+            return tl::unexpected(RpcError { RpcErrorCode::NoResponse, "lost" });
+        if (peer == "entry-1")
+            return m_first = vote(1, params);
+        vote(1, params);
+        m_site.restart(1);
+        m_site.recover(1);
+        return vote(2, params);
+    }
+
+private:
+    nlohmann::json vote(size_t n, const nlohmann::json& params)
+    {
+        if (n == 1 && !m_first.is_null())
+            return m_first;
+        auto reply = m_site.holders[n]->claim(params);
+        if (n == 1)
+            m_first = reply;
+        return reply;
+    }
+    Holders& m_site;
+    std::mutex m_mutex;
+    nlohmann::json m_first;
+};
+
+} // namespace
+
+TEST_CASE("a vote that its holder has lost by a restart is not counted beside a vote given after the copy", "[claims]")
+{
+    Holders site(4);
+    int n = 0;
+    ClaimKey key { "team", "service", "0" };
+    while (site.ring.holders(key).size() != 3 || std::ranges::count(site.ring.holders(key), 0U) != 0)
+        key.requestId = std::to_string(++n);
+    RestartBetweenVotes transport(site);
+    SystemClock clock;
+    PeerClaimsDesc desc;
+    desc.holder = { "entry-0", 1, 100, milliseconds(0) };
+    desc.callTimeout = milliseconds(2000);
+    PeerClaims claims(desc, ringOf(4), transport, clock);
+    auto now = clock.now();
+    CHECK_FALSE(std::holds_alternative<ClaimWon>(claims.claim(key, now + milliseconds(500), now + s_retention)));
+    CHECK(site.holders[1]->isRecovered());
+}
