Add vanillalift-bench check: decide recorded histories

Cause: promises about outcomes, limits and leaving endpoints need a judge that knows no product code. Change: src/bench reads run.json, calls.jsonl and endpoint-*.jsonl, checks them, and prints quantiles and share errors. Each check has a test with a history that breaks just that promise. Conclusion: histories can be checked once something records them.

--- /dev/null
+++ b/src/bench/history_checks.cpp
@@ -0,0 +1,110 @@
+#include "history_p.h"
+
+#include <algorithm>
+#include <array>
+
+namespace vanillalift::bench {
+
+namespace {
+
+    struct RequestView {
+        std::vector<const CallRecord*> calls;
+        std::vector<const AttemptRecord*> attempts;
+    };
+    using Requests = std::map<std::string, RequestView>;
+
+    void checkNotRun(const std::string& request, const RequestView& view, std::vector<Violation>& violations)
+    {
+        bool isAllNotRun = std::all_of(view.calls.begin(), view.calls.end(), [](const auto* call) { return call->outcome == "not-run"; });
+        for (const auto* call : view.calls) {
+            if (call->outcome != "not-run")
+                continue;
+            // The refusal of a non-idempotent request speaks for all receipts of the id. That of an idempotent one speaks
+            // for its own receipt, and attempts tell their receipt only if no other call can have caused them.
+            for (const auto* attempt : view.attempts) {
+                bool isRefuted = call->idempotent ? isAllNotRun : attempt->startNs <= call->endNs;
+                if (isRefuted) {
+                    violations.push_back({ Promise::NotRunIsTrue, "call " + call->call + " of request " + request + ", but attempt " + attempt->attempt + " ran" });
+                    break;
+                }
+            }
+        }
+    }
+
+    void checkRequests(const Requests& requests, std::vector<Violation>& violations)
+    {
+        for (const auto& [request, view] : requests) {
+            if (view.calls.empty()) {
+                violations.push_back({ Promise::FilesMatch, "request " + request + " was run but never called" });
+                continue;
+            }
+            if (!view.calls.front()->idempotent && view.attempts.size() > 1)
+                violations.push_back({ Promise::AtMostOnce, "request " + request + " ran " + std::to_string(view.attempts.size()) + " times" });
+            checkNotRun(request, view, violations);
+            for (const auto* call : view.calls) {
+                if (call->outcome == "answered" && !call->isBodyRight)
+                    violations.push_back({ Promise::OwnAnswer, "call " + call->call + " of request " + request });
+            }
+        }
+    }
+
+    void checkLimits(const History& history, std::vector<Violation>& violations)
+    {
+        // At equal times ends come first, since an end frees the place for the start.
+        std::map<std::string, std::vector<std::pair<int64_t, int>>> events;
+        for (const auto& it : history.attempts) {
+            events[it.team].emplace_back(it.startNs, 1);
+            events[it.team].emplace_back(std::max(it.endNs, it.startNs + 1), -1);
+        }
+        for (auto& [team, list] : events) {
+            auto limit = history.run.limits.find(team);
+            if (limit == history.run.limits.end()) {
+                // Requests without a key to a service that is open to all belong to no team.
+                if (!team.empty())
+                    violations.push_back({ Promise::FilesMatch, "team " + team + " has no limit in run.json" });
+                continue;
+            }
+            std::sort(list.begin(), list.end());
+            int64_t running = 0;
+            int64_t most = 0;
+            for (const auto& [at, change] : list)
+                most = std::max(most, running += change);
+            if (most > limit->second)
+                violations.push_back({ Promise::UpperLimit, "team " + team + " had " + std::to_string(most) + " running, limit " + std::to_string(limit->second) });
+        }
+    }
+
+    void checkLeaving(const History& history, std::vector<Violation>& violations)
+    {
+        for (const auto& leaving : history.run.leaving) {
+            for (const auto& it : history.attempts) {
+                if (it.instance == leaving.instance && it.startNs > leaving.atNs + history.run.leavingBoundNs)
+                    violations.push_back({ Promise::LeavingEndpoint, "instance " + it.instance + " got attempt " + it.attempt });
+            }
+        }
+    }
+
+} // namespace
+
+std::string_view promiseName(Promise promise)
+{
+    constexpr std::array<std::string_view, static_cast<size_t>(Promise::PromiseCount)> names { "at-most-once", "not-run-is-true",
+        "own-answer", "upper-limit", "leaving-endpoint", "files-match" };
+    return names.at(static_cast<size_t>(promise));
+}
+
+std::vector<Violation> checkHistory(const History& history)
+{
+    Requests requests;
+    for (const auto& it : history.calls)
+        requests[it.request].calls.push_back(&it);
+    for (const auto& it : history.attempts)
+        requests[it.request].attempts.push_back(&it);
+    std::vector<Violation> violations;
+    checkRequests(requests, violations);
+    checkLimits(history, violations);
+    checkLeaving(history, violations);
+    return violations;
+}
+
+} // namespace vanillalift::bench
--- /dev/null
+++ b/src/bench/history_p.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Recorded histories of a load run. Times are nanoseconds of CLOCK_BOOTTIME of one machine.
+namespace vanillalift::bench {
+
+/// One call of the load generator at an entry. A resend is a call of its own with the same request id.
+struct CallRecord {
+    std::string call;
+    std::string request;
+    std::string entry;
+    std::string team;
+    std::string service;
+    bool idempotent = false;
+    int64_t intendedNs = 0;
+    int64_t startNs = 0;
+    int64_t endNs = 0;
+    int status = 0;
+    /// "answered", "not-run", "unknown", or "lost" if the caller got no answer.
+    std::string outcome;
+    std::string reason;
+    /// Whether the body is whole and names this request.
+    bool isBodyRight = false;
+};
+
+/// One attempt as an endpoint saw it.
+struct AttemptRecord {
+    std::string request;
+    std::string attempt;
+    std::string team;
+    std::string method;
+    int64_t startNs = 0;
+    int64_t endNs = 0;
+    bool isFinished = false;
+    std::string instance;
+    std::string service;
+};
+
+struct LeavingRecord {
+    std::string instance;
+    int64_t atNs = 0;
+};
+
+/// What the run promised, from run.json.
+struct RunRecord {
+    /// Upper limit by team.
+    std::map<std::string, int64_t> limits;
+    /// Share weight by team.
+    std::map<std::string, double> shares;
+    std::vector<LeavingRecord> leaving;
+    /// Time after which a leaving endpoint gets no new work.
+    int64_t leavingBoundNs = 0;
+    /// Window in which the pools were full; shares are measured in it.
+    int64_t fullFromNs = 0;
+    int64_t fullToNs = 0;
+};
+
+struct History {
+    RunRecord run;
+    std::vector<CallRecord> calls;
+    std::vector<AttemptRecord> attempts;
+};
+
+struct HistoryError {
+    /// File, and the line for a damaged record.
+    std::string place;
+    std::string reason;
+};
+
+/// Reads run.json, calls.jsonl and every endpoint-*.jsonl of a folder. A missing file, a damaged or unfinished line
+/// and a history without a call are errors.
+tl::expected<History, HistoryError> readHistory(const std::string& folder);
+
+enum class Promise : uint8_t {
+    AtMostOnce,
+    NotRunIsTrue,
+    OwnAnswer,
+    UpperLimit,
+    LeavingEndpoint,
+    /// Endpoints ran something that no call asked for, so that the files do not belong together.
+    FilesMatch,
+    PromiseCount,
+};
+
+std::string_view promiseName(Promise promise);
+
+struct Violation {
+    Promise promise = Promise::AtMostOnce;
+    std::string detail;
+};
+
+std::vector<Violation> checkHistory(const History& history);
+
+struct ServiceSummary {
+    int64_t calls = 0;
+    int64_t answered = 0;
+    /// Quantiles of the time from the intended start to the answer, in milliseconds, over answered calls.
+    double p50Ms = 0;
+    double p99Ms = 0;
+    double maxMs = 0;
+};
+
+struct Summary {
+    std::map<std::string, ServiceSummary> services;
+    /// Part of the running time within the full window less the part owed by weight, by team.
+    std::map<std::string, double> shareErrors;
+};
+
+Summary summarize(const History& history);
+nlohmann::json toJson(const Summary& summary);
+std::string toTable(const Summary& summary);
+
+} // namespace vanillalift::bench
--- /dev/null
+++ b/src/bench/history_summary.cpp
@@ -0,0 +1,91 @@
+#include "history_p.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace vanillalift::bench {
+
+namespace {
+
+    double quantile(const std::vector<double>& sorted, double part)
+    {
+        if (sorted.empty())
+            return 0;
+        return sorted[std::min(sorted.size() - 1, static_cast<size_t>(static_cast<double>(sorted.size()) * part))];
+    }
+
+    std::map<std::string, double> shareErrorsOf(const History& history)
+    {
+        std::map<std::string, double> used;
+        double total = 0;
+        double weights = 0;
+        for (const auto& it : history.attempts) {
+            auto overlap = std::min(it.endNs, history.run.fullToNs) - std::max(it.startNs, history.run.fullFromNs);
+            if (overlap <= 0 || !history.run.shares.contains(it.team))
+                continue;
+            used[it.team] += static_cast<double>(overlap);
+            total += static_cast<double>(overlap);
+        }
+        for (const auto& [team, weight] : history.run.shares)
+            weights += weight;
+        std::map<std::string, double> errors;
+        for (const auto& [team, weight] : history.run.shares) {
+            if (total > 0 && weights > 0)
+                errors[team] = used[team] / total - weight / weights;
+        }
+        return errors;
+    }
+
+} // namespace
+
+Summary summarize(const History& history)
+{
+    Summary summary;
+    std::map<std::string, std::vector<double>> latencies;
+    for (const auto& it : history.calls) {
+        auto& service = summary.services[it.service];
+        ++service.calls;
+        if (it.outcome != "answered")
+            continue;
+        ++service.answered;
+        latencies[it.service].push_back(static_cast<double>(it.endNs - it.intendedNs) / 1e6);
+    }
+    for (auto& [name, list] : latencies) {
+        std::sort(list.begin(), list.end());
+        auto& service = summary.services[name];
+        service.p50Ms = quantile(list, 0.5);
+        service.p99Ms = quantile(list, 0.99);
+        service.maxMs = list.back();
+    }
+    summary.shareErrors = shareErrorsOf(history);
+    return summary;
+}
+
+nlohmann::json toJson(const Summary& summary)
+{
+    auto services = nlohmann::json::object();
+    for (const auto& [name, it] : summary.services)
+        services[name] = { { "calls", it.calls }, { "answered", it.answered }, { "p50_ms", it.p50Ms }, { "p99_ms", it.p99Ms }, { "max_ms", it.maxMs } };
+    return { { "services", services }, { "share_errors", summary.shareErrors } };
+}
+
+std::string toTable(const Summary& summary)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(3);
+    text << std::left << std::setw(24) << "service" << std::right << std::setw(10) << "calls" << std::setw(10) << "answered" << std::setw(12)
+         << "p50 ms" << std::setw(12) << "p99 ms" << std::setw(12) << "max ms"
+         << "\n";
+    for (const auto& [name, it] : summary.services) {
+        text << std::left << std::setw(24) << name << std::right << std::setw(10) << it.calls << std::setw(10) << it.answered << std::setw(12)
+             << it.p50Ms << std::setw(12) << it.p99Ms << std::setw(12) << it.maxMs << "\n";
+    }
+    text << std::left << std::setw(24) << "team" << std::right << std::setw(14) << "share error"
+         << "\n";
+    for (const auto& [team, error] : summary.shareErrors)
+        text << std::left << std::setw(24) << team << std::right << std::setw(14) << error << "\n";
+    return text.str();
+}
+
+} // namespace vanillalift::bench
--- /dev/null
+++ b/tests/bench_history_test.cpp
@@ -0,0 +1,166 @@
+#include "bench/history_p.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+#include <unistd.h>
+
+using namespace vanillalift::bench;
+
+namespace {
+
+/// Two requests that ran once each, and one that was refused.
+History goodHistory()
+{
+    History history;
+    history.run = { { { "red", 2 } }, { { "red", 1 }, { "blue", 1 } }, { { "i-1", 1000 } }, 500, 0, 10000 };
+    history.calls = {
+        { "c1", "r1", "e1", "red", "s", false, 90, 100, 300, 200, "answered", "", true },
+        { "c2", "r2", "e1", "red", "s", true, 100, 110, 400, 200, "answered", "", true },
+        { "c3", "r3", "e2", "red", "s", false, 100, 120, 200, 503, "not-run", "no-endpoint", false },
+    };
+    history.attempts = {
+        { "r1", "a1", "red", "POST", 150, 250, true, "i-1", "s" },
+        { "r2", "a2", "red", "GET", 160, 260, true, "i-2", "s" },
+    };
+    return history;
+}
+
+std::vector<Promise> broken(const History& history)
+{
+    std::vector<Promise> promises;
+    for (const auto& it : checkHistory(history))
+        promises.push_back(it.promise);
+    return promises;
+}
+
+using Promises = std::vector<Promise>;
+
+struct Folder {
+    Folder() { std::filesystem::create_directories(path); }
+    ~Folder() { std::filesystem::remove_all(path); }
+    Folder(const Folder&) = delete;
+    Folder& operator=(const Folder&) = delete;
+    void write(const std::string& name, const std::string& text) const { std::ofstream(path / name) << text; }
+    std::filesystem::path path = std::filesystem::temp_directory_path() / ("vanillalift-history-" + std::to_string(getpid()));
+};
+
+const std::string s_run = R"({"limits":{"red":2},"shares":{"red":1},"leaving":[],"leaving_bound_ns":1,"full_from_ns":0,"full_to_ns":9})";
+const std::string s_call = R"({"call":"c1","request":"r1","entry":"e1","team":"red","service":"s","idempotent":false,"intended_ns":1,"start_ns":1,)"
+                           R"("end_ns":9,"status":200,"outcome":"answered","reason":"","body_right":true})";
+const std::string s_attempt = R"({"request":"r1","attempt":"a1","team":"red","method":"POST","start_ns":2,"end_ns":5,"finished":true,"instance":"i","service":"s"})";
+
+} // namespace
+
+TEST_CASE("a history that keeps every promise is accepted", "[bench]") { CHECK(broken(goodHistory()) == Promises {}); }
+
+TEST_CASE("a non-idempotent request that ran twice is found, and a retried idempotent one is allowed", "[bench]")
+{
+    auto history = goodHistory();
+    history.attempts.push_back({ "r2", "a3", "red", "GET", 500, 600, true, "i-2", "s" });
+    CHECK(broken(history) == Promises {});
+    history.attempts.push_back({ "r1", "a4", "red", "POST", 700, 800, false, "i-2", "s" });
+    CHECK(broken(history) == Promises { Promise::AtMostOnce });
+}
+
+TEST_CASE("a not-run that is not true is found", "[bench]")
+{
+    auto history = goodHistory();
+    auto isIdempotent = GENERATE(false, true);
+    history.calls[2].idempotent = isIdempotent;
+    history.attempts.push_back({ "r3", "a3", "red", "POST", 199, 200, false, "i-2", "s" });
+    history.run.limits["red"] = 9;
+    CHECK(broken(history) == Promises { Promise::NotRunIsTrue });
+}
+
+TEST_CASE("a not-run stays true when a resend runs after it", "[bench]")
+{
+    auto history = goodHistory();
+    history.calls.push_back({ "c4", "r3", "e1", "red", "s", false, 300, 300, 900, 200, "answered", "", true });
+    history.attempts.push_back({ "r3", "a3", "red", "POST", 500, 600, true, "i-2", "s" });
+    CHECK(broken(history) == Promises {});
+}
+
+TEST_CASE("an answer that belongs to another call is found", "[bench]")
+{
+    auto history = goodHistory();
+    history.calls[1].isBodyRight = false;
+    CHECK(broken(history) == Promises { Promise::OwnAnswer });
+}
+
+TEST_CASE("a limit passed for an instant is found, and a start at the end of another is not", "[bench]")
+{
+    auto history = goodHistory();
+    history.calls.push_back({ "c4", "r4", "e1", "red", "s", false, 100, 100, 900, 200, "answered", "", true });
+    history.attempts.push_back({ "r4", "a4", "red", "POST", 250, 600, true, "i-2", "s" });
+    CHECK(broken(history) == Promises {});
+    history.attempts.back().startNs = 249;
+    CHECK(broken(history) == Promises { Promise::UpperLimit });
+}
+
+TEST_CASE("new work to a leaving endpoint is found after its bound only", "[bench]")
+{
+    auto history = goodHistory();
+    history.calls.push_back({ "c4", "r4", "e1", "red", "s", false, 100, 100, 9000, 200, "answered", "", true });
+    history.attempts.push_back({ "r4", "a4", "red", "POST", 1500, 1600, true, "i-1", "s" });
+    CHECK(broken(history) == Promises {});
+    history.attempts.back().startNs = 1501;
+    CHECK(broken(history) == Promises { Promise::LeavingEndpoint });
+}
+
+TEST_CASE("endpoint files of another run are found instead of passing as an idle one", "[bench]")
+{
+    auto history = goodHistory();
+    history.attempts.push_back({ "other", "a9", "red", "POST", 700, 800, true, "i-2", "s" });
+    CHECK(broken(history) == Promises { Promise::FilesMatch });
+}
+
+TEST_CASE("a missing or damaged file is an error that names it, not an empty history", "[bench]")
+{
+    Folder folder;
+    folder.write("run.json", s_run);
+    folder.write("calls.jsonl", s_call + "\n");
+    folder.write("endpoint-i.jsonl", s_attempt + "\n");
+    REQUIRE(readHistory(folder.path.string()));
+    auto place = [&] { return readHistory(folder.path.string()).error().place; };
+    SECTION("unfinished last line")
+    {
+        folder.write("endpoint-i.jsonl", s_attempt + "\n" + s_attempt);
+        CHECK(place().ends_with("endpoint-i.jsonl:2"));
+    }
+    SECTION("damaged line")
+    {
+        folder.write("calls.jsonl", s_call + "\n{\"call\":\n");
+        CHECK(place().ends_with("calls.jsonl:2"));
+    }
+    SECTION("missing field")
+    {
+        folder.write("calls.jsonl", "{\"call\":\"c\"}\n");
+        CHECK(place().ends_with("calls.jsonl:1"));
+    }
+    SECTION("no call")
+    {
+        folder.write("calls.jsonl", "");
+        CHECK(place().ends_with("calls.jsonl"));
+    }
+    SECTION("missing file")
+    {
+        auto name = GENERATE("run.json", "calls.jsonl", "endpoint-i.jsonl");
+        std::filesystem::remove(folder.path / name);
+        CHECK_FALSE(readHistory(folder.path.string()));
+    }
+}
+
+TEST_CASE("latency counts from the intended start, and share errors from the owed part", "[bench]")
+{
+    auto history = goodHistory();
+    history.calls[0].intendedNs = 0;
+    history.calls[0].endNs = 5000000;
+    auto summary = summarize(history);
+    CHECK(summary.services["s"].maxMs == Approx(5));
+    CHECK(summary.services["s"].answered == 2);
+    CHECK(summary.shareErrors["red"] == Approx(0.5));
+    CHECK(summary.shareErrors["blue"] == Approx(-0.5));
+}
