--- a/include/vanillalift/authority.h
+++ b/include/vanillalift/authority.h
@@ -22,6 +22,14 @@
     [[nodiscard]] virtual int64_t limitPart(std::string_view team, TimePoint now) const = 0;
 };
 
+/// Told when an authority has a new catalog, new parts of limits, or a lease again after it had none.
+class AuthorityListener {
+public:
+    virtual ~AuthorityListener() = default;
+    /// Called without locks held.
+    virtual void authorityChanged() = 0;
+};
+
 /// Use and demand of one team in this entry, reported to control to size the entry's part of the limit.
 struct TeamUse {
     std::string team;
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -27,6 +27,48 @@
             reader.fault("admin_port", "must differ from caller_port and announce_port");
     }
 
+    SiteEntry siteEntryFromJson(const nlohmann::json& value, const std::string& place, SettingsFaults& faults)
+    {
+        SiteEntry entry;
+        SettingsReader reader(value, place, faults);
+        reader.read("name", entry.name);
+        checkName(reader, "name", entry.name);
+        reader.read("zone", entry.zone);
+        checkName(reader, "zone", entry.zone);
+        reader.read("peer_address", entry.peerAddress);
+        if (!entry.peerAddress.empty() && entry.peerAddress.find(':') == std::string::npos)
+            reader.fault("peer_address", "must be \"ip:port\"");
+        reader.finish();
+        return entry;
+    }
+
+    /// Reads the list of entries. A site of one entry needs none.
+    void readEntries(SettingsReader& reader, EntrySettings& settings, SettingsFaults& faults)
+    {
+        const auto* list = reader.child("entries");
+        if (!list) {
+            settings.entries = { { settings.name, settings.zone, settings.address + ":0" } };
+            return;
+        }
+        if (!list->is_array() || list->size() > config::maxEntries)
+            return reader.fault("entries", "must be an array of at most " + std::to_string(config::maxEntries) + " entries");
+        bool isListed = false;
+        for (size_t n = 0; n < list->size(); ++n) {
+            settings.entries.push_back(siteEntryFromJson((*list)[n], reader.childPlace("entries") + "/" + std::to_string(n), faults));
+            isListed = isListed || settings.entries.back().name == settings.name;
+        }
+        if (!isListed)
+            reader.fault("entries", "must list this entry, \"" + settings.name + "\"");
+    }
+
+    void checkSource(SettingsReader& reader, const EntrySettings& settings)
+    {
+        if (settings.catalogFile.empty() && settings.controlReplicas.empty())
+            reader.fault("catalog_file", "is required unless control_replicas is given");
+        if (!settings.catalogFile.empty() && !settings.controlReplicas.empty())
+            reader.fault("catalog_file", "cannot be given together with control_replicas");
+    }
+
 } // namespace
 
 tl::expected<EntrySettings, SettingsFaults> entrySettingsFromJson(const nlohmann::json& value, const std::string& place)
@@ -46,8 +88,12 @@
     reader.read("announce_port", settings.announcePort, ports, Presence::Required);
     reader.read("admin_port", settings.adminPort, ports);
     checkPorts(reader, settings);
-    reader.read("entry_count", settings.entryCount, { 1, config::maxEntries });
-    reader.read("catalog_file", settings.catalogFile);
+    readEntries(reader, settings, faults);
+    reader.read("token", settings.token, Presence::Optional);
+    reader.read("catalog_file", settings.catalogFile, Presence::Optional);
+    reader.read("control_replicas", settings.controlReplicas);
+    checkSource(reader, settings);
+    reader.read("claim_recovery_ms", settings.claimRecoveryMs, { 0, 2 * 86400000LL });
     reader.read("max_active_requests", settings.maxActiveRequests, { 1, 10000 });
     reader.read("max_connections", settings.maxConnections, { 1, 100000 });
     reader.read("max_body_bytes", settings.maxBodyBytes, { 0, 1 << 30 });
--- a/src/follow/control_follower.cpp
+++ b/src/follow/control_follower.cpp
@@ -20,10 +20,9 @@
 
 } // namespace
 
-ControlFollower::ControlFollower(ControlFollowerDesc desc, const Clock& clock, const TeamUseSource& use)
+ControlFollower::ControlFollower(ControlFollowerDesc desc, const Clock& clock)
     : m_desc(std::move(desc))
     , m_clock(clock)
-    , m_use(use)
 {
     for (const auto& it : m_desc.replicas)
         m_clients.push_back(std::make_unique<RpcClient>(it, m_desc.token));
@@ -31,9 +30,9 @@
 
 ControlFollower::~ControlFollower() { stop(); }
 
-void ControlFollower::start()
+void ControlFollower::start(const TeamUseSource& use, AuthorityListener& listener)
 {
-    m_thread = std::thread([this] { run(); });
+    m_thread = std::thread([this, &use, &listener] { run(use, listener); });
 }
 
 void ControlFollower::stop()
@@ -70,7 +69,7 @@
     return { m_polls, m_failedPolls, m_catalog ? m_catalog->revision : 0, m_clock.now() < leaseEnd() };
 }
 
-FollowRequest ControlFollower::nextRequest(TimePoint now)
+FollowRequest ControlFollower::nextRequest(const TeamUseSource& use, TimePoint now)
 {
     FollowRequest request { m_desc.entry, m_desc.zone, 0, 0, std::nullopt, pollWait.count() };
     bool isUseDue = false;
@@ -86,48 +85,53 @@
         }
     }
     if (isUseDue)
-        request.use = m_use.teamUse();
+        request.use = use.teamUse();
     return request;
 }
 
-void ControlFollower::applyResponse(const FollowResponse& response, TimePoint sentAt)
+bool ControlFollower::applyResponse(const FollowResponse& response, TimePoint sentAt)
 {
     std::lock_guard lock(m_mutex);
+    bool isChanged = m_clock.now() >= leaseEnd();
     auto next = response.catalog ? std::make_shared<Catalog>(*response.catalog) : nullptr;
     if (!next && !response.changes.empty() && m_catalog) {
         next = std::make_shared<Catalog>(*m_catalog);
         for (const auto& it : response.changes)
             applyToCatalog(*next, it);
     }
-    if (next && (!m_catalog || next->revision > m_catalog->revision))
+    if (next && (!m_catalog || next->revision > m_catalog->revision)) {
         m_catalog = std::move(next);
+        isChanged = true;
+    }
     if (response.parts && response.partsVersion >= m_partsVersion) {
         m_parts.clear();
         for (const auto& it : *response.parts)
             m_parts[it.team] = it;
         m_partsVersion = response.partsVersion;
+        isChanged = true;
     }
     // A lease for a revision that this entry does not hold would let it act on an older one.
     if (m_catalog && m_catalog->revision >= response.revision)
         m_leaseEnd = std::max(m_leaseEnd.load(), sentAt + config::entryLease);
+    return isChanged;
 }
 
-void ControlFollower::pollOnce()
+bool ControlFollower::pollOnce(const TeamUseSource& use)
 {
     auto sentAt = m_clock.now();
-    auto request = nextRequest(sentAt);
+    auto request = nextRequest(use, sentAt);
     auto result = m_clients[m_currentClient]->call("follow", toJson(request), sentAt + pollTimeout);
     auto response = result ? followResponseFromJson(*result) : tl::unexpected(SettingsFaults {});
     std::unique_lock lock(m_mutex);
     ++m_polls;
     if (response) {
         lock.unlock();
-        applyResponse(*response, sentAt);
-        return;
+        return applyResponse(*response, sentAt);
     }
     ++m_failedPolls;
     m_currentClient = (m_currentClient + 1) % m_clients.size();
     m_stopped.wait_for(lock, failurePause, [&] { return m_isStopping; });
+    return false;
 }
 
 void ControlFollower::logLeaseChange(TimePoint now)
@@ -138,7 +142,7 @@
     m_wasLeaseValid = isValid;
 }
 
-void ControlFollower::run()
+void ControlFollower::run(const TeamUseSource& use, AuthorityListener& listener)
 {
     while (true) {
         {
@@ -146,7 +150,8 @@
             if (m_isStopping)
                 return;
         }
-        pollOnce();
+        if (pollOnce(use))
+            listener.authorityChanged();
         logLeaseChange(m_clock.now());
     }
 }
--- a/src/follow/control_follower_p.h
+++ b/src/follow/control_follower_p.h
@@ -30,13 +30,13 @@
 /// first successful poll.
 class ControlFollower final : public Authority {
 public:
-    /// @param use read before a poll; must outlive the follower.
-    ControlFollower(ControlFollowerDesc desc, const Clock& clock, const TeamUseSource& use);
+    ControlFollower(ControlFollowerDesc desc, const Clock& clock);
     ~ControlFollower() override;
     ControlFollower(const ControlFollower&) = delete;
     ControlFollower& operator=(const ControlFollower&) = delete;
 
-    void start();
+    /// @param use read before a poll. @param listener told of changes. Both must outlive the follower's thread.
+    void start(const TeamUseSource& use, AuthorityListener& listener);
     void stop();
 
     [[nodiscard]] CatalogPtr catalog() const override;
@@ -46,18 +46,19 @@
     [[nodiscard]] ControlFollowerStats stats() const;
 
     /// Applies the answer to a poll that was sent at @p sentAt. Public for tests, which need no replica for it.
-    void applyResponse(const FollowResponse& response, TimePoint sentAt);
+    /// @returns whether the listener has to be told.
+    bool applyResponse(const FollowResponse& response, TimePoint sentAt);
     /// @returns the next poll to send.
-    FollowRequest nextRequest(TimePoint now);
+    FollowRequest nextRequest(const TeamUseSource& use, TimePoint now);
 
 private:
-    void run();
-    void pollOnce();
+    void run(const TeamUseSource& use, AuthorityListener& listener);
+    /// @returns whether the listener has to be told.
+    bool pollOnce(const TeamUseSource& use);
     void logLeaseChange(TimePoint now);
 
     ControlFollowerDesc m_desc;
     const Clock& m_clock;
-    const TeamUseSource& m_use;
     std::vector<std::unique_ptr<RpcClient>> m_clients;
     size_t m_currentClient = 0;
 
--- a/src/request/request_runner.cpp
+++ b/src/request/request_runner.cpp
@@ -75,9 +75,9 @@
         return NotRun { Reason::ServiceUnknown, detail, {} };
     }
     auto team = catalog->findTeam(request.team);
-    ticket->requestKind = requestKind(request.method, request.target);
     // The callback may run while handle() returns, so it must not keep a pointer to this frame.
     auto ticket = std::make_shared<Ticket>(request.service, request.team, request.deadline);
+    ticket->requestKind = requestKind(request.method, request.target);
     caller.onClose([this, weak = std::weak_ptr(ticket)] {
         if (auto it = weak.lock())
             m_scheduler.cancel(*it, m_clock.now());
--- a/tests/entry_settings_test.cpp
+++ b/tests/entry_settings_test.cpp
@@ -39,7 +39,7 @@
 TEST_CASE("each field of the entry's settings is checked and named in its fault", "[entry]")
 {
     auto [field, value] = GENERATE(table<const char*, nlohmann::json>({ { "name", "Entry 1" }, { "zone", 5 }, { "address", "localhost" },
-        { "caller_port", 70000 }, { "caller_port", "8000" }, { "announce_port", 8000 }, { "admin_port", 8001 }, { "entry_count", 0 }, { "catalog_file", false },
+        { "caller_port", 70000 }, { "caller_port", "8000" }, { "announce_port", 8000 }, { "admin_port", 8001 }, { "entries", 0 }, { "claim_recovery_ms", -1 }, { "control_replicas", "c1" }, { "catalog_file", false },
         { "max_active_requests", 0 }, { "max_connections", 0 }, { "max_body_bytes", -1 }, { "idle_timeout_ms", 1 }, { "drain_notice_ms", -1 }, { "unknown_field", 1 } }));
     CHECK(faultsWith(field, value).rfind(std::string("f.json/") + field + ": ", 0) == 0);
 }
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -20,12 +20,6 @@
     TimePoint time { seconds(1000) };
 };
 
-class FixedUse final : public TeamUseSource {
-public:
-    [[nodiscard]] std::vector<TeamUse> teamUse() const override { return use; }
-    std::vector<TeamUse> use;
-};
-
 ControlState stateWithLimit(int64_t limit)
 {
     ControlState state;
@@ -53,8 +47,7 @@
 TEST_CASE("an entry without a confirmed newest revision has no lease", "[follow]")
 {
     ManualClock clock;
-    FixedUse use;
-    ControlFollower follower({ { "e1", 1 }, "a", {}, "" }, clock, use);
+    ControlFollower follower({ { "e1", 1 }, "a", {}, "" }, clock);
     CHECK(follower.catalog() == nullptr);
     FollowResponse response;
     response.revision = 5;
@@ -69,8 +62,7 @@
 TEST_CASE("the lease counts from the sending of the poll, and a paused entry finds it expired", "[follow]")
 {
     ManualClock clock;
-    FixedUse use;
-    ControlFollower follower({ { "e1", 1 }, "a", {}, "" }, clock, use);
+    ControlFollower follower({ { "e1", 1 }, "a", {}, "" }, clock);
     FollowResponse response { 4, {}, Catalog { 4, {}, {}, {}, {} }, 1, std::vector<HeldPart> { { "red", 5, 5 } } };
     auto sentAt = clock.now();
     clock.time += milliseconds(400);
@@ -83,8 +75,7 @@
 TEST_CASE("an older catalog or older parts that arrive late do not replace newer ones", "[follow]")
 {
     ManualClock clock;
-    FixedUse use;
-    ControlFollower follower({ { "e1", 1 }, "a", {}, "" }, clock, use);
+    ControlFollower follower({ { "e1", 1 }, "a", {}, "" }, clock);
     follower.applyResponse({ 4, {}, Catalog { 4, {}, {}, {}, {} }, 3, std::vector<HeldPart> { { "red", 2, 2 } } }, clock.now());
     follower.applyResponse({ 3, {}, Catalog { 3, {}, {}, {}, {} }, 2, std::vector<HeldPart> { { "red", 9, 9 } } }, clock.now());
     CHECK(follower.catalog()->revision == 4);
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -1,11 +1,5 @@
-#include "caller/caller_server_p.h"
 #include "core/command_line_p.h"
-#include "core/static_authority_p.h"
-#include "endpoint/endpoint_table_p.h"
-#include "endpoint/http_attempt_client_p.h"
-#include "entry/admin_routes_p.h"
-#include "entry/entry_settings_p.h"
-#include "request/request_runner_p.h"
+#include "entry/entry_process_p.h"
 
 #include <glog/logging.h>
 
@@ -16,42 +10,6 @@
 
 namespace {
 
-void addAnnouncementRoute(httplib::Server& server, EndpointTable& endpoints, const Clock& clock)
-{
-    server.Post("/v1/announce", [&](const httplib::Request& request, httplib::Response& response) {
-        auto value = nlohmann::json::parse(request.body, nullptr, false);
-        std::string detail;
-        auto announcement = announcementFromJson(value, detail);
-        if (!announcement) {
-            response.status = 400;
-            response.set_content(detail, "text/plain");
-            return;
-        }
-        endpoints.announce(*announcement, clock.now());
-    });
-}
-
-HttpServerDesc serverDesc(const EntrySettings& settings, int64_t port)
-{
-    return { .address = settings.address, .port = static_cast<int>(port), .idleTimeout = std::chrono::milliseconds(settings.idleTimeoutMs) };
-}
-
-HttpServerDesc callerDesc(const EntrySettings& settings)
-{
-    auto desc = serverDesc(settings, settings.callerPort);
-    desc.maxActiveRequests = static_cast<size_t>(settings.maxActiveRequests);
-    desc.maxConnections = static_cast<size_t>(settings.maxConnections);
-    desc.maxBodyBytes = static_cast<uint64_t>(settings.maxBodyBytes);
-    return desc;
-}
-
-void addGauges(Metrics& metrics, const CallerServer& callers)
-{
-    metrics.addGauge("vanillalift_caller_connections", "Open connections of callers", [&] { return static_cast<double>(callers.stats().connections); });
-    metrics.addGauge("vanillalift_active_requests", "Requests queued or running", [&] { return static_cast<double>(callers.stats().activeRequests); });
-    metrics.addGauge("vanillalift_worker_threads", "Started worker threads", [&] { return static_cast<double>(callers.stats().startedThreads); });
-}
-
 sigset_t stopSignals()
 {
     sigset_t signals;
@@ -70,47 +28,17 @@
     pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
-int run(const EntrySettings& settings, Catalog catalog)
+tl::expected<std::optional<Catalog>, SettingsFaults> loadCatalog(const EntrySettings& settings)
 {
-    SystemClock clock;
-    Metrics metrics;
-    DecisionLog decisions;
-    std::atomic<bool> isStopping { false };
-    StaticAuthority authority(std::move(catalog), settings.entryCount);
-    EndpointTable endpoints(settings.zone, settings.entryCount);
-    HttpAttemptClient client(clock);
-    RequestRunner runner(settings.name, clock, authority, endpoints, client);
-    CallerServer callers({ settings.name, callerDesc(settings) }, clock, authority, runner, metrics, decisions);
-    addGauges(metrics, callers);
-    HttpServer announceServer(serverDesc(settings, settings.announcePort));
-    addAnnouncementRoute(announceServer, endpoints, clock);
-    HttpServer adminServer(serverDesc(settings, settings.adminPort));
-    addAdminRoutes(adminServer, metrics, decisions, [&] { return !isStopping && authority.catalog() != nullptr; });
-
-    if (!announceServer.start() || !adminServer.start() || !callers.start()) {
-        LOG(ERROR) << "entry " << settings.name << " cannot bind its ports on " << settings.address;
-        return 1;
-    }
-    LOG(INFO) << "entry " << settings.name << " serves callers on port " << callers.port() << ", announcements on port " << announceServer.port()
-              << ", administration on port " << adminServer.port();
-    waitForStopSignal();
-    LOG(INFO) << "entry " << settings.name << " is shutting down";
-    isStopping = true;
-    std::this_thread::sleep_for(std::chrono::milliseconds(settings.drainNoticeMs));
-    callers.beginShutdown();
-    callers.stop();
-    announceServer.stop();
-    adminServer.stop();
-    LOG(INFO) << "entry " << settings.name << " has stopped";
-    return 0;
-}
-
-tl::expected<Catalog, SettingsFaults> loadCatalog(const std::string& path)
-{
-    auto value = loadSettings(path);
+    if (settings.catalogFile.empty())
+        return std::optional<Catalog>();
+    auto value = loadSettings(settings.catalogFile);
     if (!value)
         return tl::unexpected(std::move(value.error()));
-    return catalogFromJson(*value, path);
+    auto catalog = catalogFromJson(*value, settings.catalogFile);
+    if (!catalog)
+        return tl::unexpected(std::move(catalog.error()));
+    return std::optional(std::move(*catalog));
 }
 
 } // namespace
@@ -118,8 +46,10 @@
 int main(int argc, char** argv)
 {
     bool isCheckOnly = false;
+    bool isFirstStart = false;
     CommandLine commandLine("vanillalift-entry", "SETTINGS", 1, 1);
     commandLine.add("check", 'c', "Check the settings and the catalog, print their faults and exit", isCheckOnly);
+    commandLine.add("first-start", 'f', "Grant claims at once; give it only when no entry of the site has run within the claim retention", isFirstStart);
     auto operands = commandLine.parse(argc, argv);
     if (!operands)
         return operands.error();
@@ -128,18 +58,28 @@
         std::cerr << describe(settings.error());
         return 2;
     }
-    auto catalog = loadCatalog(settings->catalogFile);
+    auto catalog = loadCatalog(*settings);
     if (!catalog) {
         std::cerr << describe(catalog.error());
         return 2;
     }
     if (isCheckOnly)
         return 0;
+    if (isFirstStart)
+        settings->claimRecoveryMs = 0;
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
     // Blocked before any thread starts, so that only waitForStopSignal() receives them.
     auto signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
-    return run(*settings, std::move(*catalog));
+    timespec startedAt {};
+    clock_gettime(CLOCK_REALTIME, &startedAt);
+    auto incarnation = static_cast<uint64_t>(startedAt.tv_sec) * 1000000000U + static_cast<uint64_t>(startedAt.tv_nsec);
+    EntryProcess entry(*settings, std::move(*catalog), incarnation);
+    if (!entry.start())
+        return 1;
+    waitForStopSignal();
+    entry.shutDown();
+    return 0;
 }
