Show that the claim tests detect a missing rule, and pass the linter

Cause: a history check that cannot fail proves nothing; the first lint run reported names, reservations and a false positive on defaulted comparisons; under ASan the test of a lost vote read a holder while a later attempt replaced it. Change: names, reservations, two NOLINT comments with their reason; the holder restarts once and the check follows the join.

--- a/include/vanillalift/claim.h
+++ b/include/vanillalift/claim.h
@@ -16,7 +16,7 @@
     std::string service;
     std::string requestId;
 
-    auto operator<=>(const ClaimKey&) const = default;
+    auto operator<=>(const ClaimKey&) const = default; // NOLINT(modernize-use-nullptr): reported for rewritten comparisons
 };
 
 /// This receipt won the claim: nothing has run under the key, and no other receipt may run it.
--- a/src/peer/claim_messages.cpp
+++ b/src/peer/claim_messages.cpp
@@ -43,6 +43,7 @@
 nlohmann::json toJson(const KeyedClaim& claim, TimePoint now)
 {
     std::vector<ClaimAttempt> holds;
+    holds.reserve(claim.record.holds.size());
     for (const auto& it : claim.record.holds)
         holds.push_back(it.attempt);
     nlohmann::json value { { "key", toJson(claim.key) }, { "holds", attemptsToJson(holds) }, { "closed", attemptsToJson(claim.record.closed) },
--- a/src/peer/claim_table_p.h
+++ b/src/peer/claim_table_p.h
@@ -19,7 +19,7 @@
     uint64_t incarnation = 0;
     uint64_t number = 0;
 
-    auto operator<=>(const ClaimAttempt&) const = default;
+    auto operator<=>(const ClaimAttempt&) const = default; // NOLINT(modernize-use-nullptr): reported for rewritten comparisons
 };
 
 enum class ClaimVerdict : uint8_t {
--- a/src/peer/holder_ring.cpp
+++ b/src/peer/holder_ring.cpp
@@ -43,6 +43,7 @@
 std::vector<size_t> HolderRing::holders(const ClaimKey& key) const
 {
     std::vector<std::pair<Score, size_t>> ranked;
+    ranked.reserve(m_entries.size());
     for (size_t n = 0; n < m_entries.size(); ++n)
         ranked.emplace_back(scoreOf(key, m_entries[n]), n);
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
--- a/src/peer/peer_channel.cpp
+++ b/src/peer/peer_channel.cpp
@@ -21,6 +21,7 @@
     , m_transport(transport)
     , m_queueBound(queueBound)
 {
+    m_threads.reserve(threads);
     for (size_t n = 0; n < threads; ++n)
         m_threads.emplace_back([this] { run(); });
 }
--- a/tests/bench_history_test.cpp
+++ b/tests/bench_history_test.cpp
@@ -31,7 +31,9 @@
 std::vector<Promise> broken(const History& history)
 {
     std::vector<Promise> promises;
-    for (const auto& it : checkHistory(history))
+    auto violations = checkHistory(history);
+    promises.reserve(violations.size());
+    for (const auto& it : violations)
         promises.push_back(it.promise);
     return promises;
 }
@@ -47,20 +49,20 @@
     std::filesystem::path path = std::filesystem::temp_directory_path() / ("vanillalift-history-" + std::to_string(getpid()));
 };
 
-const std::string s_run = R"({"limits":{"red":2},"shares":{"red":1},"leaving":[],"leaving_bound_ns":1,"full_from_ns":0,"full_to_ns":9})";
-const std::string s_call = R"({"call":"c1","request":"r1","entry":"e1","team":"red","service":"s","idempotent":false,"intended_ns":1,"start_ns":1,)"
-                           R"("end_ns":9,"status":200,"outcome":"answered","reason":"","body_right":true})";
-const std::string s_attempt = R"({"request":"r1","attempt":"a1","team":"red","method":"POST","start_ns":2,"end_ns":5,"finished":true,"instance":"i","service":"s"})";
+const std::string runText = R"({"limits":{"red":2},"shares":{"red":1},"leaving":[],"leaving_bound_ns":1,"full_from_ns":0,"full_to_ns":9})";
+const std::string callText = R"({"call":"c1","request":"r1","entry":"e1","team":"red","service":"s","idempotent":false,"intended_ns":1,"start_ns":1,)"
+                             R"("end_ns":9,"status":200,"outcome":"answered","reason":"","body_right":true})";
+const std::string attemptText = R"({"request":"r1","attempt":"a1","team":"red","method":"POST","start_ns":2,"end_ns":5,"finished":true,"instance":"i","service":"s"})";
 
 } // namespace
 
-TEST_CASE("a history that keeps every promise is accepted", "[bench]") { CHECK(broken(goodHistory()) == Promises {}); }
+TEST_CASE("a history that keeps every promise is accepted", "[bench]") { CHECK(broken(goodHistory()).empty()); }
 
 TEST_CASE("a non-idempotent request that ran twice is found, and a retried idempotent one is allowed", "[bench]")
 {
     auto history = goodHistory();
     history.attempts.push_back({ "r2", "a3", "red", "GET", 500, 600, true, "i-2", "s" });
-    CHECK(broken(history) == Promises {});
+    CHECK(broken(history).empty());
     history.attempts.push_back({ "r1", "a4", "red", "POST", 700, 800, false, "i-2", "s" });
     CHECK(broken(history) == Promises { Promise::AtMostOnce });
 }
@@ -80,7 +82,7 @@
     auto history = goodHistory();
     history.calls.push_back({ "c4", "r3", "e1", "red", "s", false, 300, 300, 900, 200, "answered", "", true });
     history.attempts.push_back({ "r3", "a3", "red", "POST", 500, 600, true, "i-2", "s" });
-    CHECK(broken(history) == Promises {});
+    CHECK(broken(history).empty());
 }
 
 TEST_CASE("an answer that belongs to another call is found", "[bench]")
@@ -95,7 +97,7 @@
     auto history = goodHistory();
     history.calls.push_back({ "c4", "r4", "e1", "red", "s", false, 100, 100, 900, 200, "answered", "", true });
     history.attempts.push_back({ "r4", "a4", "red", "POST", 250, 600, true, "i-2", "s" });
-    CHECK(broken(history) == Promises {});
+    CHECK(broken(history).empty());
     history.attempts.back().startNs = 249;
     CHECK(broken(history) == Promises { Promise::UpperLimit });
 }
@@ -105,7 +107,7 @@
     auto history = goodHistory();
     history.calls.push_back({ "c4", "r4", "e1", "red", "s", false, 100, 100, 9000, 200, "answered", "", true });
     history.attempts.push_back({ "r4", "a4", "red", "POST", 1500, 1600, true, "i-1", "s" });
-    CHECK(broken(history) == Promises {});
+    CHECK(broken(history).empty());
     history.attempts.back().startNs = 1501;
     CHECK(broken(history) == Promises { Promise::LeavingEndpoint });
 }
@@ -120,19 +122,19 @@
 TEST_CASE("a missing or damaged file is an error that names it, not an empty history", "[bench]")
 {
     Folder folder;
-    folder.write("run.json", s_run);
-    folder.write("calls.jsonl", s_call + "\n");
-    folder.write("endpoint-i.jsonl", s_attempt + "\n");
+    folder.write("run.json", runText);
+    folder.write("calls.jsonl", callText + "\n");
+    folder.write("endpoint-i.jsonl", attemptText + "\n");
     REQUIRE(readHistory(folder.path.string()));
     auto place = [&] { return readHistory(folder.path.string()).error().place; };
     SECTION("unfinished last line")
     {
-        folder.write("endpoint-i.jsonl", s_attempt + "\n" + s_attempt);
+        folder.write("endpoint-i.jsonl", attemptText + "\n" + attemptText);
         CHECK(place().ends_with("endpoint-i.jsonl:2"));
     }
     SECTION("damaged line")
     {
-        folder.write("calls.jsonl", s_call + "\n{\"call\":\n");
+        folder.write("calls.jsonl", callText + "\n{\"call\":\n");
         CHECK(place().ends_with("calls.jsonl:2"));
     }
     SECTION("missing field")
--- a/tests/claim_history_test.cpp
+++ b/tests/claim_history_test.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::minutes s_retention { 5 };
+constexpr std::chrono::minutes retention { 5 };
 
 /// What happened to one key, in the order in which it happened.
 struct KeyHistory {
@@ -80,7 +80,7 @@
 {
     auto process = site.process(entry);
     auto now = BootClock::now();
-    auto result = process->claims.claim(key, now + milliseconds(100), now + s_retention);
+    auto result = process->claims.claim(key, now + milliseconds(100), now + retention);
     if (process->wire.isCrashed)
         return;
     if (const auto* settled = std::get_if<ClaimSettled>(&result))
@@ -115,9 +115,10 @@
     constexpr size_t entryCount = 5;
     constexpr int threadCount = 8;
     constexpr int receiptsPerThread = 150;
-    Site site(network, entryCount, s_retention);
+    Site site(network, entryCount, retention);
     std::atomic<bool> isDone { false };
     std::vector<std::thread> threads;
+    threads.reserve(threadCount);
     for (int thread = 0; thread < threadCount; ++thread) {
         threads.emplace_back([&] {
             for (int n = 0; n < receiptsPerThread; ++n) {
@@ -144,7 +145,9 @@
     History history;
     runHistory(history, { seed }, false);
     CAPTURE(seed);
-    CHECK(history.faults() == std::vector<std::string> {});
+    auto faults = history.faults();
+    CAPTURE(faults);
+    CHECK(faults.empty());
     CHECK(history.wins() > 50);
     CHECK(history.answers() > 50);
 }
@@ -155,6 +158,8 @@
     History history;
     runHistory(history, { seed }, true);
     CAPTURE(seed);
-    CHECK(history.faults() == std::vector<std::string> {});
+    auto faults = history.faults();
+    CAPTURE(faults);
+    CHECK(faults.empty());
     CHECK(history.wins() > 20);
 }
--- a/tests/claim_network.h
+++ b/tests/claim_network.h
@@ -129,6 +129,7 @@
     static HolderRing makeRing(size_t entryCount)
     {
         std::vector<PeerEntry> entries;
+        entries.reserve(entryCount);
         for (size_t n = 0; n < entryCount; ++n)
             entries.push_back({ "entry-" + std::to_string(n), "zone-" + std::to_string(n % 3), "" });
         return HolderRing(entries);
--- a/tests/claim_restart_test.cpp
+++ b/tests/claim_restart_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::chrono::minutes s_retention { 5 };
+constexpr std::chrono::minutes retention { 5 };
 
 class SetClock final : public Clock {
 public:
@@ -23,6 +23,7 @@
 HolderRing ringOf(size_t count)
 {
     std::vector<PeerEntry> entries;
+    entries.reserve(count);
     for (size_t n = 0; n < count; ++n)
         entries.push_back({ "entry-" + std::to_string(n), "zone-" + std::to_string(n), "" });
     return HolderRing(entries);
@@ -42,7 +43,7 @@
         ClaimHolderDesc desc { ring.entries()[n].name, ++lastIncarnation, 100, recoveryTime };
         holders[n] = std::make_unique<ClaimHolder>(desc, ring, clock);
     }
-    void restart(size_t n) { start(n, s_retention); }
+    void restart(size_t n) { start(n, retention); }
     void recover(size_t n)
     {
         holders[n]->recover([this](const std::string& peer, const nlohmann::json& params) -> std::optional<nlohmann::json> {
@@ -51,7 +52,7 @@
     }
     ClaimVerdict claim(size_t n, const ClaimAttempt& attempt)
     {
-        auto message = holders[n]->message({ "team", "service", "request" }, attempt, clock.now() + s_retention);
+        auto message = holders[n]->message({ "team", "service", "request" }, attempt, clock.now() + retention);
         return holders[n]->claim(message).at("verdict").get<ClaimVerdict>();
     }
 
@@ -62,8 +63,8 @@
     std::vector<std::unique_ptr<ClaimHolder>> holders;
 };
 
-const ClaimAttempt s_a { "entry-a", 1, 1 };
-const ClaimAttempt s_b { "entry-b", 1, 1 };
+const ClaimAttempt attemptA { "entry-a", 1, 1 };
+const ClaimAttempt attemptB { "entry-b", 1, 1 };
 
 } // namespace
 
@@ -71,33 +72,33 @@
 {
     auto count = GENERATE(2U, 3U);
     Holders site(count);
-    CHECK(site.claim(0, s_a) == ClaimVerdict::Granted);
-    CHECK(site.claim(1, s_a) == ClaimVerdict::Granted);
+    CHECK(site.claim(0, attemptA) == ClaimVerdict::Granted);
+    CHECK(site.claim(1, attemptA) == ClaimVerdict::Granted);
     site.restart(0);
     site.isCut = true;
     site.recover(0);
-    CHECK(site.claim(0, s_b) == ClaimVerdict::Recovering);
+    CHECK(site.claim(0, attemptB) == ClaimVerdict::Recovering);
     site.isCut = false;
     site.recover(0);
     CHECK(site.holders[0]->isRecovered());
-    CHECK(site.claim(0, s_b) == ClaimVerdict::Held);
+    CHECK(site.claim(0, attemptB) == ClaimVerdict::Held);
 }
 
 TEST_CASE("two holders restarted at once do not vouch for each other's lost claims", "[claims]")
 {
     Holders site(3);
-    site.claim(0, s_a);
-    site.claim(1, s_a);
+    site.claim(0, attemptA);
+    site.claim(1, attemptA);
     site.restart(0);
     site.restart(1);
     for (int n = 0; n < 3; ++n) {
         site.recover(0);
         site.recover(1);
     }
-    CHECK(site.claim(0, s_b) == ClaimVerdict::Recovering);
-    CHECK(site.claim(1, s_b) == ClaimVerdict::Recovering);
-    site.clock.advance(s_retention);
-    CHECK(site.claim(0, s_b) == ClaimVerdict::Granted);
+    CHECK(site.claim(0, attemptB) == ClaimVerdict::Recovering);
+    CHECK(site.claim(1, attemptB) == ClaimVerdict::Recovering);
+    site.clock.advance(retention);
+    CHECK(site.claim(0, attemptB) == ClaimVerdict::Granted);
 }
 
 TEST_CASE("two of four holders restarted at once go on voting on keys that only one of them holds", "[claims]")
@@ -115,7 +116,7 @@
         auto holders = site.ring.holders(key);
         bool hasBoth = std::count(holders.begin(), holders.end(), 0U) + std::count(holders.begin(), holders.end(), 1U) == 2;
         for (auto it : holders) {
-            auto reply = site.holders[it]->claim(site.holders[it]->message(key, s_a, site.clock.now() + s_retention));
+            auto reply = site.holders[it]->claim(site.holders[it]->message(key, attemptA, site.clock.now() + retention));
             bool isRestarted = it < 2;
             CHECK((reply.at("verdict") == ClaimVerdict::Granted) == !(hasBoth && isRestarted));
             isOneServed = isOneServed || (isRestarted && !hasBoth);
@@ -132,28 +133,28 @@
         site.restart(n);
     for (size_t n = 0; n < count; ++n)
         site.recover(n);
-    site.clock.advance(s_retention - std::chrono::nanoseconds(1));
+    site.clock.advance(retention - std::chrono::nanoseconds(1));
     for (size_t n = 0; n < count; ++n)
-        CHECK(site.claim(n, s_a) == ClaimVerdict::Recovering);
+        CHECK(site.claim(n, attemptA) == ClaimVerdict::Recovering);
     site.clock.advance(std::chrono::nanoseconds(1));
     for (size_t n = 0; n < count; ++n) {
         CHECK(site.holders[n]->isRecovered());
-        CHECK(site.claim(n, s_a) == ClaimVerdict::Granted);
+        CHECK(site.claim(n, attemptA) == ClaimVerdict::Granted);
     }
 }
 
 TEST_CASE("a rolling restart that waits for each entry loses no claim", "[claims]")
 {
     Holders site(3);
-    site.claim(0, s_a);
-    site.claim(1, s_a);
+    site.claim(0, attemptA);
+    site.claim(1, attemptA);
     for (size_t n = 0; n < 3; ++n) {
         site.restart(n);
         site.recover(n);
         REQUIRE(site.holders[n]->isRecovered());
     }
     for (size_t n = 0; n < 3; ++n)
-        CHECK(site.claim(n, s_b) == ClaimVerdict::Held);
+        CHECK(site.claim(n, attemptB) == ClaimVerdict::Held);
 }
 
 namespace {
@@ -173,8 +174,11 @@
         if (peer == "entry-1")
             return m_first = vote(1, params);
         vote(1, params);
-        m_site.restart(1);
-        m_site.recover(1);
+        if (!m_isRestarted) {
+            m_site.restart(1);
+            m_site.recover(1);
+            m_isRestarted = true;
+        }
         return vote(2, params);
     }
 
@@ -190,6 +194,7 @@
     }
     Holders& m_site;
     std::mutex m_mutex;
+    bool m_isRestarted = false;
     nlohmann::json m_first;
 };
 
@@ -207,8 +212,10 @@
     PeerClaimsDesc desc;
     desc.holder = { "entry-0", 1, 100, milliseconds(0) };
     desc.callTimeout = milliseconds(2000);
-    PeerClaims claims(desc, ringOf(4), transport, clock);
     auto now = clock.now();
-    CHECK_FALSE(std::holds_alternative<ClaimWon>(claims.claim(key, now + milliseconds(500), now + s_retention)));
+    {
+        PeerClaims claims(desc, ringOf(4), transport, clock);
+        CHECK_FALSE(std::holds_alternative<ClaimWon>(claims.claim(key, now + milliseconds(500), now + retention)));
+    }
     CHECK(site.holders[1]->isRecovered());
 }
--- a/tests/claim_ring_test.cpp
+++ b/tests/claim_ring_test.cpp
@@ -12,6 +12,7 @@
 std::vector<PeerEntry> entriesOver(size_t count, size_t zones)
 {
     std::vector<PeerEntry> entries;
+    entries.reserve(count);
     for (size_t n = 0; n < count; ++n)
         entries.push_back({ "entry-" + std::to_string(n), "zone-" + std::to_string(n % zones), "" });
     return entries;
--- a/tests/claim_rpc_test.cpp
+++ b/tests/claim_rpc_test.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-constexpr int s_firstPort = 24710;
-constexpr const char* s_token = "claim-test";
+constexpr int firstPort = 24710;
+constexpr const char* token = "claim-test";
 
 struct Entry {
     Entry(const HolderRing& ring, size_t index, const std::map<std::string, std::string>& addresses, const Clock& clock)
-        : server({ "127.0.0.1", s_firstPort + static_cast<int>(index), 16, s_token })
-        , transport(std::make_unique<RpcPeerTransport>(addresses, s_token))
+        : server({ "127.0.0.1", firstPort + static_cast<int>(index), 16, token })
+        , transport(std::make_unique<RpcPeerTransport>(addresses, token))
         , claims(std::make_unique<PeerClaims>(descOf(ring, index), ring, *transport, clock))
         , methods(*claims)
     {
@@ -35,15 +35,17 @@
 TEST_CASE("over real connections a resend through another entry gets the first answer, and a released key can be won again", "[claims]")
 {
     std::vector<PeerEntry> entries;
+    entries.reserve(3);
     std::map<std::string, std::string> addresses;
     for (int n = 0; n < 3; ++n) {
-        auto address = "127.0.0.1:" + std::to_string(s_firstPort + n);
+        auto address = "127.0.0.1:" + std::to_string(firstPort + n);
         entries.push_back({ "entry-" + std::to_string(n), "zone-" + std::to_string(n), address });
         addresses[entries.back().name] = address;
     }
     HolderRing ring(entries);
     SystemClock clock;
     std::vector<std::unique_ptr<Entry>> site;
+    site.reserve(3);
     for (size_t n = 0; n < 3; ++n) {
         site.push_back(std::make_unique<Entry>(ring, n, addresses, clock));
         REQUIRE(site.back()->server.start());
--- a/tools/claim-bench/main.cpp
+++ b/tools/claim-bench/main.cpp
@@ -35,6 +35,7 @@
 int measureLatency(int firstPort, int count)
 {
     std::vector<PeerEntry> entries;
+    entries.reserve(3);
     std::map<std::string, std::string> addresses;
     for (int n = 0; n < 3; ++n) {
         auto address = "127.0.0.1:" + std::to_string(firstPort + n);
@@ -44,6 +45,7 @@
     HolderRing ring(entries);
     SystemClock clock;
     std::vector<std::unique_ptr<BenchEntry>> site;
+    site.reserve(entries.size());
     for (size_t n = 0; n < entries.size(); ++n) {
         site.push_back(std::make_unique<BenchEntry>(ring, n, addresses, firstPort + static_cast<int>(n), clock));
         if (!site.back()->server.start()) {
@@ -52,6 +54,7 @@
         }
     }
     std::vector<double> micros;
+    micros.reserve(static_cast<size_t>(count));
     for (int n = 0; n < count; ++n) {
         ClaimKey key { "team", "service", "request-" + std::to_string(n) };
         auto start = clock.now();
