Retry a server error of an idempotent request on another endpoint

Cause: an endpoint that fails everything it starts costs callers answers until it is ejected, although another endpoint could answer. Change: 500, 502, 503 and 504 of an idempotent request are retried within max_attempts and the retry budget; the last whole answer is delivered if the error persists.

--- a/src/request/request_runner.cpp
+++ b/src/request/request_runner.cpp
@@ -4,6 +4,16 @@
 
 namespace vanillalift {
 
+namespace {
+
+    /// Server errors that another endpoint may not give: 500, 502, 503 and 504.
+    bool isTransientError(int status)
+    {
+        return status == 500 || (status >= 502 && status <= 504);
+    }
+
+} // namespace
+
 struct RequestRunner::Run {
     const Request& request;
     const Profile& profile;
@@ -13,6 +23,8 @@
     int64_t started = 0;
     /// Attempts proved unstarted.
     int64_t unstarted = 0;
+    /// Whole answer with a server error that is delivered if the retry brings no other.
+    std::optional<Answered> errorAnswer;
 };
 
 struct RequestRunner::OnAttemptResult {
@@ -21,9 +33,7 @@
 
     std::optional<Outcome> operator()(AttemptAnswered& result) const
     {
-        auto verdict = result.answer.status >= 500 ? AttemptVerdict::ServerError : AttemptVerdict::Succeeded;
-        runner.m_scheduler.endAttempt(run.ticket, verdict, AfterAttempt::Finish, runner.m_clock.now());
-        return std::move(result.answer);
+        return runner.afterAnswer(run, std::move(result.answer));
     }
     std::optional<Outcome> operator()(AttemptNotSent& /*result*/) const
     {
@@ -134,6 +144,8 @@
             continue;
         }
         auto& refusal = run.ticket.refusal;
+        if (run.errorAnswer)
+            return std::move(*run.errorAnswer);
         if (run.started == 0)
             return std::move(refusal);
         return Unknown { refusal.reason, std::move(refusal.detail), refusal.retryAt };
@@ -175,6 +187,23 @@
     m_scheduler.requeue(ticket, m_clock.now());
 }
 
+std::optional<Outcome> RequestRunner::afterAnswer(Run& run, Answered answer)
+{
+    ++run.started;
+    auto now = m_clock.now();
+    auto& ticket = run.ticket;
+    auto verdict = answer.status >= 500 ? AttemptVerdict::ServerError : AttemptVerdict::Succeeded;
+    bool isRetryable = isTransientError(answer.status) && run.profile.idempotent && run.started < run.profile.maxAttempts;
+    if (isRetryable && m_budget.draw(run.request.service)) {
+        run.errorAnswer = std::move(answer);
+        ticket.avoid.push_back(ticket.place.endpoint);
+        m_scheduler.endAttempt(ticket, verdict, AfterAttempt::Requeue, now);
+        return std::nullopt;
+    }
+    m_scheduler.endAttempt(ticket, verdict, AfterAttempt::Finish, now);
+    return answer;
+}
+
 std::optional<Outcome> RequestRunner::afterFailure(Run& run, AttemptFailed failure)
 {
     ++run.started;
@@ -190,6 +219,8 @@
         return std::nullopt;
     }
     m_scheduler.endAttempt(ticket, verdict, AfterAttempt::Finish, now);
+    if (run.errorAnswer)
+        return std::move(*run.errorAnswer);
     if (isRetryable)
         return Unknown { Reason::RetryBudgetEmpty, "the service's retry budget is empty after: " + failure.detail, m_scheduler.retryAt(service, now) };
     if (isTimedOut)
--- a/src/request/request_runner_p.h
+++ b/src/request/request_runner_p.h
@@ -30,6 +30,7 @@
     /// @returns the outcome, or nothing if the ticket is queued again.
     std::optional<Outcome> attempt(Run& run);
     void requeueUnstarted(Run& run, AttemptVerdict verdict);
+    std::optional<Outcome> afterAnswer(Run& run, Answered answer);
     std::optional<Outcome> afterFailure(Run& run, AttemptFailed failure);
     /// The outcome of a request that is not known to have been checked for earlier receipts.
     Outcome refuseUnclaimed(const Request& request, Reason reason, std::string detail);
--- a/tests/request_runner_test.cpp
+++ b/tests/request_runner_test.cpp
@@ -239,6 +239,29 @@
     CHECK(budgetRefusals > 0);
 }
 
+TEST_CASE("a server error of one endpoint is retried for idempotent requests only, and delivered if it persists", "[runner]")
+{
+    RunnerBed bed;
+    bed.pool.rooms["a"] = { 1, 1 };
+    bed.authority.parts["x"] = 10;
+    int attempts = 0;
+    int failures = 1;
+    bed.client.onSend = [&](const AttemptDesc&) -> AttemptResult {
+        return AttemptAnswered { { ++attempts <= failures ? 500 : 200, {}, "" } };
+    };
+    CHECK(std::get<Answered>(bed.handle(RunnerBed::request("a", "1"))).status == 200);
+    CHECK(attempts == 2);
+    attempts = 0;
+    failures = 100;
+    CHECK(std::get<Answered>(bed.handle(RunnerBed::request("a", "2"))).status == 500);
+    CHECK(attempts > 1);
+    attempts = 0;
+    bed.pool.rooms["o"].own = 1;
+    auto once = bed.handle(RunnerBed::request("o", "3"));
+    CHECK(std::get<Answered>(once).status == 500);
+    CHECK(attempts == 1);
+}
+
 TEST_CASE("an attempt proved unstarted is repeated beyond max_attempts and draws nothing from the budget", "[runner]")
 {
     RunnerBed bed;
