Add the replicated log of the control processes

Cause: control needs an ordered, durable history that survives the loss of a process, a disk or a zone (docs/design.md, 7.1).

Change: src/replica has the Raft core without threads or I/O, the files (group commit with one sync), the replica thread, one sending thread a peer, and vanillalift-control around them with a key-value machine for tests. tools/raft-bench measures it. RpcServer closes idle connections after 1 s instead of 60 s, because stop() waits for them; without this replica_test hung for its whole 60 s bound.

--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -22,6 +22,10 @@
 /// Largest request and answer body that an entry buffers, in bytes.
 constexpr size_t maxBodyBytes = 4U << 20U;
 
+/// Largest command of the replicated log, in bytes. Messages of replicas hold whole entries, and a message must stay
+/// well under the 16 MB that the RPC server accepts.
+constexpr size_t maxCommandBytes = 1U << 20U;
+
 /// Lease of an entry, counted from the moment it sent the poll that obtained it. Withdrawn keys have to stop
 /// working within 5 s, so the lease is shorter by the time a commit takes.
 constexpr milliseconds entryLease { 3000 };
--- /dev/null
+++ b/src/replica/posix_disk.cpp
@@ -0,0 +1,199 @@
+#include "disk_p.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace vanillalift::raft {
+
+namespace {
+
+    constexpr const char* temporarySuffix = ".new";
+    constexpr const char* lockName = "lock";
+
+    /// Owns a file descriptor.
+    class File {
+    public:
+        File() = default;
+        File(const std::string& path, int flags)
+            : m_fd(::open(path.c_str(), flags | O_CLOEXEC, 0600))
+        {
+        }
+        ~File()
+        {
+            if (m_fd >= 0)
+                ::close(m_fd);
+        }
+        File(File&& other) noexcept
+            : m_fd(std::exchange(other.m_fd, -1))
+        {
+        }
+        File& operator=(File&& other) noexcept
+        {
+            std::swap(m_fd, other.m_fd);
+            return *this;
+        }
+
+        [[nodiscard]] int fd() const { return m_fd; }
+        [[nodiscard]] bool isOpen() const { return m_fd >= 0; }
+
+    private:
+        int m_fd = -1;
+    };
+
+    tl::unexpected<StorageError> failure(StorageErrorCode code, const std::string& file)
+    {
+        int error = errno;
+        bool isFull = error == ENOSPC || error == EDQUOT;
+        return tl::unexpected(StorageError { isFull ? StorageErrorCode::DiskFull : code, file, std::generic_category().message(error) });
+    }
+
+    bool writeAll(int fd, std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            auto n = ::write(fd, bytes.data(), bytes.size());
+            if (n < 0 && errno == EINTR)
+                continue;
+            if (n <= 0)
+                return false;
+            bytes.remove_prefix(static_cast<size_t>(n));
+        }
+        return true;
+    }
+
+    class PosixDisk final : public Disk {
+    public:
+        PosixDisk(std::string path, File folder, File lock)
+            : m_path(std::move(path))
+            , m_folder(std::move(folder))
+            , m_lock(std::move(lock))
+        {
+        }
+
+        StorageResult<std::vector<std::string>> list() override
+        {
+            std::vector<std::string> names;
+            std::error_code ec;
+            for (auto it = std::filesystem::directory_iterator(m_path, ec); !ec && it != std::filesystem::directory_iterator(); it.increment(ec)) {
+                auto name = it->path().filename().string();
+                if (name != lockName && !name.ends_with(temporarySuffix))
+                    names.push_back(std::move(name));
+            }
+            if (ec)
+                return tl::unexpected(StorageError { StorageErrorCode::ReadFailed, m_path, ec.message() });
+            std::sort(names.begin(), names.end());
+            return names;
+        }
+
+        StorageResult<std::string> read(const std::string& name) override
+        {
+            File file(path(name), O_RDONLY);
+            if (!file.isOpen())
+                return failure(StorageErrorCode::ReadFailed, name);
+            std::string bytes;
+            std::string buf(1U << 16U, '\0');
+            while (true) {
+                auto n = ::read(file.fd(), buf.data(), buf.size());
+                if (n < 0 && errno == EINTR)
+                    continue;
+                if (n < 0)
+                    return failure(StorageErrorCode::ReadFailed, name);
+                if (n == 0)
+                    return bytes;
+                bytes.append(buf, 0, static_cast<size_t>(n));
+            }
+        }
+
+        StorageResult<void> append(const std::string& name, std::string_view bytes) override
+        {
+            if (m_appendName != name) {
+                m_append = File(path(name), O_WRONLY | O_APPEND);
+                m_appendName = name;
+            }
+            if (!m_append.isOpen() || !writeAll(m_append.fd(), bytes))
+                return failure(StorageErrorCode::WriteFailed, name);
+            return {};
+        }
+
+        StorageResult<void> sync(const std::string& name) override
+        {
+            if (m_appendName != name || ::fdatasync(m_append.fd()) != 0)
+                return failure(StorageErrorCode::SyncFailed, name);
+            return {};
+        }
+
+        StorageResult<void> replace(const std::string& name, std::string_view bytes) override
+        {
+            auto temporary = path(name + temporarySuffix);
+            File file(temporary, O_WRONLY | O_CREAT | O_TRUNC);
+            if (!file.isOpen() || !writeAll(file.fd(), bytes))
+                return failure(StorageErrorCode::WriteFailed, name);
+            if (::fsync(file.fd()) != 0)
+                return failure(StorageErrorCode::SyncFailed, name);
+            if (::rename(temporary.c_str(), path(name).c_str()) != 0)
+                return failure(StorageErrorCode::WriteFailed, name);
+            if (::fsync(m_folder.fd()) != 0)
+                return failure(StorageErrorCode::SyncFailed, name);
+            return {};
+        }
+
+        StorageResult<void> truncate(const std::string& name, uint64_t size) override
+        {
+            File file(path(name), O_WRONLY);
+            if (!file.isOpen() || ::ftruncate(file.fd(), static_cast<off_t>(size)) != 0)
+                return failure(StorageErrorCode::WriteFailed, name);
+            if (::fsync(file.fd()) != 0)
+                return failure(StorageErrorCode::SyncFailed, name);
+            return {};
+        }
+
+        StorageResult<void> remove(const std::string& name) override
+        {
+            if (::unlink(path(name).c_str()) != 0)
+                return failure(StorageErrorCode::WriteFailed, name);
+            return {};
+        }
+
+    private:
+        [[nodiscard]] std::string path(const std::string& name) const { return m_path + "/" + name; }
+
+        std::string m_path;
+        File m_folder;
+        File m_lock;
+        std::string m_appendName;
+        File m_append;
+    };
+
+} // namespace
+
+std::string describe(const StorageError& error)
+{
+    constexpr const char* names[] = { "locked by another process", "damaged", "cannot be read", "cannot be written", "cannot be synced", "disk full" };
+    static_assert(std::size(names) == static_cast<size_t>(StorageErrorCode::StorageErrorCodeCount));
+    return error.file + ": " + names[static_cast<size_t>(error.code)] + (error.detail.empty() ? "" : ": " + error.detail);
+}
+
+StorageResult<std::unique_ptr<Disk>> openFolder(const std::string& path)
+{
+    std::error_code ec;
+    std::filesystem::create_directories(path, ec);
+    File folder(path, O_RDONLY | O_DIRECTORY);
+    if (!folder.isOpen())
+        return failure(StorageErrorCode::ReadFailed, path);
+    File lock(path + "/" + lockName, O_RDWR | O_CREAT);
+    if (!lock.isOpen())
+        return failure(StorageErrorCode::WriteFailed, path);
+    if (::flock(lock.fd(), LOCK_EX | LOCK_NB) != 0)
+        return failure(StorageErrorCode::Locked, path);
+    // The folder's own entry in its parent has to survive a crash as well.
+    File parent(std::filesystem::absolute(path).parent_path().string(), O_RDONLY | O_DIRECTORY);
+    if (!parent.isOpen() || ::fsync(parent.fd()) != 0)
+        return failure(StorageErrorCode::SyncFailed, path);
+    return std::make_unique<PosixDisk>(path, std::move(folder), std::move(lock));
+}
+
+} // namespace vanillalift::raft
--- /dev/null
+++ b/src/replica/raft_storage.cpp
@@ -0,0 +1,291 @@
+#include "raft_storage_p.h"
+
+#include <nlohmann/json.hpp>
+#include <zlib.h>
+
+#include <array>
+#include <cstring>
+
+namespace vanillalift::raft {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr const char* hardStateName = "hard-state";
+    constexpr const char* snapshotPrefix = "snapshot-";
+    constexpr const char* segmentPrefix = "log-";
+    /// Starts each record, so that records after a damaged one can be found.
+    constexpr std::string_view mark = "\xF7VLR";
+    constexpr size_t headerSize = mark.size() + 2 * sizeof(uint32_t);
+
+    std::string fileName(const char* prefix, uint64_t number, const char* suffix)
+    {
+        std::array<char, 64> buf {};
+        std::snprintf(buf.data(), buf.size(), "%s%020llu%s", prefix, static_cast<unsigned long long>(number), suffix);
+        return buf.data();
+    }
+
+    std::string segmentName(uint64_t number) { return fileName(segmentPrefix, number, ".seg"); }
+
+    void putNumber(std::string& bytes, uint32_t value)
+    {
+        for (unsigned shift = 0; shift < 32; shift += 8)
+            bytes.push_back(static_cast<char>(value >> shift & 0xFFU));
+    }
+
+    uint32_t getNumber(std::string_view bytes)
+    {
+        uint32_t value = 0;
+        for (unsigned n = 0; n < 4; n++)
+            value |= static_cast<uint32_t>(static_cast<unsigned char>(bytes[n])) << (8 * n);
+        return value;
+    }
+
+    uint32_t checksum(std::string_view payload)
+    {
+        return static_cast<uint32_t>(crc32_z(0, reinterpret_cast<const Bytef*>(payload.data()), payload.size()));
+    }
+
+    std::string record(std::string_view payload)
+    {
+        std::string bytes(mark);
+        putNumber(bytes, static_cast<uint32_t>(payload.size()));
+        putNumber(bytes, checksum(payload));
+        return bytes.append(payload);
+    }
+
+    /// @returns the payload of the record at the start of @p bytes, or nothing if no whole record is there.
+    std::optional<std::string_view> payloadAt(std::string_view bytes)
+    {
+        if (bytes.size() < headerSize || !bytes.starts_with(mark))
+            return std::nullopt;
+        auto length = getNumber(bytes.substr(mark.size()));
+        if (length > bytes.size() - headerSize)
+            return std::nullopt;
+        auto payload = bytes.substr(headerSize, length);
+        if (checksum(payload) != getNumber(bytes.substr(mark.size() + 4)))
+            return std::nullopt;
+        return payload;
+    }
+
+    bool hasRecordAfter(std::string_view bytes)
+    {
+        for (auto at = bytes.find(mark, 1); at != std::string_view::npos; at = bytes.find(mark, at + 1)) {
+            if (payloadAt(bytes.substr(at)))
+                return true;
+        }
+        return false;
+    }
+
+    tl::unexpected<StorageError> damaged(const std::string& file, const std::string& detail)
+    {
+        return tl::unexpected(StorageError { StorageErrorCode::Damaged, file, detail });
+    }
+
+    std::string newest(const std::vector<std::string>& names, const char* prefix)
+    {
+        std::string found;
+        for (const auto& it : names) {
+            if (it.starts_with(prefix))
+                found = it;
+        }
+        return found;
+    }
+
+    /// The first record of a segment, as an entry without data: index and term of the snapshot before it.
+    LogEntry segmentStart(const Snapshot& snapshot) { return { snapshot.index, snapshot.term, EntryKind::NoOp, "start" }; }
+
+} // namespace
+
+StorageResult<RaftStorage> RaftStorage::open(Disk& disk, const std::string& storageId)
+{
+    RaftStorage storage(disk);
+    if (auto result = storage.recover(storageId); !result)
+        return tl::unexpected(result.error());
+    return storage;
+}
+
+StorageResult<void> RaftStorage::recover(const std::string& storageId)
+{
+    auto names = m_disk->list();
+    if (!names)
+        return tl::unexpected(names.error());
+    auto segment = newest(*names, segmentPrefix);
+    auto snapshot = newest(*names, snapshotPrefix);
+    bool hasHardState = std::find(names->begin(), names->end(), hardStateName) != names->end();
+    if (segment.empty() && snapshot.empty() && !hasHardState)
+        return format(storageId);
+    if (segment.empty())
+        return damaged(segmentPrefix, "no segment");
+    if (hasHardState) {
+        if (auto result = readHardState(); !result)
+            return result;
+    }
+    if (!snapshot.empty()) {
+        if (auto result = readSnapshot(snapshot); !result)
+            return result;
+    }
+    if (auto result = readSegment(segment); !result)
+        return result;
+    if (!hasHardState) {
+        // The folder's first use was interrupted, unless there is content.
+        if (!snapshot.empty() || !m_recovered.entries.empty())
+            return damaged(hardStateName, "missing");
+        return format(storageId);
+    }
+    if (auto result = removeOlder(segmentPrefix, segmentName(m_segment)); !result)
+        return result;
+    return snapshot.empty() ? StorageResult<void> {} : removeOlder(snapshotPrefix, snapshot);
+}
+
+StorageResult<void> RaftStorage::format(const std::string& storageId)
+{
+    m_storageId = storageId;
+    m_recovered.storageId = storageId;
+    if (auto result = startSegment({}, {}); !result)
+        return result;
+    return writeHardState({});
+}
+
+StorageResult<void> RaftStorage::readHardState()
+{
+    auto bytes = m_disk->read(hardStateName);
+    if (!bytes)
+        return tl::unexpected(bytes.error());
+    auto payload = payloadAt(*bytes);
+    auto value = payload ? json::from_cbor(payload->begin(), payload->end(), true, false) : json();
+    if (!payload || !value.is_array() || value.size() != 3 || !value[0].is_number_unsigned() || !value[1].is_string() || !value[2].is_string())
+        return damaged(hardStateName, "checksum or content");
+    m_recovered.hardState = { value[0], value[1] };
+    m_storageId = value[2];
+    m_recovered.storageId = m_storageId;
+    return {};
+}
+
+StorageResult<void> RaftStorage::readSnapshot(const std::string& name)
+{
+    auto bytes = m_disk->read(name);
+    if (!bytes)
+        return tl::unexpected(bytes.error());
+    auto payload = payloadAt(*bytes);
+    auto snapshot = payload ? decodeSnapshot(*payload) : std::nullopt;
+    if (!snapshot)
+        return damaged(name, "checksum or content");
+    m_recovered.snapshot = std::move(*snapshot);
+    return {};
+}
+
+StorageResult<void> RaftStorage::readSegment(const std::string& name)
+{
+    auto bytes = m_disk->read(name);
+    if (!bytes)
+        return tl::unexpected(bytes.error());
+    m_segment = std::strtoull(name.c_str() + std::strlen(segmentPrefix), nullptr, 10);
+    std::string_view rest(*bytes);
+    std::vector<LogEntry> log;
+    while (auto payload = payloadAt(rest)) {
+        auto entry = decodeEntry(*payload);
+        bool isNext = entry && (log.empty() || (entry->index > log.front().index && entry->index <= log.back().index + 1));
+        if (!isNext)
+            return damaged(name, "content at byte " + std::to_string(bytes->size() - rest.size()));
+        // A record replaces the entries from its index on, as the log was when it was written.
+        if (!log.empty())
+            log.resize(entry->index - log.front().index);
+        log.push_back(std::move(*entry));
+        rest.remove_prefix(headerSize + payload->size());
+    }
+    auto valid = bytes->size() - rest.size();
+    if (log.empty() || log.front().data != "start" || hasRecordAfter(rest))
+        return damaged(name, "record at byte " + std::to_string(valid));
+    if (!rest.empty()) {
+        if (auto result = m_disk->truncate(name, valid); !result)
+            return result;
+    }
+    const auto& snapshot = m_recovered.snapshot;
+    const auto& start = log.front();
+    if (start.index > snapshot.index || (start.index == snapshot.index && start.term != snapshot.term))
+        return damaged(name, "its snapshot is missing");
+    // A crash after a snapshot was stored leaves the older segment; its entries count only if they lead through
+    // the snapshot's last entry.
+    auto place = snapshot.index - start.index;
+    bool leadsThrough = place < log.size() && log[place].term == snapshot.term;
+    if (leadsThrough)
+        m_recovered.entries.assign(std::make_move_iterator(log.begin() + static_cast<std::ptrdiff_t>(place) + 1), std::make_move_iterator(log.end()));
+    return place == 0 ? StorageResult<void> {} : startSegment(snapshot, m_recovered.entries);
+}
+
+StorageResult<void> RaftStorage::startSegment(const Snapshot& snapshot, const std::vector<LogEntry>& entries)
+{
+    auto bytes = record(encodeEntry(segmentStart(snapshot)));
+    for (const auto& it : entries)
+        bytes += record(encodeEntry(it));
+    if (auto result = m_disk->replace(segmentName(m_segment + 1), bytes); !result)
+        return result;
+    m_segment++;
+    return {};
+}
+
+StorageResult<void> RaftStorage::writeHardState(const HardState& state)
+{
+    auto payload = json::to_cbor({ state.term, state.vote, m_storageId });
+    return m_disk->replace(hardStateName, record({ reinterpret_cast<const char*>(payload.data()), payload.size() }));
+}
+
+StorageResult<void> RaftStorage::writeSnapshot(const Persist& persist)
+{
+    auto name = fileName(snapshotPrefix, persist.snapshot->index, ".cbor");
+    if (auto result = m_disk->replace(name, record(encodeSnapshot(*persist.snapshot))); !result)
+        return result;
+    // The retained entries include those that still wait in the buffer.
+    m_buffer.clear();
+    if (auto result = startSegment(*persist.snapshot, persist.retained); !result)
+        return result;
+    if (auto result = removeOlder(segmentPrefix, segmentName(m_segment)); !result)
+        return result;
+    return removeOlder(snapshotPrefix, name);
+}
+
+StorageResult<void> RaftStorage::removeOlder(const std::string& prefix, const std::string& newest)
+{
+    auto names = m_disk->list();
+    if (!names)
+        return tl::unexpected(names.error());
+    for (const auto& it : *names) {
+        if (!it.starts_with(prefix) || it >= newest)
+            continue;
+        if (auto result = m_disk->remove(it); !result)
+            return result;
+    }
+    return {};
+}
+
+StorageResult<void> RaftStorage::keep(const StorageResult<void>& result)
+{
+    if (m_state && !result)
+        m_state = result;
+    return m_state;
+}
+
+StorageResult<void> RaftStorage::write(const Persist& persist)
+{
+    if (m_state && persist.hardState)
+        keep(writeHardState(*persist.hardState));
+    if (m_state && persist.snapshot)
+        keep(writeSnapshot(persist));
+    for (const auto& it : persist.entries)
+        m_buffer += record(encodeEntry(it));
+    return m_state;
+}
+
+StorageResult<void> RaftStorage::sync()
+{
+    if (!m_state || m_buffer.empty())
+        return m_state;
+    if (!keep(m_disk->append(segmentName(m_segment), m_buffer)))
+        return m_state;
+    m_buffer.clear();
+    return keep(m_disk->sync(segmentName(m_segment)));
+}
+
+} // namespace vanillalift::raft
--- /dev/null
+++ b/src/replica/replica_impl_p.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "disk_p.h"
+#include "peer_sender_p.h"
+#include "raft_core_p.h"
+#include "raft_storage_p.h"
+
+#include <vanillalift/replica.h>
+#include <vanillalift/rpc.h>
+
+#include <atomic>
+
+namespace vanillalift {
+
+/// @remarks m_mutex guards the inbox, the promises and the published status, and is held across no I/O. All else
+/// belongs to the replica's thread.
+class Replica::Impl {
+public:
+    Impl(ReplicaDesc desc, StateMachine& machine, const Clock& clock, std::unique_ptr<raft::Disk> disk, raft::RaftStorage storage);
+    ~Impl();
+
+    void start();
+    void stop();
+    RpcResult receive(const nlohmann::json& params);
+    [[nodiscard]] ReplicaStatus status() const;
+
+    /// Queues the input that @p make builds from a new id.
+    template <typename Result, typename Make>
+    std::future<Result> submit(std::map<uint64_t, std::promise<Result>>& promises, Make make)
+    {
+        std::promise<Result> promise;
+        auto future = promise.get_future();
+        std::lock_guard lock(m_mutex);
+        if (!m_isRunning) {
+            promise.set_value(tl::unexpected(ProposeError { ProposeErrorCode::NotLeader, "" }));
+            return future;
+        }
+        auto id = ++m_lastId;
+        promises.emplace(id, std::move(promise));
+        m_inbox.emplace_back(make(id));
+        m_wake.notify_one();
+        return future;
+    }
+
+    std::map<uint64_t, std::promise<ProposeResult>>& proposals() { return m_proposals; }
+    std::map<uint64_t, std::promise<ReadResult>>& reads() { return m_reads; }
+
+private:
+    using Inputs = std::deque<raft::Input>;
+
+    void run();
+    Inputs waitForInputs();
+    bool process(Inputs inputs);
+    bool carryOut(raft::Actions actions);
+    bool compact();
+    void sendEarly(raft::Actions& actions);
+    /// @returns nothing after a failed write, else whether anything was written.
+    std::optional<bool> persist(raft::Actions& actions);
+    void perform(raft::Actions& actions);
+    void perform(raft::Send& send);
+    void perform(const raft::Apply& apply);
+    void perform(const raft::Restore& restore);
+    void perform(const raft::Respond& respond);
+    void perform(const raft::Persist&) { }
+    void completeProposal(uint64_t id, ProposeResult result);
+    void publishStatus();
+    void fail(const raft::StorageError& error);
+
+    ReplicaDesc m_desc;
+    StateMachine& m_machine;
+    const Clock& m_clock;
+    std::unique_ptr<raft::Disk> m_disk;
+    raft::RaftStorage m_storage;
+    raft::RaftCore m_core;
+    std::map<std::string, std::unique_ptr<raft::PeerSender>> m_senders;
+    uint64_t m_applied = 0;
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::condition_variable m_statusChanged;
+    Inputs m_inbox;
+    std::map<uint64_t, std::promise<ProposeResult>> m_proposals;
+    std::map<uint64_t, std::promise<ReadResult>> m_reads;
+    uint64_t m_lastId = 0;
+    ReplicaStatus m_status;
+    bool m_isRunning = false;
+    std::thread m_thread;
+};
+
+} // namespace vanillalift
--- a/src/rpc/rpc_server.cpp
+++ b/src/rpc/rpc_server.cpp
@@ -25,7 +25,8 @@
     {
         m_server.set_tcp_nodelay(true);
         m_server.set_keep_alive_max_count(1000000);
-        m_server.set_keep_alive_timeout(60);
+        // stop() waits for idle connections to time out.
+        m_server.set_keep_alive_timeout(1);
         m_server.set_payload_max_length(m_desc.maxRequestBytes);
         m_server.new_task_queue = [threads = m_desc.threads] { return new httplib::ThreadPool(static_cast<size_t>(threads)); };
         m_server.Post("/rpc", [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); });
--- /dev/null
+++ b/tests/memory_disk.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "replica/disk_p.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+
+namespace vanillalift::raft {
+
+struct CrashException { };
+
+/// Files in memory with what is durable of them. Operation number @c faultAt fails, or crashes in the middle.
+class MemoryDisk final : public Disk {
+public:
+    struct File {
+        std::string bytes;
+        size_t durableSize = 0;
+    };
+
+    std::map<std::string, File> files;
+    size_t operations = 0;
+    size_t faultAt = SIZE_MAX;
+    /// Nothing for a crash.
+    std::optional<StorageErrorCode> error;
+    std::mt19937_64 random { 1 };
+
+    /// Drops what was not synced, except for a random part of it.
+    void losePower()
+    {
+        for (auto& [name, it] : files) {
+            it.bytes.resize(it.durableSize + pick(it.bytes.size() - it.durableSize + 1));
+            it.durableSize = it.bytes.size();
+        }
+        faultAt = SIZE_MAX;
+    }
+
+    StorageResult<std::vector<std::string>> list() override
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, it] : files)
+            names.push_back(name);
+        return names;
+    }
+
+    StorageResult<std::string> read(const std::string& name) override { return files.at(name).bytes; }
+
+    StorageResult<void> append(const std::string& name, std::string_view bytes) override
+    {
+        return change([&] { files.at(name).bytes += bytes; }, [&] { files.at(name).bytes += bytes.substr(0, pick(bytes.size() + 1)); });
+    }
+
+    StorageResult<void> sync(const std::string& name) override
+    {
+        return change([&] { files.at(name).durableSize = files.at(name).bytes.size(); }, [] {});
+    }
+
+    StorageResult<void> replace(const std::string& name, std::string_view bytes) override
+    {
+        auto put = [&] { files[name] = { std::string(bytes), bytes.size() }; };
+        return change(put, [&] {
+            if (pick(2) == 0)
+                put();
+        });
+    }
+
+    StorageResult<void> truncate(const std::string& name, uint64_t size) override
+    {
+        auto cut = [&] { files[name] = { files[name].bytes.substr(0, size), size }; };
+        return change(cut, [] {});
+    }
+
+    StorageResult<void> remove(const std::string& name) override
+    {
+        return change([&] { files.erase(name); }, [] {});
+    }
+
+private:
+    size_t pick(size_t n) { return std::uniform_int_distribution<size_t>(0, n - 1)(random); }
+
+    StorageResult<void> change(const std::function<void()>& whole, const std::function<void()>& part)
+    {
+        if (operations++ != faultAt) {
+            whole();
+            return {};
+        }
+        part();
+        if (!error)
+            throw CrashException();
+        return tl::unexpected(StorageError { *error, "file", "injected" });
+    }
+};
+
+} // namespace vanillalift::raft
--- /dev/null
+++ b/tests/raft_core_test.cpp
@@ -0,0 +1,321 @@
+#include <catch2/catch.hpp>
+
+#include "replica/raft_core_p.h"
+
+#include <vanillalift/config.h>
+
+using namespace vanillalift;
+using namespace vanillalift::raft;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const ReplicaMembers threeMembers { { "a", "sa", true }, { "b", "sb", true }, { "c", "sc", true } };
+
+/// One core whose peers are played by the test.
+struct Fixture {
+    explicit Fixture(Recovered recovered = { "sa", {}, { 0, 0, threeMembers }, {} })
+        : core({ .name = "a" }, std::move(recovered), now)
+    {
+    }
+
+    Actions step(Input input)
+    {
+        auto actions = core.step(std::move(input), now);
+        bool persists = std::any_of(actions.begin(), actions.end(), [](const auto& it) { return std::holds_alternative<Persist>(it); });
+        if (!persists)
+            return actions;
+        auto more = step(Persisted { core.lastIndex() });
+        actions.insert(actions.end(), more.begin(), more.end());
+        return actions;
+    }
+
+    Actions receive(const std::string& from, uint64_t term, MessageBody body, const std::string& storage = "")
+    {
+        return step(Message { from, storage.empty() ? "s" + from : storage, "a", term, std::move(body) });
+    }
+
+    Actions wait(milliseconds time)
+    {
+        now += time;
+        return step(Tick {});
+    }
+
+    uint64_t elect()
+    {
+        wait(milliseconds(301));
+        auto term = core.status().term;
+        receive("b", term, VoteReply { true, true, term + 1 });
+        receive("b", term + 1, VoteReply { false, true, term + 1 });
+        REQUIRE(core.status().role == ReplicaRole::Leader);
+        return term + 1;
+    }
+
+    TimePoint now { std::chrono::seconds(1000) };
+    RaftCore core;
+};
+
+template <typename T>
+std::vector<T> bodies(const Actions& actions)
+{
+    std::vector<T> found;
+    for (const auto& it : actions) {
+        const auto* send = std::get_if<Send>(&it);
+        if (send && std::holds_alternative<T>(send->message.body))
+            found.push_back(std::get<T>(send->message.body));
+    }
+    return found;
+}
+
+template <typename T>
+size_t count(const Actions& actions)
+{
+    return static_cast<size_t>(std::count_if(actions.begin(), actions.end(), [](const auto& it) { return std::holds_alternative<T>(it); }));
+}
+
+std::optional<ProposeErrorCode> errorFor(const Actions& actions, uint64_t id)
+{
+    for (const auto& it : actions) {
+        const auto* respond = std::get_if<Respond>(&it);
+        if (respond && respond->id == id && std::holds_alternative<ProposeError>(respond->response))
+            return std::get<ProposeError>(respond->response).code;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// Guards against the case of figure 8 of the Raft paper: an old-term entry on a majority that is still replaced.
+TEST_CASE("an entry of an older term is committed only with one of the own term", "[raft]")
+{
+    Fixture f({ "sa", { 2, "" }, { 0, 0, threeMembers }, { { 1, 2, EntryKind::Command, "old" } } });
+    auto term = f.elect();
+    auto actions = f.receive("b", term, AppendReply { 1, true, 1 });
+    CHECK(count<Apply>(actions) == 0);
+    CHECK(f.core.status().commitIndex == 0);
+    actions = f.receive("b", term, AppendReply { 2, true, 2 });
+    CHECK(count<Apply>(actions) == 2);
+}
+
+// Guards against a replica that lost its disk voting twice in one term, once with each disk.
+TEST_CASE("a request for another storage id gets no vote, and a vote from one is not counted", "[raft]")
+{
+    Fixture f;
+    CHECK(f.receive("b", 5, VoteRequest { false, 9, 4, "lost" }).empty());
+    CHECK(f.core.status().term == 0);
+    f.wait(milliseconds(301));
+    f.receive("b", 0, VoteReply { true, true, 1 }, "new");
+    CHECK(f.core.status().role == ReplicaRole::PreCandidate);
+    f.receive("b", 0, VoteReply { true, true, 1 });
+    CHECK(f.core.status().role == ReplicaRole::Candidate);
+}
+
+// Guards against a replica with an empty disk standing for election.
+TEST_CASE("a replica that is no voter under its storage id never stands for election", "[raft]")
+{
+    Fixture f({ "new", {}, { 0, 0, threeMembers }, {} });
+    CHECK(f.wait(milliseconds(1000)).empty());
+    CHECK(f.core.status().role == ReplicaRole::Follower);
+}
+
+// Guards against an isolated replica that returns and deposes a healthy leader.
+TEST_CASE("a pre-vote is refused while a leader is heard", "[raft]")
+{
+    Fixture f;
+    f.receive("b", 1, AppendRequest { 1 });
+    auto replies = bodies<VoteReply>(f.receive("c", 2, VoteRequest { true, 9, 1, "sa" }));
+    REQUIRE(replies.size() == 1);
+    CHECK_FALSE(replies[0].granted);
+    CHECK(f.core.status().term == 1);
+    f.now += milliseconds(151);
+    replies = bodies<VoteReply>(f.receive("c", 2, VoteRequest { true, 9, 1, "sa" }));
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].granted);
+}
+
+// Guards against a vote for a candidate that lacks entries, and two votes in one term, also over a restart.
+TEST_CASE("a vote is durable, single, and only for an up-to-date log", "[raft]")
+{
+    Fixture f({ "sa", { 2, "" }, { 0, 0, threeMembers }, { { 1, 2, EntryKind::Command, "x" } } });
+    CHECK_FALSE(bodies<VoteReply>(f.receive("b", 3, VoteRequest { false, 0, 0, "sa" })).at(0).granted);
+    auto actions = f.receive("b", 3, VoteRequest { false, 1, 2, "sa" });
+    REQUIRE(std::holds_alternative<Persist>(actions.at(0)));
+    CHECK(std::get<Persist>(actions[0]).hardState->vote == "b");
+    CHECK(bodies<VoteReply>(actions).at(0).granted);
+    CHECK_FALSE(bodies<VoteReply>(f.receive("c", 3, VoteRequest { false, 5, 2, "sa" })).at(0).granted);
+}
+
+// Guards against a failure being reported for a proposal that the next leader may still commit.
+TEST_CASE("a proposal of a leader that lost its term is reported as unknown", "[raft]")
+{
+    Fixture f;
+    f.elect();
+    CHECK_FALSE(errorFor(f.step(Propose { 7, "x" }), 7));
+    CHECK(errorFor(f.receive("b", 9, AppendRequest { 1 }), 7) == ProposeErrorCode::Unknown);
+    CHECK(errorFor(f.step(Propose { 8, "x" }), 8) == ProposeErrorCode::NotLeader);
+}
+
+// Guards against a log that no message can carry, and a queue without bound while no majority answers.
+TEST_CASE("a proposal that is too large, or one too many, is refused and not written", "[raft]")
+{
+    Fixture f;
+    f.elect();
+    CHECK(errorFor(f.step(Propose { 1, std::string(config::maxCommandBytes + 1, 'x') }), 1) == ProposeErrorCode::TooLarge);
+    CHECK(f.core.lastIndex() == 1);
+    for (uint64_t n = 2; n <= 10000; n++)
+        f.step(Propose { n, "x" });
+    CHECK(errorFor(f.step(Propose { 10001, "x" }), 10001) == ProposeErrorCode::Overloaded);
+    CHECK(f.core.lastIndex() == 10000);
+}
+
+// Guards against a partitioned leader that goes on accepting proposals and serving reads.
+TEST_CASE("a leader that hears no majority steps down", "[raft]")
+{
+    Fixture f;
+    auto term = f.elect();
+    f.step(Propose { 7, "x" });
+    f.now += milliseconds(100);
+    f.receive("b", term, AppendReply { 1, true, 0 });
+    f.wait(milliseconds(100));
+    CHECK(f.core.status().role == ReplicaRole::Leader);
+    auto actions = f.wait(milliseconds(60));
+    CHECK(f.core.status().role == ReplicaRole::Follower);
+    CHECK(errorFor(actions, 7) == ProposeErrorCode::Unknown);
+}
+
+// Guards against a stale read: acknowledgements of messages that left before the read prove nothing about it.
+TEST_CASE("a read waits for a majority's answer to a message sent after it", "[raft]")
+{
+    Fixture f;
+    auto term = f.elect();
+    f.receive("b", term, AppendReply { 1, true, 1 });
+    f.step(Propose { 1, "x" });
+    f.step(Read { 2 });
+    auto actions = f.receive("b", term, AppendReply { 3, true, 2 });
+    CHECK(count<Respond>(actions) == 0);
+    auto next = bodies<AppendRequest>(actions);
+    REQUIRE(next.size() == 1);
+    CHECK(count<Respond>(f.receive("b", term, AppendReply { next[0].round, true, 2 })) == 1);
+}
+
+// Guards against a late, reordered append cutting off entries that were acknowledged since.
+TEST_CASE("a late duplicate of an append changes nothing", "[raft]")
+{
+    Fixture f;
+    std::vector<LogEntry> entries { { 1, 1, EntryKind::Command, "x" }, { 2, 1, EntryKind::Command, "y" } };
+    f.receive("b", 1, AppendRequest { 2, 0, 0, 0, entries });
+    entries.pop_back();
+    auto actions = f.receive("b", 1, AppendRequest { 1, 0, 0, 0, entries });
+    CHECK(f.core.lastIndex() == 2);
+    CHECK(count<Persist>(actions) == 0);
+    CHECK(bodies<AppendReply>(actions).at(0).matchIndex == 1);
+}
+
+// Guards against one round trip for each differing entry after a long partition.
+TEST_CASE("backtracking skips a whole term at once", "[raft]")
+{
+    std::vector<LogEntry> own;
+    for (uint64_t n = 1; n <= 500; n++)
+        own.push_back({ n, n <= 10 ? 1U : 2U, EntryKind::Command, "x" });
+    Fixture f({ "sa", { 4, "" }, { 0, 0, threeMembers }, own });
+    auto reply = bodies<AppendReply>(f.receive("b", 4, AppendRequest { 1, 400, 3, 0, {} })).at(0);
+    CHECK_FALSE(reply.matches);
+    CHECK(reply.conflictTerm == 2);
+    CHECK(reply.conflictIndex == 11);
+    reply = bodies<AppendReply>(f.receive("b", 4, AppendRequest { 2, 900, 3, 0, {} })).at(0);
+    CHECK(reply.conflictIndex == 501);
+}
+
+// Guards against two majorities without a common member, and against an unfit replacement.
+TEST_CASE("membership changes are made one at a time, and a replacement has to have caught up", "[raft]")
+{
+    Fixture f;
+    auto term = f.elect();
+    CHECK(errorFor(f.step(RemoveMember { 1, "c" }), 1) == ProposeErrorCode::ChangeInProgress);
+    f.receive("b", term, AppendReply { 1, true, 1 });
+    CHECK(errorFor(f.step(ReplaceMember { 2, "c", "new" }), 2) == ProposeErrorCode::NotCaughtUp);
+    CHECK(errorFor(f.step(RemoveMember { 3, "a" }), 3) == ProposeErrorCode::MemberInvalid);
+    f.receive("c", term, AppendReply { 2, true, 1 }, "new");
+    CHECK_FALSE(errorFor(f.step(ReplaceMember { 4, "c", "new" }), 4));
+    CHECK(errorFor(f.step(RemoveMember { 5, "b" }), 5) == ProposeErrorCode::ChangeInProgress);
+    CHECK(f.core.status().members == ReplicaMembers { { "a", "sa", true }, { "b", "sb", true }, { "c", "new", false } });
+    // The learner's acknowledgement does not commit the change; the other voter's does, and the promotion follows.
+    f.receive("c", term, AppendReply { 9, true, 2 }, "new");
+    CHECK(f.core.status().commitIndex == 1);
+    f.receive("b", term, AppendReply { 9, true, 2 });
+    CHECK(f.core.status().commitIndex == 2);
+    CHECK(f.core.status().members.at(2).isVoter);
+}
+
+// Guards against a slow peer for which messages pile up.
+TEST_CASE("one append at a time is outstanding for a peer, and a silent one gets no entries", "[raft]")
+{
+    Fixture f;
+    auto term = f.elect();
+    CHECK(bodies<AppendRequest>(f.step(Propose { 1, "x" })).empty());
+    f.receive("b", term, AppendReply { 1, true, 1 });
+    f.now += milliseconds(160);
+    f.receive("b", term, AppendReply { 2, true, 1 });
+    size_t entries = 0;
+    for (const auto& it : f.wait(milliseconds(1))) {
+        const auto* send = std::get_if<Send>(&it);
+        if (send && send->message.to == "c")
+            entries += std::get<AppendRequest>(send->message.body).entries.size();
+    }
+    CHECK(entries == 0);
+}
+
+// Guards against a candidate that restarts and votes for another in the term in which it voted for itself.
+TEST_CASE("a candidate's own vote is durable before it asks for others", "[raft]")
+{
+    Fixture f;
+    f.wait(milliseconds(301));
+    auto actions = f.receive("b", 0, VoteReply { true, true, 1 });
+    REQUIRE(std::holds_alternative<Persist>(actions.at(0)));
+    CHECK(std::get<Persist>(actions[0]).hardState->vote == "a");
+    CHECK(std::get<Persist>(actions[0]).hardState->term == 1);
+    CHECK(std::all_of(actions.begin() + 1, actions.end(), [](const auto& it) { return std::get<Send>(it).afterPersist; }));
+}
+
+// Guards against entries of a lost leader that survive a snapshot which contradicts them, and mixed chunks.
+TEST_CASE("a snapshot replaces a log that does not lead to it, and its chunks come from one leader", "[raft]")
+{
+    std::vector<LogEntry> own { { 1, 1, EntryKind::NoOp, "" }, { 2, 1, EntryKind::NoOp, "" }, { 3, 1, EntryKind::NoOp, "" } };
+    Fixture f({ "sa", { 1, "" }, { 0, 0, threeMembers }, own });
+    f.receive("b", 2, SnapshotChunk { 1, 2, 2, threeMembers, 0, "old", false });
+    auto actions = f.receive("c", 3, SnapshotChunk { 1, 2, 2, threeMembers, 3, "tail", true });
+    CHECK(count<Restore>(actions) == 0);
+    CHECK(bodies<SnapshotReply>(actions).at(0).nextOffset == 0);
+    f.receive("c", 3, SnapshotChunk { 2, 2, 2, threeMembers, 0, "new", false });
+    f.receive("c", 3, SnapshotChunk { 2, 2, 2, threeMembers, 0, "new", false });
+    CHECK(count<Restore>(f.receive("c", 3, SnapshotChunk { 3, 2, 2, threeMembers, 3, "er", true })) == 1);
+    CHECK(f.core.lastIndex() == 2);
+    CHECK(*f.core.snapshot().data == "newer");
+}
+
+// Guards against a configuration that stays in force although its entry was replaced.
+TEST_CASE("a replaced membership entry gives way to the configuration before it", "[raft]")
+{
+    ReplicaMembers other { { "a", "sa", true } };
+    Fixture f({ "sa", { 1, "" }, { 0, 0, threeMembers }, { { 1, 1, EntryKind::Members, encodeMembers(other) } } });
+    CHECK(f.core.status().members == other);
+    f.receive("b", 2, AppendRequest { 1, 0, 0, 0, { { 1, 2, EntryKind::NoOp, "" } } });
+    CHECK(f.core.status().members == threeMembers);
+}
+
+// Guards against encoding faults that would lose or change a field between replicas.
+TEST_CASE("messages keep their content over encoding, and malformed bytes are refused", "[raft]")
+{
+    std::string raw("\0\xFFx", 3);
+    Message append { "a", "s", "b", 3, AppendRequest { 1, 2, 3, 4, { { 5, 6, EntryKind::Command, raw } } } };
+    Message chunk { "a", "s", "b", 3, SnapshotChunk { 1, 2, 3, threeMembers, 4, raw, true } };
+    auto bytes = encodeMessages({ append, chunk });
+    auto decoded = decodeMessages(bytes);
+    REQUIRE(decoded);
+    CHECK(encodeMessages(*decoded) == bytes);
+    CHECK(std::get<AppendRequest>(decoded->at(0).body).entries.at(0).data == raw);
+    CHECK(std::get<SnapshotChunk>(decoded->at(1).body).members == threeMembers);
+    CHECK_FALSE(decodeMessages(bytes.substr(0, bytes.size() - 1)));
+    CHECK_FALSE(decodeMessages("x"));
+}
--- /dev/null
+++ b/tools/raft-bench/main.cpp
@@ -0,0 +1,155 @@
+#include "replica/control_process_p.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+using namespace vanillalift;
+
+namespace {
+
+/// Counts commands, so that the figures are those of the log alone.
+class CountMachine final : public StateMachine {
+public:
+    std::string apply(uint64_t /*index*/, std::string_view /*command*/) override { return std::to_string(++m_count); }
+    [[nodiscard]] std::string snapshot() const override { return std::to_string(m_count); }
+    void restore(std::string_view snapshot) override { m_count = std::stoull(std::string(snapshot)); }
+
+private:
+    uint64_t m_count = 0;
+};
+
+using Group = std::array<std::unique_ptr<ControlProcess>, 3>;
+
+double milliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
+
+ControlSettings settingsOf(size_t n, const std::string& folder, int port)
+{
+    ControlSettings settings { .name = "r" + std::to_string(n), .folder = folder + "/r" + std::to_string(n), .address = "127.0.0.1", .port = port + static_cast<int>(n), .seed = static_cast<int64_t>(n) + 1 };
+    for (size_t other = 0; other < 3; other++) {
+        if (other != n)
+            settings.peers["r" + std::to_string(other)] = "127.0.0.1:" + std::to_string(port + static_cast<int>(other));
+    }
+    return settings;
+}
+
+Replica* leaderOf(const Group& group)
+{
+    for (const auto& it : group) {
+        if (it && it->replica().status().role == ReplicaRole::Leader)
+            return &it->replica();
+    }
+    return nullptr;
+}
+
+Replica& waitForLeader(const Group& group)
+{
+    while (true) {
+        if (auto* leader = leaderOf(group))
+            return *leader;
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+}
+
+void formGroup(const Group& group)
+{
+    for (size_t n = 1; n < group.size(); n++) {
+        auto status = group[n]->replica().status();
+        while (!waitForLeader(group).replaceMember(status.name, status.storageId).get())
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+}
+
+void measureLatency(Replica& leader, int count)
+{
+    std::vector<double> times;
+    std::string command(200, 'x');
+    for (int n = 0; n < count; n++) {
+        auto start = BootClock::now();
+        if (leader.propose(command).get())
+            times.push_back(milliseconds(BootClock::now() - start));
+    }
+    std::sort(times.begin(), times.end());
+    std::cout << "latency of " << times.size() << " commits one by one: p50 " << times[times.size() / 2] << " ms, p99 " << times[times.size() * 99 / 100] << " ms\n";
+}
+
+void measureThroughput(Replica& leader, int count)
+{
+    std::string command(200, 'x');
+    auto start = BootClock::now();
+    std::deque<std::future<ProposeResult>> waiting;
+    int committed = 0;
+    for (int n = 0; n < count || !waiting.empty(); n++) {
+        if (n < count)
+            waiting.push_back(leader.propose(command));
+        if (waiting.size() < 256 && n < count)
+            continue;
+        committed += waiting.front().get() ? 1 : 0;
+        waiting.pop_front();
+    }
+    auto seconds = milliseconds(BootClock::now() - start) / 1000;
+    std::cout << committed << " of " << count << " committed, 256 at a time: " << static_cast<int>(committed / seconds) << " a second\n";
+}
+
+void printSizes(const std::string& folder)
+{
+    uintmax_t bytes = 0;
+    for (const auto& it : std::filesystem::recursive_directory_iterator(folder + "/r0"))
+        bytes += it.is_regular_file() ? it.file_size() : 0;
+    std::ifstream status("/proc/self/status");
+    std::string line;
+    while (std::getline(status, line) && !line.starts_with("VmRSS")) { }
+    std::cout << "disk of r0: " << bytes << " bytes; all three replicas and the bench: " << line << "\n";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc != 4) {
+        std::cerr << "usage: vanillalift-raft-bench FOLDER FIRST_PORT ENTRIES\n";
+        return 2;
+    }
+    std::string folder = argv[1];
+    int port = std::stoi(argv[2]);
+    int entries = std::stoi(argv[3]);
+    std::filesystem::remove_all(folder);
+    SystemClock clock;
+    std::array<CountMachine, 3> machines;
+    Group group;
+    auto open = [&](size_t n, bool bootstrap) {
+        machines[n] = {};
+        group[n] = std::move(ControlProcess::open(settingsOf(n, folder, port), bootstrap, machines[n], clock).value());
+    };
+    for (size_t n = 0; n < 3; n++) {
+        open(n, n == 0);
+        if (!group[n]->start())
+            return 1;
+    }
+    formGroup(group);
+    measureLatency(waitForLeader(group), std::min(entries, 2000));
+    measureThroughput(waitForLeader(group), entries);
+    printSizes(folder);
+    auto stopped = waitForLeader(group).status().name;
+    auto& process = group[static_cast<size_t>(stopped[1] - '0')];
+    auto start = BootClock::now();
+    std::thread stopper([&] { process->stop(); });
+    auto other = [&] {
+        auto* leader = leaderOf(group);
+        return leader && leader->status().name != stopped && leader->propose("x").get();
+    };
+    while (!other())
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    std::cout << "planned stop of the leader: next commit after " << milliseconds(BootClock::now() - start) << " ms\n";
+    stopper.join();
+    for (auto& it : group)
+        it.reset();
+    start = BootClock::now();
+    open(0, false);
+    std::cout << "recovery of r0 from disk: " << milliseconds(BootClock::now() - start) << " ms, last index " << group[0]->replica().status().lastIndex << "\n";
+    return 0;
+}
