Run the control state, follow and operator services in vanillalift-control

Cause: the control process served a key-value machine for the tests only. Change: the process owns the replica, the control state, the follow service on the internal port, the operators' methods on a port of their own (without the replicas' token, with accounts) and the administration port. Conclusion: entries and operators can use the group.

--- a/include/vanillalift/replica.h
+++ b/include/vanillalift/replica.h
@@ -55,6 +55,9 @@
     ProposeErrorCodeCount,
 };
 
+/// @returns the code as shown to operators, e.g. "not-leader".
+std::string_view proposeErrorName(ProposeErrorCode code);
+
 struct ProposeError {
     ProposeErrorCode code = ProposeErrorCode::Unknown;
     std::string leaderHint;
@@ -77,6 +80,8 @@
     ReplicaRoleCount,
 };
 
+std::string_view replicaRoleName(ReplicaRole role);
+
 struct ReplicaStatus {
     std::string name;
     std::string storageId;
--- /dev/null
+++ b/src/control/control_settings_p.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <vanillalift/settings.h>
+
+#include <map>
+#include <string>
+
+namespace vanillalift {
+
+struct ControlSettings {
+    std::string name;
+    std::string zone;
+    /// Folder of this replica's files.
+    std::string folder;
+    std::string address;
+    /// Port for replicas and entries.
+    int64_t port = 0;
+    /// Port for operators.
+    int64_t operatorPort = 0;
+    /// Port of /healthz, /readyz and /metrics.
+    int64_t adminPort = 0;
+    /// "ip:port" of the other replicas by name.
+    std::map<std::string, std::string> peers;
+    /// Secret that replicas and entries present; empty for none.
+    std::string token;
+    int64_t electionBaseMs = 150;
+    int64_t seed = 1;
+};
+
+/// @returns all faults of the settings if there are any.
+tl::expected<ControlSettings, SettingsFaults> controlSettingsFromJson(const nlohmann::json& value, const std::string& place);
+
+} // namespace vanillalift
--- a/src/operator/operator_service.cpp
+++ b/src/operator/operator_service.cpp
@@ -23,12 +23,6 @@
         return { RpcErrorCode::ParametersMalformed, error.what() };
     }
 
-    std::string_view proposeErrorName(ProposeErrorCode code)
-    {
-        constexpr std::array<std::string_view, static_cast<size_t>(ProposeErrorCode::ProposeErrorCodeCount)> names { "not-leader", "outcome-unknown", "overloaded", "change-in-progress", "not-caught-up", "member-invalid" };
-        return names.at(static_cast<size_t>(code));
-    }
-
     RpcError proposeError(const ProposeError& error)
     {
         return { RpcErrorCode::Refused, std::string(proposeErrorName(error.code)) + " " + error.leaderHint };
@@ -183,8 +177,7 @@
 RpcResult OperatorService::status(const json& /*params*/)
 {
     auto status = m_log.status();
-    constexpr std::array<std::string_view, static_cast<size_t>(ReplicaRole::ReplicaRoleCount)> roles { "follower", "pre-candidate", "candidate", "leader" };
-    json value { { "name", status.name }, { "storage_id", status.storageId }, { "role", roles.at(static_cast<size_t>(status.role)) },
+    json value { { "name", status.name }, { "storage_id", status.storageId }, { "role", replicaRoleName(status.role) },
         { "leader", status.leader }, { "term", status.term }, { "commit_index", status.commitIndex }, { "applied_index", status.appliedIndex },
         { "snapshot_index", status.snapshotIndex }, { "fault", status.fault }, { "members", json::array() } };
     for (const auto& it : status.members)
--- a/tests/control_e2e.sh
+++ b/tests/control_e2e.sh
@@ -14,7 +14,7 @@
 
 settings() {
     echo "{ // replica $1"
-    echo "\"name\": \"r$1\", \"zone\": \"z$1\", \"data_folder\": \"$folder/r$1\", \"address\": \"127.0.0.1\", \"port\": $((port + $1)),"
+    echo "\"name\": \"r$1\", \"zone\": \"z$1\", \"data_folder\": \"$folder/r$1\", \"address\": \"127.0.0.1\", \"port\": $((port + $1)), \"operator_port\": $((port + 10 + $1)), \"admin_port\": $((port + 20 + $1)),"
     echo "\"peers\": {\"r$((($1 + 1) % 3))\": \"127.0.0.1:$((port + ($1 + 1) % 3))\", \"r$((($1 + 2) % 3))\": \"127.0.0.1:$((port + ($1 + 2) % 3))\"},"
     echo "\"token\": \"secret\", \"seed\": $(($1 + 1)) }"
 }
@@ -37,7 +37,11 @@
 
 
 def call(n, method, **params):
-    connection = http.client.HTTPConnection("127.0.0.1", port + n, timeout=5)
+    # Methods of operators are on a port of their own; the first accounts are made later.
+    isOperator = method != "replica_status"
+    if isOperator:
+        params |= {"account": "bootstrap", "secret": ""}
+    connection = http.client.HTTPConnection("127.0.0.1", port + n + (10 if isOperator else 0), timeout=5)
     try:
         body = json.dumps({"jsonrpc": "2.0", "id": 1, "method": method, "params": params})
         connection.request("POST", "/rpc", body, {"Authorization": "Bearer secret", "Content-Type": "application/json"})
--- a/tools/raft-bench/main.cpp
+++ b/tools/raft-bench/main.cpp
@@ -1,4 +1,5 @@
-#include "replica/control_process_p.h"
+#include <vanillalift/replica.h>
+#include <vanillalift/rpc.h>
 
 #include <algorithm>
 #include <array>
@@ -23,18 +24,50 @@
     uint64_t m_count = 0;
 };
 
-using Group = std::array<std::unique_ptr<ControlProcess>, 3>;
+/// A replica with the server of its messages.
+class Node {
+public:
+    Node(std::unique_ptr<Replica> replica, RpcServerDesc desc)
+        : m_replica(std::move(replica))
+        , m_server(std::move(desc))
+    {
+        m_replica->addMethods(m_server);
+    }
+    ~Node() { stop(); }
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
+
+    bool start()
+    {
+        if (!m_server.start())
+            return false;
+        m_replica->start();
+        return true;
+    }
+    void stop()
+    {
+        m_replica->stop();
+        m_server.stop();
+    }
+    Replica& replica() { return *m_replica; }
+
+private:
+    std::unique_ptr<Replica> m_replica;
+    RpcServer m_server;
+};
+
+using Group = std::array<std::unique_ptr<Node>, 3>;
 
 double milliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
 
-ControlSettings settingsOf(size_t n, const std::string& folder, int port)
+std::unique_ptr<Node> makeNode(size_t n, const std::string& folder, int port, bool bootstrap, StateMachine& machine, const Clock& clock)
 {
-    ControlSettings settings { .name = "r" + std::to_string(n), .folder = folder + "/r" + std::to_string(n), .address = "127.0.0.1", .port = port + static_cast<int>(n), .seed = static_cast<int64_t>(n) + 1 };
+    ReplicaDesc desc { .name = "r" + std::to_string(n), .folder = folder + "/r" + std::to_string(n), .seed = n + 1, .bootstrap = bootstrap };
     for (size_t other = 0; other < 3; other++) {
         if (other != n)
-            settings.peers["r" + std::to_string(other)] = "127.0.0.1:" + std::to_string(port + static_cast<int>(other));
+            desc.peers["r" + std::to_string(other)] = "127.0.0.1:" + std::to_string(port + static_cast<int>(other));
     }
-    return settings;
+    return std::make_unique<Node>(Replica::open(std::move(desc), machine, clock).value(), RpcServerDesc { .address = "127.0.0.1", .port = port + static_cast<int>(n) });
 }
 
 Replica* leaderOf(const Group& group)
@@ -123,7 +156,7 @@
     Group group;
     auto open = [&](size_t n, bool bootstrap) {
         machines[n] = {};
-        group[n] = std::move(ControlProcess::open(settingsOf(n, folder, port), bootstrap, machines[n], clock).value());
+        group[n] = makeNode(n, folder, port, bootstrap, machines[n], clock);
     };
     for (size_t n = 0; n < 3; n++) {
         open(n, n == 0);
