Check the key again when a request is dispatched

Cause: a request that waits in the queue may start after its key was withdrawn; with a timeout of 10 s that is later than the 5 s in which a withdrawn key has to stop working. Change: the request carries the key's id, and the key and the service's teams are checked in the newest configuration right before each attempt. The new test fails without the check: the attempt runs.

--- a/include/vanillalift/request.h
+++ b/include/vanillalift/request.h
@@ -28,6 +28,8 @@
     std::string service;
     /// Empty for a request without a key to a service that is open to all.
     std::string team;
+    /// Key that the request came with, checked again when it is dispatched; empty without a key.
+    std::string keyId;
     std::string id;
     /// Whether the caller supplied the id, so that a resend can be recognised.
     bool hasCallerId = false;
--- a/src/caller/request_parser.cpp
+++ b/src/caller/request_parser.cpp
@@ -125,12 +125,14 @@
     }
     if (!authorization)
         return {};
-    auto check = checkKey(catalog, std::string_view(*authorization).substr(bearer.size()));
+    auto presented = std::string_view(*authorization).substr(bearer.size());
+    auto check = checkKey(catalog, presented);
     if (check.verdict == KeyVerdict::Withdrawn)
         return refusal(Reason::KeyWithdrawn, "the key has been withdrawn");
     if (check.verdict != KeyVerdict::Accepted)
         return refusal(Reason::KeyUnknown, "the key is not known");
     request.team = catalog.at(check.team).name;
+    request.keyId = presented.substr(0, presented.find('.'));
     if (!catalog.isTeamAllowed(service, check.team))
         return refusal(Reason::TeamNotAllowed, "the service does not accept this team");
     return {};
--- a/src/request/request_runner.cpp
+++ b/src/request/request_runner.cpp
@@ -134,21 +134,42 @@
     return Unknown { refusal->reason, "the release of the claim was not confirmed: " + refusal->detail, refusal->retryAt };
 }
 
+std::optional<NotRun> RequestRunner::checkKeyAgain(const Request& request)
+{
+    if (request.keyId.empty())
+        return std::nullopt;
+    auto catalog = m_authority.catalog();
+    const auto* key = catalog->findKey(request.keyId);
+    if (!key || key->withdrawn || key->team != request.team)
+        return NotRun { Reason::KeyWithdrawn, "the key was withdrawn while the request was waiting", {} };
+    auto service = catalog->findService(request.service);
+    if (!service.isValid() || !catalog->isTeamAllowed(service, catalog->findTeam(request.team)))
+        return NotRun { Reason::TeamNotAllowed, "the service stopped accepting the team while the request was waiting", {} };
+    return std::nullopt;
+}
+
+Outcome RequestRunner::refuse(Run& run, NotRun refusal)
+{
+    if (run.errorAnswer)
+        return std::move(*run.errorAnswer);
+    if (run.started == 0)
+        return refusal;
+    return Unknown { refusal.reason, std::move(refusal.detail), refusal.retryAt };
+}
+
 Outcome RequestRunner::execute(Run& run)
 {
     m_scheduler.enqueue(run.ticket, run.profile, run.weight, m_clock.now());
     for (;;) {
-        if (m_scheduler.wait(run.ticket, m_clock) == TicketState::Granted && m_scheduler.confirm(run.ticket, m_clock.now())) {
-            if (auto outcome = attempt(run))
-                return std::move(*outcome);
-            continue;
+        if (m_scheduler.wait(run.ticket, m_clock) != TicketState::Granted || !m_scheduler.confirm(run.ticket, m_clock.now()))
+            return refuse(run, std::move(run.ticket.refusal));
+        // A request may wait longer than a withdrawn key is allowed to work.
+        if (auto refusal = checkKeyAgain(run.request)) {
+            m_scheduler.endAttempt(run.ticket, AttemptVerdict::Unused, AfterAttempt::Finish, m_clock.now());
+            return refuse(run, std::move(*refusal));
         }
-        auto& refusal = run.ticket.refusal;
-        if (run.errorAnswer)
-            return std::move(*run.errorAnswer);
-        if (run.started == 0)
-            return std::move(refusal);
-        return Unknown { refusal.reason, std::move(refusal.detail), refusal.retryAt };
+        if (auto outcome = attempt(run))
+            return std::move(*outcome);
     }
 }
 
--- a/src/request/request_runner_p.h
+++ b/src/request/request_runner_p.h
@@ -27,6 +27,10 @@
     Outcome runOnce(Run& run);
     Outcome runWon(const ClaimKey& key, Run& run);
     Outcome execute(Run& run);
+    /// @returns the refusal of a request whose key no longer works.
+    std::optional<NotRun> checkKeyAgain(const Request& request);
+    /// @returns the outcome of a request that is given up before an attempt.
+    static Outcome refuse(Run& run, NotRun refusal);
     /// @returns the outcome, or nothing if the ticket is queued again.
     std::optional<Outcome> attempt(Run& run);
     void requeueUnstarted(Run& run, AttemptVerdict verdict);
--- a/tests/request_fakes.h
+++ b/tests/request_fakes.h
@@ -20,7 +20,16 @@
     {
     }
 
-    [[nodiscard]] CatalogPtr catalog() const override { return m_catalog; }
+    [[nodiscard]] CatalogPtr catalog() const override
+    {
+        std::lock_guard lock(m_mutex);
+        return m_catalog;
+    }
+    void setCatalog(Catalog catalog)
+    {
+        std::lock_guard lock(m_mutex);
+        m_catalog = std::make_shared<const Catalog>(std::move(catalog));
+    }
     [[nodiscard]] TimePoint leaseEnd() const override { return lease.load(); }
     [[nodiscard]] int64_t limitPart(std::string_view team, TimePoint now) const override
     {
@@ -32,6 +41,7 @@
     std::map<std::string, int64_t, std::less<>> parts;
 
 private:
+    mutable std::mutex m_mutex;
     CatalogPtr m_catalog;
 };
 
--- a/tests/request_runner_test.cpp
+++ b/tests/request_runner_test.cpp
@@ -340,6 +340,34 @@
     CHECK(reasonOf<NotRun>(bed.handle(RunnerBed::request("a", "3", 3600000))) == Reason::ConfigurationStale);
 }
 
+TEST_CASE("a key withdrawn while its request is queued starts no work", "[runner]")
+{
+    RunnerBed bed;
+    auto catalog = makeCatalog();
+    catalog.keys = { { "k1", "x", "", "", false } };
+    bed.authority.setCatalog(catalog);
+    std::atomic<int> attempts { 0 };
+    bed.client.onSend = [&](const AttemptDesc&) -> AttemptResult {
+        ++attempts;
+        return AttemptAnswered { { 200, {}, "" } };
+    };
+    auto request = RunnerBed::request("a", "1");
+    request.keyId = "k1";
+    bed.pool.rooms["a"].own = 1;
+    auto held = bed.pool.acquire({ "a", false, {} }, bed.clock.now());
+    FakeCaller caller;
+    auto outcome = bed.start(request, caller);
+    bed.awaitQueued(1);
+    catalog.keys.front().withdrawn = true;
+    bed.authority.setCatalog(catalog);
+    bed.pool.release(*held, AttemptVerdict::Succeeded, true, bed.clock.now());
+    bed.runner.endpointsChanged("a");
+    CHECK(reasonOf<NotRun>(outcome.get()) == Reason::KeyWithdrawn);
+    CHECK(attempts == 0);
+    CHECK(bed.pool.taken() == 0);
+    CHECK(bed.running("x") == 0);
+}
+
 TEST_CASE("a queued request ends as not-run at its deadline or when its caller disconnects", "[runner]")
 {
     RunnerBed bed;
