Add the service-level burn report

Cause: operators have to see how fast each service uses up its availability budget and how near each team comes to its share. Change: entries count good and bad receipts of each service over the last six hours (/v1/burn); vanillalift-report sums them up over the entries and prints burn rates with multi-window alerts as text, JSON or an HTML page.

--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -73,12 +73,13 @@
 
 } // namespace
 
-CallerServer::CallerServer(CallerServerDesc desc, const Clock& clock, const Authority& authority, RequestHandler& handler, Metrics& metrics, DecisionLog& decisions)
+CallerServer::CallerServer(CallerServerDesc desc, const Clock& clock, const Authority& authority, RequestHandler& handler, Metrics& metrics, DecisionLog& decisions, BurnLog& burns)
     : m_clock(clock)
     , m_authority(authority)
     , m_handler(handler)
     , m_metrics(metrics)
     , m_decisions(decisions)
+    , m_burns(burns)
     , m_parser(authority, desc.entryName)
     , m_server(completed(std::move(desc.http)))
 {
@@ -186,6 +187,8 @@
     auto refusal = std::visit(ViewRefusal { now }, outcome);
     auto seconds = std::chrono::duration<double>(now - receivedAt).count();
     m_metrics.count({ request.service, request.team, outcomeName(outcome), refusal ? reasonName(refusal->reason) : "", seconds });
+    if (!request.service.empty())
+        m_burns.record(request.service, isServiceFailure(outcome), now);
     if (!refusal)
         return;
     m_decisions.record({ wallClockMs(), request.service, request.team, request.id, std::string(outcomeName(outcome)), refusal->reason, std::string(refusal->detail),
--- a/src/caller/caller_server_p.h
+++ b/src/caller/caller_server_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/burn_log_p.h"
 #include "core/decision_log_p.h"
 #include "core/metrics_p.h"
 #include "http/http_server_p.h"
@@ -17,7 +18,7 @@
 /// HTTP front end for callers: parses requests, checks keys, and writes outcomes as responses.
 class CallerServer {
 public:
-    CallerServer(CallerServerDesc desc, const Clock& clock, const Authority& authority, RequestHandler& handler, Metrics& metrics, DecisionLog& decisions);
+    CallerServer(CallerServerDesc desc, const Clock& clock, const Authority& authority, RequestHandler& handler, Metrics& metrics, DecisionLog& decisions, BurnLog& burns);
 
     [[nodiscard]] bool start() { return m_server.start(); }
     /// Refuses each new request with shutting-down; requests in progress go on.
@@ -41,6 +42,7 @@
     RequestHandler& m_handler;
     Metrics& m_metrics;
     DecisionLog& m_decisions;
+    BurnLog& m_burns;
     RequestParser m_parser;
     std::atomic<bool> m_isShuttingDown { false };
     HttpServer m_server;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -5,6 +5,8 @@
 
 #include <glog/logging.h>
 
+#include <numeric>
+
 namespace vanillalift {
 
 namespace {
@@ -93,7 +95,7 @@
     , m_claims(claimsDesc(settings, incarnation), makeRing(settings), m_peerTransport, m_clock)
     , m_claimServer(m_claims)
     , m_runner(settings.name, m_clock, m_authority, m_scheduler, m_client, m_claims)
-    , m_callers({ settings.name, callerDesc(settings) }, m_clock, m_authority, m_runner, m_metrics, m_decisions)
+    , m_callers({ settings.name, callerDesc(settings) }, m_clock, m_authority, m_runner, m_metrics, m_decisions, m_burns)
     , m_announcements(settings.name, static_cast<int64_t>(settings.entries.size()), m_endpoints, m_clock)
     , m_announceServer(serverDesc(settings, settings.announcePort))
     , m_adminServer(serverDesc(settings, settings.adminPort))
@@ -145,6 +147,9 @@
             rows.push_back(toJson(it));
         response.set_content(rows.dump() + "\n", "application/json");
     });
+    m_adminServer.Get("/v1/burn", [this](const httplib::Request& /*request*/, httplib::Response& response) {
+        response.set_content(burnToJson().dump() + "\n", "application/json");
+    });
     m_adminServer.Get("/v1/teams", [this](const httplib::Request& /*request*/, httplib::Response& response) {
         auto rows = nlohmann::json::array();
         for (const auto& it : m_scheduler.teamUse())
@@ -153,6 +158,32 @@
     });
 }
 
+nlohmann::json EntryProcess::burnToJson() const
+{
+    nlohmann::json value { { "services", nlohmann::json::array() }, { "teams", nlohmann::json::array() } };
+    auto catalog = m_authority.catalog();
+    if (!catalog)
+        return value;
+    for (const auto& it : m_burns.burn(m_clock.now())) {
+        auto service = catalog->findService(it.service);
+        if (!service.isValid())
+            continue;
+        nlohmann::json row { { "service", it.service }, { "availability_budget", catalog->profileOf(service).availabilityBudget }, { "windows", nlohmann::json::array() } };
+        for (const auto& window : it.windows)
+            row["windows"].push_back({ { "length_s", window.length.count() }, { "good", window.good }, { "bad", window.bad } });
+        value["services"].push_back(std::move(row));
+    }
+    for (const auto& it : m_scheduler.teamStats()) {
+        auto team = catalog->findTeam(it.name);
+        if (!team.isValid())
+            continue;
+        auto refused = std::accumulate(it.refused.byReason.begin(), it.refused.byReason.end(), uint64_t { 0 });
+        value["teams"].push_back({ { "team", it.name }, { "share", catalog->at(team).share }, { "upper_limit", catalog->at(team).upperLimit },
+            { "running", it.running }, { "queued", it.queued }, { "dispatched", it.dispatched }, { "refused", refused } });
+    }
+    return value;
+}
+
 bool EntryProcess::start()
 {
     if (!m_peerServer->start() || !m_announceServer.start() || !m_adminServer.start() || !m_callers.start()) {
--- a/src/entry/entry_process_p.h
+++ b/src/entry/entry_process_p.h
@@ -37,6 +37,7 @@
 private:
     void addGauges();
     void addStatusRoutes();
+    [[nodiscard]] nlohmann::json burnToJson() const;
     void expireEndpoints(const std::stop_token& stop);
     [[nodiscard]] bool isReady() const;
 
@@ -44,6 +45,7 @@
     SystemClock m_clock;
     Metrics m_metrics;
     DecisionLog m_decisions;
+    BurnLog m_burns;
     std::atomic<bool> m_isStopping { false };
     std::unique_ptr<ControlFollower> m_follower;
     std::unique_ptr<Authority> m_ownAuthority;
--- a/tests/caller_server_test.cpp
+++ b/tests/caller_server_test.cpp
@@ -43,7 +43,7 @@
     {
         authority.current = makeCatalog();
         server = std::make_unique<CallerServer>(CallerServerDesc { "entry-1", { .address = "127.0.0.1", .maxActiveRequests = 4, .maxBodyBytes = maxBodyBytes } },
-            clock, authority, handler, metrics, decisions);
+            clock, authority, handler, metrics, decisions, burns);
         REQUIRE(server->start());
     }
 
@@ -66,6 +66,7 @@
     FakeHandler handler;
     Metrics metrics;
     DecisionLog decisions;
+    BurnLog burns;
     std::unique_ptr<CallerServer> server;
 };
 
--- /dev/null
+++ b/tools/report/main.cpp
@@ -0,0 +1,56 @@
+#include "core/command_line_p.h"
+#include "report/burn_report_p.h"
+
+#include <httplib.h>
+
+#include <fstream>
+#include <iostream>
+
+using namespace vanillalift;
+
+namespace {
+
+/// @returns null if the entry did not answer.
+nlohmann::json fetchBurn(const std::string& address)
+{
+    constexpr time_t timeoutS = 2;
+    httplib::Client client("http://" + address);
+    client.set_connection_timeout(timeoutS);
+    client.set_read_timeout(timeoutS);
+    auto response = client.Get("/v1/burn");
+    if (!response || response->status != 200)
+        return nullptr;
+    auto value = nlohmann::json::parse(response->body, nullptr, false);
+    return value.is_discarded() ? nlohmann::json() : value;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    bool isJson = false;
+    std::string htmlFile;
+    CommandLine commandLine("vanillalift-report", "ADMIN_ADDRESS...", 1, 64);
+    commandLine.add("json", 'j', "Print JSON instead of text", isJson);
+    commandLine.add("html", 'o', "FILE", "Write an HTML page as well", htmlFile);
+    auto entries = commandLine.parse(argc, argv);
+    if (!entries)
+        return entries.error();
+    std::vector<nlohmann::json> answers;
+    for (const auto& it : *entries)
+        answers.push_back(fetchBurn(it));
+    auto report = makeBurnReport(*entries, answers);
+    if (isJson)
+        std::cout << toJson(report).dump(2) << "\n";
+    else
+        printText(std::cout, report);
+    if (!htmlFile.empty()) {
+        std::ofstream file(htmlFile);
+        printHtml(file, report);
+        if (!file.flush()) {
+            std::cerr << htmlFile << ": cannot be written\n";
+            return 1;
+        }
+    }
+    return report.entries.empty() ? 1 : 0;
+}
