Divide a fixed limit without loss, and report readiness by what can be served

Cause: without control each entry held limit / entries rounded down, so a team with a limit of 5 at 9 entries got nothing; an entry without a lease and without open services still called itself ready. Change: the first entries hold one unit more; /readyz is 503 when no service can be served.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -48,10 +48,15 @@
         return addresses;
     }
 
+    auto ownEntry(const EntrySettings& settings)
+    {
+        return std::find_if(settings.entries.begin(), settings.entries.end(), [&](const SiteEntry& it) { return it.name == settings.name; });
+    }
+
     RpcServerDesc peerServerDesc(const EntrySettings& settings)
     {
-        const auto& own = *std::find_if(settings.entries.begin(), settings.entries.end(), [&](const SiteEntry& it) { return it.name == settings.name; });
-        auto port = std::atoi(own.peerAddress.c_str() + own.peerAddress.rfind(':') + 1);
+        const auto& address = ownEntry(settings)->peerAddress;
+        auto port = std::atoi(address.c_str() + address.rfind(':') + 1);
         // Each peer uses up to PeerClaimsDesc::callsPerPeer connections, and each call in progress holds a thread.
         auto threads = static_cast<int>(PeerClaimsDesc {}.callsPerPeer * settings.entries.size());
         return { settings.address, port, threads, settings.token };
@@ -74,11 +79,12 @@
         return std::make_unique<ControlFollower>(std::move(desc), clock);
     }
 
-    std::unique_ptr<Authority> makeStaticAuthority(std::optional<Catalog> catalog, size_t entryCount)
+    std::unique_ptr<Authority> makeStaticAuthority(const EntrySettings& settings, std::optional<Catalog> catalog)
     {
         if (!catalog)
             return nullptr;
-        return std::make_unique<StaticAuthority>(std::move(*catalog), static_cast<int64_t>(entryCount));
+        auto index = ownEntry(settings) - settings.entries.begin();
+        return std::make_unique<StaticAuthority>(std::move(*catalog), static_cast<int64_t>(settings.entries.size()), index);
     }
 
 } // namespace
@@ -86,7 +92,7 @@
 EntryProcess::EntryProcess(const EntrySettings& settings, std::optional<Catalog> catalog, uint64_t incarnation)
     : m_settings(settings)
     , m_follower(makeFollower(settings, m_clock, incarnation))
-    , m_ownAuthority(makeStaticAuthority(std::move(catalog), settings.entries.size()))
+    , m_ownAuthority(makeStaticAuthority(settings, std::move(catalog)))
     , m_authority(m_follower ? static_cast<Authority&>(*m_follower) : *m_ownAuthority)
     , m_endpoints(settings.zone, static_cast<int64_t>(settings.entries.size()), std::mt19937_64(incarnation))
     , m_client(m_clock)
@@ -118,7 +124,13 @@
 
 bool EntryProcess::isReady() const
 {
-    return !m_isStopping && m_authority.catalog() != nullptr;
+    auto catalog = m_authority.catalog();
+    if (m_isStopping || !catalog)
+        return false;
+    // Without a lease the entry can only answer for services that are open to all. If there are none, the balancer should
+    // send its callers to another entry.
+    auto isOpen = [&](const Service& it) { return catalog->profileOf(catalog->findService(it.name)).openToAll; };
+    return m_clock.now() < m_authority.leaseEnd() || std::any_of(catalog->services.begin(), catalog->services.end(), isOpen);
 }
 
 void EntryProcess::addGauges()
