--- a/src/follow/follow_service.cpp
+++ b/src/follow/follow_service.cpp
@@ -36,8 +36,8 @@
     {
         auto catalog = state.catalog();
         int64_t longest = 0;
-        for (uint16_t n = 0; n < catalog.services.size(); ++n) {
-            const auto& profile = catalog.profileOf({ n });
+        for (const auto& it : catalog.services) {
+            const auto& profile = catalog.profileOf(catalog.findService(it.name));
             if (profile.openToAll)
                 longest = std::max(longest, profile.isolatedMs);
         }
--- a/src/operator/operator_client.cpp
+++ b/src/operator/operator_client.cpp
@@ -51,7 +51,7 @@
     return *result;
 }
 
-tl::expected<json, OperatorError> OperatorClient::call(const std::string& method, json params, TimePoint deadline)
+tl::expected<json, OperatorError> OperatorClient::call(const std::string& method, const json& params, TimePoint deadline)
 {
     while (true) {
         auto result = callReplica(m_current, method, params, std::min(deadline, BootClock::now() + attemptTimeout));
--- a/src/operator/operator_client_p.h
+++ b/src/operator/operator_client_p.h
@@ -37,7 +37,7 @@
 public:
     explicit OperatorClient(OperatorClientDesc desc);
 
-    tl::expected<nlohmann::json, OperatorError> call(const std::string& method, nlohmann::json params, TimePoint deadline);
+    tl::expected<nlohmann::json, OperatorError> call(const std::string& method, const nlohmann::json& params, TimePoint deadline);
     /// Calls one replica, leader or not.
     tl::expected<nlohmann::json, OperatorError> callReplica(size_t replica, const std::string& method, nlohmann::json params, TimePoint deadline);
 
