Decide a not-run answer by the receipts that may have caused the attempt

Cause: the check took every attempt from before the end of a refused call as proof against it, also one that a later or overlapping call with the same id had caused. It could not see attempts of a killed endpoint, which wrote its record at the end only, and endpoints recorded wall-clock time without instance and service, which the reader needs.

Change: an attempt refutes a not-run answer only if no other call of the id that says something else may have caused it. A request that its caller did not abandon and that ends without an answer is a violation of its own. The summary counts outcomes by team.

Conclusion: the tests hold a case on either side of each rule.

--- a/src/bench/history_p.h
+++ b/src/bench/history_p.h
@@ -77,6 +77,8 @@
 
 /// Reads run.json, calls.jsonl and every endpoint-*.jsonl of a folder. A missing file, a damaged or unfinished line
 /// and a history without a call are errors.
+/// @remarks Endpoints write a line when an attempt starts and one when it ends, so that the attempts of a killed
+/// endpoint are known, and a line when they start to leave.
 tl::expected<History, HistoryError> readHistory(const std::string& folder);
 
 enum class Promise : uint8_t {
@@ -85,6 +87,8 @@
     OwnAnswer,
     UpperLimit,
     LeavingEndpoint,
+    /// The last call of a request that its caller did not abandon got no answer.
+    FinalAnswer,
     /// Endpoints ran something that no call asked for, so that the files do not belong together.
     FilesMatch,
     PromiseCount,
@@ -106,10 +110,24 @@
     double p50Ms = 0;
     double p99Ms = 0;
     double maxMs = 0;
+    /// Answers a second within the full window.
+    double goodput = 0;
+};
+
+/// What the requests of a team came to: the best outcome over the calls of each request.
+struct TeamSummary {
+    int64_t requests = 0;
+    int64_t answered = 0;
+    int64_t notRun = 0;
+    int64_t unknown = 0;
+    int64_t lost = 0;
+    /// Requests that were sent again.
+    int64_t resent = 0;
 };
 
 struct Summary {
     std::map<std::string, ServiceSummary> services;
+    std::map<std::string, TeamSummary> teams;
     /// Part of the running time within the full window less the part owed by weight, by team.
     std::map<std::string, double> shareErrors;
 };
--- a/src/standin/endpoint_work_p.h
+++ b/src/standin/endpoint_work_p.h
@@ -42,6 +42,8 @@
     WriteFault handle(const httplib::Request& request, httplib::Response& response);
 
     [[nodiscard]] int64_t running() const;
+    /// Records that the endpoint has started to leave.
+    void recordLeaving();
     /// From now on each request is refused as not started.
     void close();
     /// @returns whether nothing runs and nothing has arrived since @p quiet ago.
@@ -60,7 +62,8 @@
     void finish();
     Plan plan();
     WriteFault run(const httplib::Request& request, httplib::Response& response);
-    void record(const httplib::Request& request, int64_t startNs, bool isFinished);
+    void record(const char* event, const httplib::Request& request, int64_t startNs, bool isFinished);
+    void write(const nlohmann::json& line);
 
     EndpointSettings m_settings;
     const Clock& m_clock;
--- a/tests/bench_history_test.cpp
+++ b/tests/bench_history_test.cpp
@@ -85,6 +85,82 @@
     CHECK(broken(history).empty());
 }
 
+TEST_CASE("a not-run is refuted only by an attempt of its own or an earlier receipt", "[bench]")
+{
+    auto history = goodHistory();
+    history.run.limits["red"] = 9;
+    // The refused call c3 runs from 120 to 200, the other call of the same request from otherStart to otherEnd.
+    auto verdictOf = [&](bool isIdempotent, int64_t otherStart, int64_t otherEnd, const std::string& outcome, int64_t attemptStart) {
+        auto changed = history;
+        changed.calls[2].idempotent = isIdempotent;
+        changed.calls.push_back({ "c4", "r3", "e1", "red", "s", isIdempotent, otherStart, otherStart, otherEnd, 0, outcome, "abandoned", true });
+        changed.attempts.push_back({ "r3", "a3", "red", "POST", attemptStart, attemptStart + 1, true, "i-2", "s" });
+        return broken(changed);
+    };
+    const Promises refuted { Promise::NotRunIsTrue };
+    SECTION("a later or overlapping receipt explains the attempt")
+    {
+        auto isIdempotent = GENERATE(false, true);
+        CHECK(verdictOf(isIdempotent, 130, 300, "answered", 140).empty());
+        CHECK(verdictOf(isIdempotent, 100, 300, "unknown", 140).empty());
+        CHECK(verdictOf(isIdempotent, 300, 400, "answered", 350).empty());
+    }
+    SECTION("a call that its caller gave up may arrive later than the refused one")
+    {
+        CHECK(verdictOf(false, 50, 60, "lost", 140).empty());
+        CHECK(verdictOf(false, 50, 60, "lost", 119) == refuted);
+    }
+    SECTION("an attempt from before the refused call was of an earlier receipt")
+    {
+        CHECK(verdictOf(false, 50, 300, "answered", 119) == refuted);
+        CHECK(verdictOf(true, 50, 300, "answered", 119).empty());
+    }
+    SECTION("a call that had ended before the refused one is an earlier receipt")
+    {
+        CHECK(verdictOf(false, 50, 119, "unknown", 140) == refuted);
+        CHECK(verdictOf(false, 50, 120, "unknown", 140).empty());
+    }
+    SECTION("a call cannot have caused an attempt from before its start or after its answer, nor one that it denies")
+    {
+        auto isIdempotent = GENERATE(false, true);
+        CHECK(verdictOf(isIdempotent, 141, 300, "answered", 140) == refuted);
+        CHECK(verdictOf(isIdempotent, 100, 139, "answered", 140) == refuted);
+        CHECK(verdictOf(isIdempotent, 300, 400, "answered", 500) == refuted);
+        CHECK(verdictOf(isIdempotent, 130, 300, "not-run", 140).size() == 2);
+    }
+}
+
+TEST_CASE("a request that ends without any answer is found unless its caller gave up", "[bench]")
+{
+    auto history = goodHistory();
+    history.calls.push_back({ "c4", "r4", "e1", "red", "s", true, 100, 100, 900, 0, "lost", "abandoned", false });
+    CHECK(broken(history).empty());
+    history.calls.back().reason = "Failed to read connection";
+    CHECK(broken(history) == Promises { Promise::FinalAnswer });
+    history.calls.push_back({ "c5", "r4", "e1", "red", "s", true, 900, 900, 950, 503, "not-run", "no-endpoint", false });
+    CHECK(broken(history).empty());
+}
+
+TEST_CASE("an attempt of a killed endpoint counts, and one that ended counts once", "[bench]")
+{
+    Folder folder;
+    folder.write("run.json", runText);
+    folder.write("calls.jsonl", callText + "\n");
+    auto line = [](const char* event, const char* attempt) {
+        auto value = nlohmann::json::parse(attemptText);
+        value["event"] = event;
+        value["attempt"] = attempt;
+        return value.dump() + "\n";
+    };
+    folder.write("endpoint-i.jsonl", line("start", "a1") + line("start", "a2") + line("end", "a1") + R"({"event":"leaving","instance":"i","at_ns":7})" + "\n" + line("start", "a1"));
+    auto history = readHistory(folder.path.string());
+    REQUIRE(history);
+    // The last line is a second run under the same attempt id.
+    CHECK(history->attempts.size() == 3);
+    REQUIRE(history->run.leaving.size() == 1);
+    CHECK(history->run.leaving[0].atNs == 7);
+}
+
 TEST_CASE("an answer that belongs to another call is found", "[bench]")
 {
     auto history = goodHistory();
@@ -163,6 +239,9 @@
     auto summary = summarize(history);
     CHECK(summary.services["s"].maxMs == Approx(5));
     CHECK(summary.services["s"].answered == 2);
+    CHECK(summary.teams["red"].requests == 3);
+    CHECK(summary.teams["red"].answered == 2);
+    CHECK(summary.teams["red"].notRun == 1);
     CHECK(summary.shareErrors["red"] == Approx(0.5));
     CHECK(summary.shareErrors["blue"] == Approx(-0.5));
 }
--- a/tools/endpoint/main.cpp
+++ b/tools/endpoint/main.cpp
@@ -18,6 +18,7 @@
 void leaveGracefully(const EndpointSettings& settings, Announcer& announcer, EndpointWork& work)
 {
     LOG(INFO) << "endpoint " << settings.announcement.instance << " is leaving";
+    work.recordLeaving();
     if (!settings.faults.ignoreLeaving)
         announcer.leave();
     // An entry that has not heard of it yet may still send; quiet time is counted from now at the earliest.
