Add vanillalift-bench load: waves, steady and closed-loop load

Cause: the history check had no generator of histories.

Change: `load` draws Poisson arrivals from a seed, sends them over keep-alive connections, counts latency from the intended start, sends calls without a known outcome again with the same id through another entry, abandons some before their answer, and writes calls.jsonl and run.json. The shapes are waves (each service in turn five times its mean, a twentieth in between), steady with a factor, and closed with N callers. It leaves out entries whose /readyz fails, as the balancer of a site does.

--- a/tools/bench/main.cpp
+++ b/tools/bench/main.cpp
@@ -1,11 +1,24 @@
-#include "bench/history_p.h"
+#include "bench/load_p.h"
+#include "core/command_line_p.h"
 
+#include <csignal>
 #include <iostream>
 
+using namespace vanillalift;
 using namespace vanillalift::bench;
 
 namespace {
 
+struct Options {
+    std::string settings;
+    std::string out;
+    std::string shape;
+    std::string factor;
+    int64_t seed = 1;
+    int64_t callers = 0;
+    int64_t requests = -1;
+};
+
 int check(const std::string& folder)
 {
     auto history = readHistory(folder);
@@ -22,13 +35,65 @@
     return violations.empty() ? 0 : 1;
 }
 
-} // namespace
+/// Options replace the fields of the settings file.
+tl::expected<LoadSettings, SettingsFaults> readLoadSettings(const Options& options)
+{
+    auto value = loadSettings(options.settings);
+    if (!value)
+        return tl::unexpected(std::move(value.error()));
+    if (!options.shape.empty())
+        (*value)["shape"] = options.shape;
+    if (!options.factor.empty())
+        (*value)["factor"] = nlohmann::json::parse(options.factor, nullptr, false);
+    if (options.callers > 0)
+        (*value)["callers"] = options.callers;
+    if (options.requests >= 0)
+        (*value)["requests"] = options.requests;
+    return loadSettingsFromJson(*value, options.settings);
+}
 
-int main(int argc, char** argv)
+int load(const Options& options)
 {
-    if (argc != 3 || std::string_view(argv[1]) != "check") {
-        std::cerr << "usage: vanillalift-bench check DIR\n";
+    if (options.settings.empty() || options.out.empty()) {
+        std::cerr << "load needs --settings and --out\n";
+        return 2;
+    }
+    auto settings = readLoadSettings(options);
+    if (!settings) {
+        std::cerr << describe(settings.error());
         return 2;
     }
-    return check(argv[2]);
+    auto history = runLoad(*settings, static_cast<uint64_t>(options.seed));
+    if (!writeHistory(history, options.out)) {
+        std::cerr << options.out << ": the history cannot be written\n";
+        return 1;
+    }
+    auto summary = summarize(history);
+    std::cout << toTable(summary) << toJson(summary).dump() << "\n";
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    Options options;
+    CommandLine commandLine("vanillalift-bench", "check DIR | load --settings FILE --seed N --out DIR", 1, 2);
+    commandLine.add("settings", 's', "FILE", "Settings of the load", options.settings);
+    commandLine.add("seed", 'n', "N", "Seed of arrivals, teams, resends and abandoned calls", options.seed);
+    commandLine.add("out", 'o', "DIR", "Folder that receives calls.jsonl and run.json", options.out);
+    commandLine.add("shape", 0, "waves|steady|closed", "Shape of the load", options.shape);
+    commandLine.add("factor", 0, "X", "Steady shape: the rate relative to each service's", options.factor);
+    commandLine.add("callers", 0, "N", "Calls in progress at once; in the closed shape the number of callers", options.callers);
+    commandLine.add("requests", 0, "N", "End after this many requests; 0 for no bound", options.requests);
+    auto operands = commandLine.parse(argc, argv);
+    if (!operands)
+        return operands.error();
+    signal(SIGPIPE, SIG_IGN);
+    if (operands->size() == 2 && operands->front() == "check")
+        return check(operands->back());
+    if (operands->size() == 1 && operands->front() == "load")
+        return load(options);
+    std::cerr << "usage: vanillalift-bench check DIR | load --settings FILE --seed N --out DIR\n";
+    return 2;
 }
