Report an entry as ready only when endpoints can have announced themselves

Endpoints announce themselves once a second.

Change: an entry is ready 1.5 s after its start at the earliest, one announcement interval and the time limit of an announcement. Its ports serve before that, as announcements need them.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -14,6 +14,10 @@
     /// Longest pause between two looks for expired endpoints.
     constexpr milliseconds endpointCheckInterval { 100 };
 
+    /// Endpoints announce themselves once a second with a time limit of 0.5 s. Before that, an entry that has just
+    /// started knows none of them and refuses with no-endpoint what another entry could run.
+    constexpr milliseconds firstAnnouncements { 1500 };
+
     HttpServerDesc serverDesc(const EntrySettings& settings, int64_t port)
     {
         return { .address = settings.address, .port = static_cast<int>(port), .idleTimeout = milliseconds(settings.idleTimeoutMs) };
@@ -116,7 +120,7 @@
 
 bool EntryProcess::isReady() const
 {
-    return !m_isStopping && m_authority.catalog() != nullptr;
+    return !m_isStopping && m_authority.catalog() != nullptr && m_clock.now() >= m_startedAt + firstAnnouncements;
 }
 
 void EntryProcess::addGauges()
--- a/src/entry/entry_process_p.h
+++ b/src/entry/entry_process_p.h
@@ -42,6 +42,7 @@
 
     EntrySettings m_settings;
     SystemClock m_clock;
+    TimePoint m_startedAt = m_clock.now();
     Metrics m_metrics;
     DecisionLog m_decisions;
     std::atomic<bool> m_isStopping { false };
