--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -16,6 +16,10 @@
     /// Longest pause between two looks for expired endpoints.
     constexpr milliseconds endpointCheckInterval { 100 };
 
+    /// Endpoints announce themselves once a second with a time limit of 0.5 s. Before that, an entry that has just
+    /// started knows none of them and refuses with no-endpoint what another entry could run.
+    constexpr milliseconds firstAnnouncements { 1500 };
+
     HttpServerDesc serverDesc(const EntrySettings& settings, int64_t port)
     {
         return { .address = settings.address, .port = static_cast<int>(port), .idleTimeout = milliseconds(settings.idleTimeoutMs) };
@@ -125,7 +129,7 @@
 bool EntryProcess::isReady() const
 {
     auto catalog = m_authority.catalog();
-    if (m_isStopping || !catalog)
+    if (m_isStopping || !catalog || m_clock.now() < m_startedAt + firstAnnouncements)
         return false;
     // Without a lease the entry can only answer for services that are open to all. If there are none, the balancer should
     // send its callers to another entry.
--- a/src/entry/entry_process_p.h
+++ b/src/entry/entry_process_p.h
@@ -43,6 +43,7 @@
 
     EntrySettings m_settings;
     SystemClock m_clock;
+    TimePoint m_startedAt = m_clock.now();
     Metrics m_metrics;
     DecisionLog m_decisions;
     BurnLog m_burns;
