Let only the leader refuse an account, and show the status of a new disk

Cause: a replica that had lost its disk knows no accounts, so it refused vanillalift-ctl status to every operator, and its storage id, which replace-replica needs, could not be learned. vanillalift-ctl also ended with not-permitted if it asked a replica that was still behind first. Change: a replica without accounts shows its status to everyone; another method is refused only after the replica was confirmed as leader, else the answer is not-leader and vanillalift-ctl tries the next one. Conclusion: a lost disk can be replaced with vanillalift-ctl alone; control_service_test covers both cases.

--- a/src/operator/operator_service.cpp
+++ b/src/operator/operator_service.cpp
@@ -53,16 +53,16 @@
     add(server, "history", &OperatorService::history, OperatorRole::Viewer);
     add(server, "in_force", &OperatorService::inForce, OperatorRole::Viewer);
     add(server, "explain", &OperatorService::explain, OperatorRole::Viewer);
-    add(server, "status", &OperatorService::status, OperatorRole::Viewer);
+    add(server, "status", &OperatorService::status, std::nullopt);
     add(server, "replace_replica", &OperatorService::replaceReplica, OperatorRole::Admin);
 }
 
-void OperatorService::add(RpcServer& server, const char* name, Method method, OperatorRole role)
+void OperatorService::add(RpcServer& server, const char* name, Method method, std::optional<OperatorRole> role)
 {
     server.add(name, [this, method, role](const json& params) -> RpcResult {
         try {
-            if (!isPermitted(params, role))
-                return tl::unexpected(RpcError { RpcErrorCode::Refused, "not-permitted" });
+            if (auto error = checkPermission(params, role))
+                return tl::unexpected(*error);
             return (this->*method)(params);
         } catch (const json::exception& error) {
             return tl::unexpected(malformed(error));
@@ -70,6 +70,22 @@
     });
 }
 
+std::optional<RpcError> OperatorService::checkPermission(const json& params, std::optional<OperatorRole> role)
+{
+    // A replica without state (a new disk) knows no accounts. Operators need its storage id to let it vote.
+    bool hasAccounts = m_machine.read([](const ControlState& state) { return !state.operators().empty(); });
+    if ((!role && !hasAccounts) || isPermitted(params, role.value_or(OperatorRole::Viewer)))
+        return std::nullopt;
+    // The accounts of a replica that is behind may be older than the caller's; only the leader's refusal is final.
+    if (role) {
+        if (auto error = confirmLeadership())
+            return error;
+        if (isPermitted(params, *role))
+            return std::nullopt;
+    }
+    return RpcError { RpcErrorCode::Refused, "not-permitted" };
+}
+
 bool OperatorService::isPermitted(const json& params, OperatorRole role) const
 {
     auto account = params.at("account").get<std::string>();
--- a/src/operator/operator_service_p.h
+++ b/src/operator/operator_service_p.h
@@ -30,7 +30,10 @@
 private:
     using Method = RpcResult (OperatorService::*)(const nlohmann::json& params);
 
-    void add(RpcServer& server, const char* name, Method method, OperatorRole role);
+    /// @param role nothing for a method that a replica without accounts answers to everyone.
+    void add(RpcServer& server, const char* name, Method method, std::optional<OperatorRole> role);
+    /// @returns nothing if the account may call the method.
+    std::optional<RpcError> checkPermission(const nlohmann::json& params, std::optional<OperatorRole> role);
     /// @returns whether the account exists, its secret fits and its role suffices.
     [[nodiscard]] bool isPermitted(const nlohmann::json& params, OperatorRole role) const;
     /// @returns nothing if this replica was confirmed as leader and has applied all that was committed before.
--- a/tests/control_service_test.cpp
+++ b/tests/control_service_test.cpp
@@ -162,6 +162,32 @@
     CHECK(control.follow.inForce(control.revision())->isInForce);
 }
 
+TEST_CASE("a replica that is behind does not refuse an account, and a new disk tells its storage id", "[control]")
+{
+    Control behind;
+    behind.log.isLeader = false;
+    behind.log.canReachMajority = false;
+    ControlMachine empty;
+    FollowService follow(behind.log, empty, behind.clock);
+    OperatorService service(behind.log, empty, follow);
+    RpcServer server({ "127.0.0.1", 28471, 2, "" });
+    service.addMethods(server);
+    REQUIRE(server.start());
+    RpcClient client("127.0.0.1:28471", "");
+    auto call = [&](const std::string& method) {
+        return client.call(method, { { "account", "ana" }, { "secret", "s" }, { "kind", "teams" } }, BootClock::now() + seconds(5));
+    };
+    CHECK(call("status"));
+    auto read = call("read");
+    REQUIRE_FALSE(read);
+    // vanillalift-ctl tries the next replica on this error, and ends on "not-permitted".
+    CHECK(read.error().message.rfind("not-leader", 0) == 0);
+    behind.log.canReachMajority = true;
+    read = call("read");
+    REQUIRE_FALSE(read);
+    CHECK(read.error().message == "not-permitted");
+}
+
 TEST_CASE("operators' calls need the right secret and role, and no answer shows a salt or hash", "[control]")
 {
     Control control;
