Report a change in force although answers to an entry are lost

Cause: each answer to a poll extended the lease that the leader assumed for the entry, also when the answer carried the new revision.

--- a/src/follow/entry_table.cpp
+++ b/src/follow/entry_table.cpp
@@ -13,6 +13,16 @@
 
 } // namespace
 
+TimePoint EntryRecord::leaseEndBefore(uint64_t revision) const
+{
+    TimePoint end {};
+    for (auto it = leaseEnds.begin(); it != leaseEnds.lower_bound(revision); ++it)
+        end = std::max(end, it->second);
+    return end;
+}
+
+TimePoint EntryRecord::leaseEnd() const { return leaseEndBefore(std::numeric_limits<uint64_t>::max()); }
+
 EntryTable::EntryTable(TimePoint leaderSince)
     : m_leaderSince(leaderSince)
 {
@@ -23,9 +33,13 @@
     auto [it, isNew] = m_entries.try_emplace(request.entry);
     auto& record = it->second;
     if (isNew)
-        record.leaseEnd = std::max(unknownLeaseEnd(), now);
+        record.leaseEnds[0] = std::max(unknownLeaseEnd(), now);
     record.zone = request.zone;
     record.revision = std::max(record.revision, request.revision);
+    // The entry never goes back before a revision it has applied, so older leases need not be told apart.
+    auto end = record.leaseEndBefore(record.revision + 1);
+    record.leaseEnds.erase(record.leaseEnds.begin(), record.leaseEnds.upper_bound(record.revision));
+    record.leaseEnds[record.revision] = end;
     record.partsVersion = std::max(record.partsVersion, request.partsVersion);
     // Polls of one entry may arrive out of order; an older report must not stand for a newer version of the parts.
     if (request.use && request.partsVersion >= record.useVersion) {
@@ -34,22 +48,22 @@
     }
 }
 
-void EntryTable::recordAnswer(const EntryId& entry, TimePoint now)
+void EntryTable::recordAnswer(const EntryId& entry, uint64_t revision, TimePoint now)
 {
     // The entry counts its lease from before it sent the poll, so this is later than the end that the entry uses.
-    m_entries[entry].leaseEnd = now + config::entryLease + driftMargin;
+    m_entries[entry].leaseEnds[revision] = now + config::entryLease + driftMargin;
 }
 
 bool EntryTable::isLive(const EntryId& entry, TimePoint now) const
 {
     auto it = m_entries.find(entry);
-    return it != m_entries.end() && now < it->second.leaseEnd;
+    return it != m_entries.end() && now < it->second.leaseEnd();
 }
 
 TimePoint EntryTable::leaseEnd(const EntryId& entry) const
 {
     auto it = m_entries.find(entry);
-    return it == m_entries.end() ? unknownLeaseEnd() : it->second.leaseEnd;
+    return it == m_entries.end() ? unknownLeaseEnd() : it->second.leaseEnd();
 }
 
 TimePoint EntryTable::unknownLeaseEnd() const
@@ -61,8 +75,9 @@
 {
     std::vector<PendingEntry> pending;
     for (const auto& [entry, record] : m_entries) {
-        if (record.revision < revision && now < record.leaseEnd)
-            pending.push_back({ entry, record.leaseEnd });
+        auto end = record.leaseEndBefore(revision);
+        if (record.revision < revision && now < end)
+            pending.push_back({ entry, end });
     }
     if (now < unknownLeaseEnd())
         pending.push_back({ { "entries of an earlier leader", 0 }, unknownLeaseEnd() });
@@ -76,7 +91,7 @@
         // The newest incarnation of the entry; the ones before it have ended.
         auto it = m_entries.upper_bound({ name, std::numeric_limits<uint64_t>::max() });
         bool isKnown = it != m_entries.begin() && std::prev(it)->first.name == name;
-        auto end = isKnown ? std::prev(it)->second.leaseEnd : unknownLeaseEnd();
+        auto end = isKnown ? std::prev(it)->second.leaseEndBefore(revision) : unknownLeaseEnd();
         bool hasRevision = isKnown && std::prev(it)->second.revision >= revision;
         if (!hasRevision && now >= end && now < end + isolatedTime)
             isolated.push_back({ { name, isKnown ? std::prev(it)->first.incarnation : 0 }, end + isolatedTime });
@@ -86,7 +101,7 @@
 
 void EntryTable::forget(TimePoint limit)
 {
-    std::erase_if(m_entries, [&](const auto& it) { return it.second.leaseEnd < limit; });
+    std::erase_if(m_entries, [&](const auto& it) { return it.second.leaseEnd() < limit; });
 }
 
 } // namespace vanillalift
--- a/src/follow/entry_table_p.h
+++ b/src/follow/entry_table_p.h
@@ -14,8 +14,13 @@
     /// Version of the parts that the entry acted on when it reported its use.
     uint64_t useVersion = 0;
     std::vector<TeamUse> use;
-    /// The entry cannot act on what it holds from this moment on, unless it polls again.
-    TimePoint leaseEnd;
+    /// End of the lease by the revision of the answer that gave it. Each answer gives a lease for its own revision only,
+    /// also when it is lost on the way.
+    std::map<uint64_t, TimePoint> leaseEnds;
+
+    /// @returns the moment from which the entry cannot act on a state before @p revision without another answer.
+    [[nodiscard]] TimePoint leaseEndBefore(uint64_t revision) const;
+    [[nodiscard]] TimePoint leaseEnd() const;
 };
 
 /// An entry that may still act on a state before a revision.
@@ -34,8 +39,8 @@
 
     /// Records a poll. Reports of an incarnation older than the newest of the entry are kept apart.
     void recordPoll(const FollowRequest& request, TimePoint now);
-    /// Records that an answer is about to be sent, which extends the entry's lease.
-    void recordAnswer(const EntryId& entry, TimePoint now);
+    /// Records that an answer with the state at @p revision is about to be sent, which extends the entry's lease.
+    void recordAnswer(const EntryId& entry, uint64_t revision, TimePoint now);
 
     [[nodiscard]] bool isLive(const EntryId& entry, TimePoint now) const;
     /// @returns when the entry's lease ends, also for entries that never polled this leader.
--- a/src/follow/follow_service.cpp
+++ b/src/follow/follow_service.cpp
@@ -121,8 +121,9 @@
         ++m_stats.refusedPolls;
         return tl::unexpected(notLeader(m_log.status().leader));
     }
-    m_entries->recordAnswer(request->entry, m_clock.now());
-    return toJson(makeResponse(*request));
+    auto response = makeResponse(*request);
+    m_entries->recordAnswer(request->entry, response.revision, m_clock.now());
+    return toJson(response);
 }
 
 bool FollowService::registerEntry(const FollowRequest& request)
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -88,7 +88,7 @@
     EntryTable table(start);
     auto now = start + seconds(10);
     table.recordPoll({ { "e1", 1 }, "a", 4, 0, std::nullopt, 0 }, now);
-    table.recordAnswer({ "e1", 1 }, now);
+    table.recordAnswer({ "e1", 1 }, 4, now);
     CHECK(table.pending(4, now).empty());
     REQUIRE(table.pending(5, now).size() == 1);
     CHECK(table.pending(5, now).front().entry.name == "e1");
@@ -96,6 +96,26 @@
     CHECK(EntryTable(now).pending(1, now).size() == 1);
 }
 
+TEST_CASE("answers that an entry never receives do not keep a change from being reported in force", "[follow]")
+{
+    TimePoint start { seconds(1000) };
+    EntryTable table(start);
+    auto now = start + seconds(10);
+    table.recordPoll({ { "e1", 1 }, "a", 4, 0, std::nullopt, 0 }, now);
+    table.recordAnswer({ "e1", 1 }, 4, now);
+    auto change = now;
+    // The entry's polls arrive, the answers are lost.
+    for (; now < change + seconds(10); now += milliseconds(500)) {
+        table.recordPoll({ { "e1", 1 }, "a", 4, 0, std::nullopt, 0 }, now);
+        table.recordAnswer({ "e1", 1 }, 5, now);
+        CHECK(table.pending(5, now).empty() == (now >= change + config::entryLease + milliseconds(100)));
+    }
+    auto isolated = table.isolated(5, { { "e1", "a" } }, seconds(60), now);
+    REQUIRE(isolated.size() == 1);
+    CHECK(isolated.front().until == change + config::entryLease + milliseconds(100) + seconds(60));
+    CHECK(table.isLive({ "e1", 1 }, now));
+}
+
 TEST_CASE("a part shrinks only on a report made under the lower target", "[follow]")
 {
     auto state = stateWithLimit(10);
@@ -107,7 +127,7 @@
         if (running)
             request.use = std::vector<TeamUse> { { "red", *running, queued } };
         table.recordPoll(request, now);
-        table.recordAnswer(request.entry, now);
+        table.recordAnswer(request.entry, 3, now);
     };
     auto step = [&] {
         if (auto command = planParts({ state, table, seconds(10), now }))
@@ -163,7 +183,7 @@
                 if (it.isCutOff)
                     continue;
                 table.recordPoll({ it.id, "a", 3, it.partsVersion, std::vector<TeamUse> { { "red", it.running, it.demand - it.running } }, 0 }, now);
-                table.recordAnswer(it.id, now);
+                table.recordAnswer(it.id, 3, now);
                 it.leaseEnd = now + config::entryLease;
                 it.partsVersion = state.partsVersion();
                 it.part = {};
