Test operators' calls, follow messages, catalog files and claims with malformed input

Change: tests/malformed_input_test.cpp damages good values at random places, seeded and bounded (three seeds, up to 6,000 values each), and checks that every call is answered or refused, that the control state stays restorable and its catalog consistent, and that claims are granted and kept afterwards.

--- /dev/null
+++ b/tests/malformed_input_test.cpp
@@ -0,0 +1,293 @@
+#include <catch2/catch.hpp>
+
+#include "operator/operator_service_p.h"
+#include "peer/claim_messages_p.h"
+#include "peer/claim_server_p.h"
+
+#include <random>
+
+using namespace vanillalift;
+using nlohmann::json;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int roundCount = 1500;
+
+/// Makes damaged copies of JSON values: a field or element is replaced, removed, doubled or added at a random place.
+class Damager {
+public:
+    explicit Damager(uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    json damaged(json value)
+    {
+        for (auto n = below(3) + 1; n > 0; --n)
+            damage(value);
+        return value;
+    }
+
+    /// Damages a text byte by byte; most results are not valid JSON.
+    std::string damagedText(std::string text)
+    {
+        for (auto n = below(4) + 1; n > 0 && !text.empty(); --n) {
+            if (below(3) == 0)
+                text.erase(below(text.size()), below(20) + 1);
+            else
+                text[below(text.size())] = static_cast<char>(below(256));
+        }
+        return text;
+    }
+
+    size_t below(size_t bound) { return static_cast<size_t>(m_random() % bound); }
+
+private:
+    void damage(json& value)
+    {
+        if (value.is_structured() && !value.empty() && below(4) != 0) {
+            auto it = std::next(value.begin(), static_cast<std::ptrdiff_t>(below(value.size())));
+            if (below(8) == 0)
+                value.erase(it);
+            else
+                damage(*it);
+        } else if (value.is_object() && below(2) == 0) {
+            value["unknown"] = anyValue();
+        } else {
+            value = anyValue();
+        }
+    }
+
+    json anyValue()
+    {
+        static const std::vector<json> values { nullptr, true, -1, 0, 1.5, 1e300, std::numeric_limits<int64_t>::min(), std::numeric_limits<int64_t>::max(),
+            std::numeric_limits<uint64_t>::max(), "", "x", "put-team", std::string(70, 'a'), std::string("\0\n", 2), json::array(), json::object(), json::array({ 1, "a", nullptr }), { { "name", "x" } } };
+        return values[below(values.size())];
+    }
+
+    std::mt19937_64 m_random;
+};
+
+/// A log of one replica that commits at once.
+class ImmediateLog final : public ReplicatedLog {
+public:
+    explicit ImmediateLog(ControlMachine& machine)
+        : m_machine(machine)
+    {
+    }
+    std::future<ProposeResult> propose(std::string command) override
+    {
+        std::promise<ProposeResult> promise;
+        promise.set_value(Committed { ++m_index, m_machine.apply(m_index, command) });
+        return promise.get_future();
+    }
+    std::future<ReadResult> readIndex() override
+    {
+        std::promise<ReadResult> promise;
+        promise.set_value(m_index);
+        return promise.get_future();
+    }
+    std::future<ProposeResult> replaceMember(std::string /*name*/, std::string /*storageId*/) override
+    {
+        std::promise<ProposeResult> promise;
+        promise.set_value(tl::unexpected(ProposeError { ProposeErrorCode::MemberInvalid, "" }));
+        return promise.get_future();
+    }
+    [[nodiscard]] ReplicaStatus status() const override
+    {
+        ReplicaStatus status;
+        status.name = "c1";
+        status.role = ReplicaRole::Leader;
+        status.term = 1;
+        return status;
+    }
+
+private:
+    ControlMachine& m_machine;
+    uint64_t m_index = 0;
+};
+
+struct Control {
+    Control()
+    {
+        server.add("follow", [this](const json& params) { return follow.follow(params); });
+        operators.addMethods(server);
+        REQUIRE(server.start());
+        client.emplace("127.0.0.1:" + std::to_string(server.port()), "");
+        propose("bootstrap", { { "kind", "put-operator" }, { "name", "ana" }, { "role", "admin" }, { "salt", "00" }, { "hash", *hashKeySecret("00", "s") } });
+    }
+    /// An exception that passes a handler ends in a call without a response.
+    RpcResult call(const std::string& method, const json& params)
+    {
+        auto result = client->call(method, params, BootClock::now() + seconds(10));
+        REQUIRE((result || result.error().code != RpcErrorCode::NoResponse));
+        return result;
+    }
+    void propose(const std::string& account, const json& change)
+    {
+        auto outcome = call("propose", proposal(account, change));
+        REQUIRE(outcome);
+        INFO(outcome->dump());
+        // A damaged copy may have made the good change impossible, e.g. by moving the instance first.
+        bool isReference = outcome->value("fault", "") == "reference";
+        CHECK((outcome->at("accepted") == true || isReference));
+    }
+    /// Each proposal has an operation id of its own; under an earlier one it would get the earlier outcome.
+    json proposal(const std::string& account, const json& change)
+    {
+        auto revision = machine.read([](const ControlState& state) { return state.revision(); });
+        return { { "account", account }, { "secret", "s" }, { "operation", "op-" + std::to_string(++operationCount) }, { "base_revision", revision }, { "change", change } };
+    }
+    [[nodiscard]] json state() const
+    {
+        return machine.read([](const ControlState& state) { return state.toJson(); });
+    }
+
+    SystemClock clock;
+    ControlMachine machine;
+    ImmediateLog log { machine };
+    FollowService follow { log, machine, clock };
+    OperatorService operators { log, machine, follow };
+    RpcServer server { { "127.0.0.1", 0, 4, "" } };
+    std::optional<RpcClient> client;
+    int operationCount = 0;
+};
+
+/// Changes that are accepted in this order when they are not damaged.
+std::vector<json> goodChanges()
+{
+    json key { { "id", "k1" }, { "team", "red" }, { "salt", "00" }, { "hash", std::string(64, 'a') } };
+    return { { { "kind", "put-team" }, { "team", { { "name", "red" }, { "share", 2.5 }, { "upper_limit", 8 } } } },
+        { { "kind", "put-profile" }, { "profile", { { "name", "quotes" }, { "idempotent", true }, { "share_weights", { { "red", 3 } } } } } },
+        { { "kind", "put-service" }, { "service", { { "name", "quote" }, { "profile", "quotes" }, { "teams", { "red" } } } } },
+        { { "kind", "give-key" }, { "key", key } }, { { "kind", "withdraw-key" }, { "id", "k1" } },
+        { { "kind", "put-pool" }, { "name", "quote" }, { "service", "quote" } }, { { "kind", "put-pool" }, { "name", "spare" } },
+        { { "kind", "put-instance" }, { "name", "i1" }, { "zone", "z1" }, { "rack", "r1" }, { "address", "10.0.0.1:80" }, { "pool", "quote" } },
+        { { "kind", "move-instance" }, { "instance", "i1" }, { "from", "quote" }, { "to", "spare" } },
+        { { "kind", "put-operator" }, { "name", "ben" }, { "role", "editor" }, { "salt", "00" }, { "hash", std::string(64, 'b') } } };
+}
+
+} // namespace
+
+TEST_CASE("random operators' calls are answered or refused, and never leave a state that no replica could restore", "[malformed]")
+{
+    Control control;
+    Damager damager(GENERATE(1U, 2U, 3U));
+    for (const auto& it : goodChanges()) {
+        for (int n = 0; n < roundCount / 5; ++n) {
+            bool isWholeCall = n % 4 == 0;
+            auto proposal = control.proposal("ana", isWholeCall ? it : damager.damaged(it));
+            control.call("propose", isWholeCall ? damager.damaged(proposal) : proposal);
+        }
+        auto catalog = control.machine.read([](const ControlState& state) { return state.catalog(); });
+        CHECK(catalogFromJson(toJson(catalog), "catalog"));
+        control.propose("ana", it);
+    }
+    const std::vector<json> calls { { { "method", "check" }, { "operation", "x" }, { "base_revision", 3 }, { "change", goodChanges()[1] } }, { { "method", "read" }, { "kind", "teams" } }, { { "method", "history" }, { "after", 2 }, { "limit", 5 } },
+        { { "method", "in_force" }, { "revision", 3 } }, { { "method", "explain" }, { "kind", "team" }, { "name", "red" } }, { { "method", "status" } }, { { "method", "replace_replica" }, { "name", "r1" }, { "storage_id", "0123" } } };
+    for (int n = 0; n < roundCount; ++n) {
+        auto params = calls[damager.below(calls.size())];
+        auto method = params.at("method").get<std::string>();
+        params.erase("method");
+        params.update({ { "account", "ana" }, { "secret", "s" } });
+        control.call(method, damager.damaged(params));
+    }
+    auto state = control.state();
+    auto restored = ControlState::fromJson(state);
+    REQUIRE(restored);
+    CHECK(restored->toJson() == state);
+    CHECK(catalogFromJson(toJson(restored->catalog()), "catalog"));
+    CHECK(control.call("status", { { "account", "ana" }, { "secret", "s" } }));
+}
+
+TEST_CASE("random follow messages are refused or answered, and the next good poll is answered", "[malformed]")
+{
+    Control control;
+    Damager damager(GENERATE(1U, 2U, 3U));
+    for (const auto& it : goodChanges())
+        control.propose("ana", it);
+    FollowRequest request { { "e1", 7 }, "z1", 1, 0, std::vector<TeamUse> { { "red", 3, 4 } }, 0 };
+    auto good = control.call("follow", toJson(request));
+    REQUIRE(good);
+    request.revision = 0;
+    auto whole = control.call("follow", toJson(request));
+    REQUIRE(whole);
+    for (int n = 0; n < roundCount; ++n) {
+        auto damaged = damager.damaged(toJson(request));
+        // A long poll for news may wait; this test looks at the contents only.
+        if (damaged.is_object() && damaged.contains("wait_ms"))
+            damaged["wait_ms"] = 0;
+        control.call("follow", damaged);
+        // What an entry accepts from its leader has to be usable as it is.
+        auto response = followResponseFromJson(damager.damaged(n % 2 == 0 ? *good : *whole));
+        if (response && response->catalog)
+            CHECK(catalogFromJson(toJson(*response->catalog), "catalog"));
+    }
+    control.follow.planOnce();
+    CHECK(control.call("follow", toJson(request)));
+    auto state = control.state();
+    CHECK(ControlState::fromJson(state));
+}
+
+TEST_CASE("a damaged catalog file is refused with its faults, or is a catalog that reads back as it was", "[malformed]")
+{
+    Damager damager(GENERATE(1U, 2U, 3U));
+    json catalog { { "revision", 1 }, { "profiles", json::array() }, { "services", json::array() }, { "teams", json::array() }, { "keys", json::array() } };
+    auto changes = goodChanges();
+    catalog["teams"].push_back(changes[0].at("team"));
+    catalog["profiles"].push_back(changes[1].at("profile"));
+    catalog["services"].push_back(changes[2].at("service"));
+    catalog["keys"].push_back(changes[3].at("key"));
+    REQUIRE(catalogFromJson(catalog, "catalog"));
+    int accepted = 0;
+    for (int n = 0; n < 4 * roundCount; ++n) {
+        auto value = n % 2 == 0 ? tl::expected<json, SettingsFaults>(damager.damaged(catalog)) : parseSettings(damager.damagedText(catalog.dump()), "catalog");
+        auto read = value ? catalogFromJson(*value, "catalog") : tl::unexpected(value.error());
+        if (!read) {
+            CHECK_FALSE(describe(read.error()).empty());
+            continue;
+        }
+        ++accepted;
+        for (const auto& it : read->services)
+            CHECK(read->findProfile(it.profile).isValid());
+        for (const auto& it : read->keys)
+            CHECK(read->findTeam(it.team).isValid());
+        auto again = catalogFromJson(toJson(*read), "catalog");
+        REQUIRE(again);
+        CHECK(toJson(*again) == toJson(*read));
+    }
+    CHECK(accepted > 0);
+}
+
+TEST_CASE("random claim messages are refused or answered, and claims are still granted and kept afterwards", "[malformed]")
+{
+    Damager damager(GENERATE(1U, 2U, 3U));
+    HolderRing ring({ { "e1", "z1", "127.0.0.1:1" }, { "e2", "z2", "127.0.0.1:2" } });
+    SystemClock clock;
+    ClaimHolderDesc desc { "e1", 7, 100000, std::chrono::milliseconds(0) };
+    ClaimHolder holder(desc, ring, clock);
+    json good { { "from", "e2" }, { "incarnation", 3 }, { "key", { "red", "quote", "r1" } }, { "attempt", { "e2", 3, 1 } }, { "retain_ms", 60000 }, { "shard", 0 } };
+    const std::vector<json (ClaimHolder::*)(const json&)> methods { &ClaimHolder::claim, &ClaimHolder::settle, &ClaimHolder::release, &ClaimHolder::copyClaims };
+    KeyedClaim claim { { "red", "quote", "r1" }, {} };
+    claim.record.holds.push_back({ { "e2", 3, 1 }, false });
+    auto claimValue = toJson(claim, clock.now());
+    auto outcome = encodeOutcome(Answered { 200, { { "A", "b" } }, "answer" });
+    for (int n = 0; n < 4 * roundCount; ++n) {
+        // The handlers turn these exceptions into an error of the call; any other one would end the process.
+        try {
+            (holder.*methods[damager.below(methods.size())])(damager.damaged(good));
+        } catch (const json::exception&) {
+        }
+        try {
+            keyedClaimFromJson(damager.damaged(claimValue), clock.now());
+            decodeOutcome(damager.damagedText(outcome));
+        } catch (const json::exception&) {
+        }
+    }
+    json fresh { { "from", "e1" }, { "incarnation", 7 }, { "key", { "red", "quote", "fresh" } }, { "attempt", { "e1", 7, 1 } }, { "retain_ms", 60000 } };
+    CHECK(holder.claim(fresh).at("verdict") == ClaimVerdict::Granted);
+    fresh["attempt"][2] = 2;
+    fresh["attempt"][0] = "e9";
+    CHECK(holder.claim(fresh).at("verdict") == ClaimVerdict::Held);
+}
