Add waves, phases of instances and the leader's actions to the state

Cause: drains, waves and moves have to continue after a leader change and have to reach the entries, but the replicated state had neither.

Change: operators start, halt, resume and roll back waves. The leader's actions are a new command; one that starts from another phase or carries a term lower than the highest applied one is refused. Each drain start and end is a revision, and the catalog lists the draining instances. EndpointTable::setDraining() treats their endpoints as leaving. Profiles get roll_out_weight, share_weight, buffer_weight and move_weight, pools a declared minimum. An instance in a planned stop cannot be moved or removed by an operator, and a pool that a wave covers cannot be deleted.

--- a/include/vanillalift/catalog.h
+++ b/include/vanillalift/catalog.h
@@ -45,6 +45,11 @@
     int64_t claimRetentionMs = 900000;
     /// Share weights by team name that replace the teams' own.
     std::map<std::string, double> shareWeights;
+    /// How much a short roll-out, the teams' shares, little spare capacity and few moves count against each other.
+    double rollOutWeight = 1;
+    double shareWeight = 1;
+    double bufferWeight = 1;
+    double moveWeight = 1;
 };
 
 struct Service {
@@ -79,6 +84,8 @@
     std::vector<Service> services;
     std::vector<Team> teams;
     std::vector<Key> keys;
+    /// Names of instances to which nothing is dispatched, sorted.
+    std::vector<std::string> draining;
 
     [[nodiscard]] ProfileHandle findProfile(std::string_view name) const;
     [[nodiscard]] ServiceHandle findService(std::string_view name) const;
@@ -98,7 +105,7 @@
 /// Catalogs are shared read-only between request threads while a newer one is being installed.
 using CatalogPtr = std::shared_ptr<const Catalog>;
 
-/// Checks and converts the JSON form {"revision", "profiles", "services", "teams", "keys"}. References between the
+/// Checks and converts the JSON form {"revision", "profiles", "services", "teams", "keys", "draining"}. References between the
 /// parts are checked. An unknown field is a fault.
 tl::expected<Catalog, SettingsFaults> catalogFromJson(const nlohmann::json& value, const std::string& place);
 
--- a/include/vanillalift/change.h
+++ b/include/vanillalift/change.h
@@ -7,6 +7,7 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 /// Changes that operators propose to the replicated state.
 namespace vanillalift {
@@ -23,6 +24,8 @@
 struct Pool {
     std::string name;
     std::string service;
+    /// Fewest instances that the pool needs, whatever its demand.
+    int64_t minimum = 0;
 };
 
 /// A machine of the fleet. Each instance names its one pool, so it cannot be in two.
@@ -97,9 +100,36 @@
 struct RemoveEntry {
     std::string name;
 };
+/// Starts maintenance of all instances that are in the pools now.
+struct StartWave {
+    std::string name;
+    std::vector<std::string> pools;
+    /// Wall-clock milliseconds by which the wave should be complete.
+    int64_t deadlineMs = 0;
+};
+/// Starts no further instance; those under way finish.
+struct HaltWave {
+    std::string name;
+};
+struct ResumeWave {
+    std::string name;
+};
+/// Leaves instances that were not started untouched and calls drained ones back.
+struct RollBackWave {
+    std::string name;
+};
+/// From this revision on entries dispatch nothing to the instance. Made by the control leader, not by operators.
+struct DrainStarted {
+    std::string instance;
+};
+/// Made by the control leader, not by operators.
+struct DrainEnded {
+    std::string instance;
+};
 
 using Change = std::variant<PutProfile, DeleteProfile, PutService, DeleteService, PutTeam, DeleteTeam, GiveKey, WithdrawKey,
-    PutPool, DeletePool, PutInstance, MoveInstance, RemoveInstance, PutOperator, DeleteOperator, RemoveEntry>;
+    PutPool, DeletePool, PutInstance, MoveInstance, RemoveInstance, PutOperator, DeleteOperator, RemoveEntry, StartWave, HaltWave, ResumeWave, RollBackWave,
+    DrainStarted, DrainEnded>;
 
 /// Parses {"kind": "put-profile", ...}. Each fault names its field.
 tl::expected<Change, SettingsFaults> changeFromJson(const nlohmann::json& value, const std::string& place);
--- a/include/vanillalift/control_state.h
+++ b/include/vanillalift/control_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <vanillalift/change.h>
+#include <vanillalift/fleet.h>
 
 #include <deque>
 #include <map>
@@ -91,7 +92,7 @@
     std::string zone;
 };
 
-using ControlCommand = std::variant<ChangeCommand, PartsCommand, RegisterEntryCommand>;
+using ControlCommand = std::variant<ChangeCommand, PartsCommand, RegisterEntryCommand, FleetCommand>;
 
 /// @returns the encoded form for the replicated log (CBOR).
 std::string encodeCommand(const ControlCommand& command);
@@ -104,6 +105,8 @@
     /// @returns nothing on success.
     std::optional<PartsFault> apply(const PartsCommand& command);
     void apply(const RegisterEntryCommand& command);
+    /// @returns nothing on success.
+    std::optional<FleetFault> apply(const FleetCommand& command);
 
     [[nodiscard]] uint64_t revision() const { return m_revision; }
     /// The catalog for entries at the current revision.
@@ -121,6 +124,9 @@
     /// Zones of all entries that ever polled and were not removed, by name.
     [[nodiscard]] const std::map<std::string, std::string>& entries() const { return m_entries; }
     [[nodiscard]] const std::deque<ChangeRecord>& history() const { return m_history; }
+    [[nodiscard]] const FleetState& fleet() const { return m_fleet; }
+    [[nodiscard]] const std::map<std::string, Profile>& profiles() const { return m_profiles; }
+    [[nodiscard]] const std::map<std::string, Service>& services() const { return m_services; }
     /// @returns the first outcome of an operation, or nothing if the operation is unknown.
     [[nodiscard]] std::optional<ChangeOutcome> findOperation(std::string_view operation) const;
 
@@ -129,6 +135,7 @@
 
 private:
     friend class ChangeApplier;
+    friend class FleetApplier;
 
     struct OperationRecord {
         int64_t timeMs = 0;
@@ -140,6 +147,8 @@
     [[nodiscard]] ChangeRejected conflict(uint64_t baseRevision) const;
     [[nodiscard]] int64_t longestTimeoutMs() const;
     void keepRunBound(int64_t previousMs, int64_t nowMs);
+    /// Raises the revision to the record's and keeps the record.
+    void appendHistory(ChangeRecord record);
     void remember(const ChangeCommand& command, const ChangeOutcome& outcome);
 
     uint64_t m_revision = 0;
@@ -156,6 +165,7 @@
     int64_t m_pastRunBoundMs = 0;
     int64_t m_pastRunBoundUntilMs = 0;
     std::map<std::string, std::string> m_entries;
+    FleetState m_fleet;
     std::deque<ChangeRecord> m_history;
     std::map<std::string, OperationRecord, std::less<>> m_operations;
     /// Operation ids in the order of their first submission, oldest first.
--- a/include/vanillalift/follow.h
+++ b/include/vanillalift/follow.h
@@ -62,8 +62,8 @@
 tl::expected<FollowRequest, SettingsFaults> followRequestFromJson(const nlohmann::json& value);
 tl::expected<FollowResponse, SettingsFaults> followResponseFromJson(const nlohmann::json& value);
 
-/// Applies the change to a catalog and raises its revision by one. Changes of pools, instances and operators only raise
-/// the revision.
+/// Applies the change to a catalog and raises its revision by one. Changes of pools, instances, operators
+/// and waves only raise the revision, except that drains change the list of draining instances.
 void applyToCatalog(Catalog& catalog, const Change& change);
 
 } // namespace vanillalift
--- a/src/control/change.cpp
+++ b/src/control/change.cpp
@@ -11,7 +11,8 @@
 
     constexpr std::array<std::string_view, std::variant_size_v<Change>> kinds { "put-profile", "delete-profile", "put-service",
         "delete-service", "put-team", "delete-team", "give-key", "withdraw-key", "put-pool", "delete-pool", "put-instance",
-        "move-instance", "remove-instance", "put-operator", "delete-operator", "remove-entry" };
+        "move-instance", "remove-instance", "put-operator", "delete-operator", "remove-entry", "start-wave",
+        "halt-wave", "resume-wave", "rollback-wave", "drain-started", "drain-ended" };
 
     constexpr std::array<std::string_view, static_cast<size_t>(OperatorRole::OperatorRoleCount)> roleNames { "viewer", "editor", "admin" };
 
@@ -41,6 +42,27 @@
             return text;
         }
 
+        std::vector<std::string> names(const char* field)
+        {
+            std::vector<std::string> list;
+            m_reader.read(field, list, Presence::Required);
+            return list;
+        }
+
+        int64_t integer(const char* field)
+        {
+            int64_t value = 0;
+            m_reader.read(field, value, {}, Presence::Required);
+            return value;
+        }
+
+        int64_t count(const char* field)
+        {
+            int64_t value = 0;
+            m_reader.read(field, value, { 0, config::maxInstances });
+            return value;
+        }
+
         template <typename Convert>
         auto part(const char* field, Convert convert)
         {
@@ -79,13 +101,17 @@
         else if constexpr (std::is_same_v<T, WithdrawKey>)
             return { reader.name("id") };
         else if constexpr (std::is_same_v<T, PutPool>)
-            return { { reader.name(), reader.optionalText("service") } };
+            return { { reader.name(), reader.optionalText("service"), reader.count("minimum") } };
         else if constexpr (std::is_same_v<T, PutInstance>)
             return { { reader.name(), reader.name("zone"), reader.name("rack"), reader.optionalText("address"), reader.name("pool") } };
         else if constexpr (std::is_same_v<T, MoveInstance>)
             return { reader.name("instance"), reader.name("from"), reader.name("to") };
         else if constexpr (std::is_same_v<T, PutOperator>)
             return { { reader.name(), reader.role(), reader.optionalText("salt"), reader.optionalText("hash") } };
+        else if constexpr (std::is_same_v<T, StartWave>)
+            return { reader.name(), reader.names("pools"), reader.integer("deadline_ms") };
+        else if constexpr (std::is_same_v<T, DrainStarted> || std::is_same_v<T, DrainEnded>)
+            return { reader.name("instance") };
         else
             return { reader.name() };
     }
@@ -107,7 +133,7 @@
         json operator()(const PutTeam& change) const { return { { "team", toJson(change.team) } }; }
         json operator()(const GiveKey& change) const { return { { "key", toJson(change.key) } }; }
         json operator()(const WithdrawKey& change) const { return { { "id", change.id } }; }
-        json operator()(const PutPool& change) const { return { { "name", change.pool.name }, { "service", change.pool.service } }; }
+        json operator()(const PutPool& change) const { return { { "name", change.pool.name }, { "service", change.pool.service }, { "minimum", change.pool.minimum } }; }
         json operator()(const PutInstance& change) const
         {
             const auto& it = change.instance;
@@ -119,6 +145,9 @@
             const auto& it = change.account;
             return { { "name", it.name }, { "role", roleName(it.role) }, { "salt", it.salt }, { "hash", it.hash } };
         }
+        json operator()(const StartWave& change) const { return { { "name", change.name }, { "pools", change.pools }, { "deadline_ms", change.deadlineMs } }; }
+        json operator()(const DrainStarted& change) const { return { { "instance", change.instance } }; }
+        json operator()(const DrainEnded& change) const { return { { "instance", change.instance } }; }
         template <typename T>
         json operator()(const T& change) const { return { { "name", change.name } }; }
     };
--- a/src/control/change_applier.cpp
+++ b/src/control/change_applier.cpp
@@ -124,6 +124,12 @@
         if (instance.pool == change.name)
             return "instance \"" + name + "\" is in the pool";
     }
+    for (const auto& [name, status] : m_state.m_fleet.statuses) {
+        if (status.targetPool == change.name)
+            return "instance \"" + name + "\" moves to the pool";
+    }
+    if (const auto* wave = findOpenWave(change.name))
+        return "wave \"" + wave->name + "\" covers the pool";
     return eraseNamed(m_state.m_pools, "pool", change.name);
 }
 
@@ -147,12 +153,17 @@
         return "the instance is in pool \"" + it->second.pool + "\", not in \"" + change.from + "\"";
     if (!m_state.m_pools.contains(change.to))
         return unknown("pool", change.to);
+    if (auto reason = plannedStopOf(change.instance); !reason.empty())
+        return reason;
     it->second.pool = change.to;
     return {};
 }
 
 std::string ChangeApplier::operator()(const RemoveInstance& change)
 {
+    if (auto reason = plannedStopOf(change.name); !reason.empty())
+        return reason;
+    forgetInstance(change.name);
     return eraseNamed(m_state.m_instances, "instance", change.name);
 }
 
--- a/src/control/change_applier_p.h
+++ b/src/control/change_applier_p.h
@@ -29,9 +29,19 @@
     std::string operator()(const PutOperator& change);
     std::string operator()(const DeleteOperator& change);
     std::string operator()(const RemoveEntry& change);
+    std::string operator()(const StartWave& change);
+    std::string operator()(const HaltWave& change);
+    std::string operator()(const ResumeWave& change);
+    std::string operator()(const RollBackWave& change);
+    std::string operator()(const DrainStarted& change);
+    std::string operator()(const DrainEnded& change);
 
 private:
     [[nodiscard]] size_t adminCountWithout(const std::string& name) const;
+    [[nodiscard]] const Wave* findOpenWave(const std::string& pool) const;
+    /// @returns why the instance cannot be moved or removed now, or an empty string.
+    [[nodiscard]] std::string plannedStopOf(const std::string& instance) const;
+    void forgetInstance(const std::string& instance);
 
     ControlState& m_state;
 };
--- a/src/control/control_machine.cpp
+++ b/src/control/control_machine.cpp
@@ -24,6 +24,13 @@
             state.apply(command);
             return { { "accepted", true } };
         }
+        json operator()(const FleetCommand& command) const
+        {
+            auto fault = state.apply(command);
+            if (fault)
+                return { { "accepted", false }, { "fault", fleetFaultName(*fault) } };
+            return { { "accepted", true }, { "action_id", state.fleet().lastActionId } };
+        }
     };
 
     std::string toCbor(const json& value)
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -1,6 +1,7 @@
 #include <vanillalift/control_state.h>
 
 #include "change_applier_p.h"
+#include "fleet_applier_p.h"
 
 #include <algorithm>
 #include <array>
@@ -62,11 +63,16 @@
     if (!refusal.empty())
         return ChangeRejected { ChangeFault::Reference, refusal, std::nullopt, m_revision };
     keepRunBound(runBoundBefore, command.timeMs);
-    ++m_revision;
-    m_history.push_back({ m_revision, command.timeMs, command.author, command.operation, vanillalift::toJson(*change) });
+    appendHistory({ m_revision + 1, command.timeMs, command.author, command.operation, vanillalift::toJson(*change) });
+    return ChangeAccepted { m_revision };
+}
+
+void ControlState::appendHistory(ChangeRecord record)
+{
+    m_revision = record.revision;
+    m_history.push_back(std::move(record));
     if (m_history.size() > maxHistory)
         m_history.pop_front();
-    return ChangeAccepted { m_revision };
 }
 
 bool ControlState::isPermitted(const ChangeCommand& command, const Change& change) const
@@ -132,6 +138,11 @@
     m_entries[command.name] = command.zone;
 }
 
+std::optional<FleetFault> ControlState::apply(const FleetCommand& command)
+{
+    return FleetApplier(*this, command).run();
+}
+
 int64_t ControlState::longestTimeoutMs() const
 {
     int64_t longest = 0;
@@ -167,6 +178,10 @@
         catalog.teams.push_back(team);
     for (const auto& [id, key] : m_keys)
         catalog.keys.push_back(key);
+    for (const auto& [name, status] : m_fleet.statuses) {
+        if (status.drainRevision != 0)
+            catalog.draining.push_back(name);
+    }
     return catalog;
 }
 
--- a/src/control/control_state_json.cpp
+++ b/src/control/control_state_json.cpp
@@ -88,12 +88,15 @@
             return value;
         }
         json operator()(const RegisterEntryCommand& command) const { return { { "register", command.name }, { "zone", command.zone } }; }
+        json operator()(const FleetCommand& command) const { return toJson(command); }
     };
 
     ControlCommand commandFromJson(const json& value)
     {
         if (value.contains("register"))
             return RegisterEntryCommand { value.at("register"), value.at("zone") };
+        if (value.contains("fleet"))
+            return fleetCommandFromJson(value);
         if (!value.contains("parts"))
             return ChangeCommand { value.at("author"), value.at("operation"), value.at("base_revision"), value.at("time_ms"), value.at("change") };
         PartsCommand command;
@@ -147,6 +150,7 @@
     for (const auto& it : m_parts)
         value["parts"].push_back(partToJson(it));
     value["entries"] = m_entries;
+    value["fleet"] = vanillalift::toJson(m_fleet);
     value["history"] = json::array();
     for (const auto& it : m_history)
         value["history"].push_back(vanillalift::toJson(it));
@@ -176,6 +180,9 @@
         for (const auto& it : value.at("parts"))
             state.m_parts.push_back(partFromJson(it));
         state.m_entries = value.at("entries").get<std::map<std::string, std::string>>();
+        // Snapshots that were written before waves existed have no fleet state.
+        if (value.contains("fleet"))
+            state.m_fleet = fleetStateFromJson(value.at("fleet"));
         for (const auto& it : value.at("history"))
             state.m_history.push_back(recordFromJson(it));
         for (const auto& it : value.at("operations")) {
--- a/src/core/catalog_json.cpp
+++ b/src/core/catalog_json.cpp
@@ -98,6 +98,10 @@
     reader.read("isolated_ms", profile.isolatedMs, { 0, 86400000 });
     reader.read("claim_retention_ms", profile.claimRetentionMs, { 1000, 86400000 });
     readShareWeights(reader, profile.shareWeights);
+    reader.read("roll_out_weight", profile.rollOutWeight, 0, 1000);
+    reader.read("share_weight", profile.shareWeight, 0, 1000);
+    reader.read("buffer_weight", profile.bufferWeight, 0, 1000);
+    reader.read("move_weight", profile.moveWeight, 0, 1000);
     reader.finish();
     return profile;
 }
@@ -153,6 +157,8 @@
     readTable(reader, "services", config::maxServices, catalog.services, faults, serviceFromJson);
     readTable(reader, "teams", config::maxTeams, catalog.teams, faults, teamFromJson);
     readTable(reader, "keys", 100000, catalog.keys, faults, keyFromJson);
+    reader.read("draining", catalog.draining);
+    std::sort(catalog.draining.begin(), catalog.draining.end());
     reader.finish();
     auto byName = [](const auto& it) -> const std::string& { return it.name; };
     sortUnique(catalog.profiles, byName, reader, "profiles");
@@ -172,7 +178,9 @@
         { "retry_ratio", profile.retryRatio }, { "queue_bound", profile.queueBound }, { "timeout_ms", profile.timeoutMs },
         { "urgency", urgencyNames[static_cast<size_t>(profile.urgency)] }, { "availability_budget", profile.availabilityBudget },
         { "open_to_all", profile.openToAll }, { "spill_after_ms", profile.spillAfterMs }, { "isolated_ms", profile.isolatedMs },
-        { "claim_retention_ms", profile.claimRetentionMs }, { "share_weights", profile.shareWeights } };
+        { "claim_retention_ms", profile.claimRetentionMs }, { "share_weights", profile.shareWeights },
+        { "roll_out_weight", profile.rollOutWeight }, { "share_weight", profile.shareWeight }, { "buffer_weight", profile.bufferWeight },
+        { "move_weight", profile.moveWeight } };
 }
 
 json toJson(const Service& service)
@@ -201,6 +209,7 @@
         value["teams"].push_back(toJson(it));
     for (const auto& it : catalog.keys)
         value["keys"].push_back(toJson(it));
+    value["draining"] = catalog.draining;
     return value;
 }
 
--- a/src/endpoint/endpoint_table.cpp
+++ b/src/endpoint/endpoint_table.cpp
@@ -42,12 +42,12 @@
     return std::max<int64_t>(1, std::min(announcement.slots, connectionPart(announcement)));
 }
 
-bool EndpointTable::isServing(const Row& row, TimePoint now)
+bool EndpointTable::isServing(const Row& row, TimePoint now) const
 {
-    return row.isAnnounced && row.announcement.state == EndpointState::Serving && now < row.expiry;
+    return row.isAnnounced && row.announcement.state == EndpointState::Serving && now < row.expiry && !m_draining.contains(row.announcement.instance);
 }
 
-bool EndpointTable::isUsable(const Row& row, TimePoint now)
+bool EndpointTable::isUsable(const Row& row, TimePoint now) const
 {
     return isServing(row, now) && !row.health.isEjected(now);
 }
@@ -155,6 +155,19 @@
     return best;
 }
 
+void EndpointTable::setDraining(std::set<std::string, std::less<>> instances)
+{
+    Changes changes;
+    {
+        std::lock_guard lock(m_mutex);
+        m_draining = std::move(instances);
+        // Endpoints of instances whose drain has ended have room for queued requests.
+        for (const auto& [name, service] : m_services)
+            changes.services.push_back(name);
+    }
+    notify(changes);
+}
+
 std::optional<EndpointPlace> EndpointTable::acquire(const PlaceDesc& desc, TimePoint now)
 {
     std::lock_guard lock(m_mutex);
@@ -277,7 +290,7 @@
             const auto& it = row(handle);
             const auto& from = it.announcement;
             if (it.isAnnounced && now < it.expiry)
-                all.push_back({ name, from.address, from.zone, from.instance, from.incarnation, from.state, it.health.isEjected(now), it.window, windowBound(from), it.inFlight, it.ejections, it.verdicts });
+                all.push_back({ name, from.address, from.zone, from.instance, from.incarnation, m_draining.contains(from.instance) ? EndpointState::Leaving : from.state, it.health.isEjected(now), it.window, windowBound(from), it.inFlight, it.ejections, it.verdicts });
         }
     }
     return all;
--- a/src/endpoint/endpoint_table_p.h
+++ b/src/endpoint/endpoint_table_p.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 namespace vanillalift {
@@ -25,6 +26,10 @@
     /// @returns AnnouncementFault::TableFull if there is no room for another endpoint.
     tl::expected<void, AnnouncementFault> announce(const Announcement& announcement, TimePoint now);
 
+    /// Treats the endpoints of these instances as leaving, whatever they announce, until the next call.
+    /// @param instances names of draining instances (Catalog::draining).
+    void setDraining(std::set<std::string, std::less<>> instances);
+
     std::optional<EndpointPlace> acquire(const PlaceDesc& desc, TimePoint now) override;
     void release(const EndpointPlace& place, AttemptVerdict verdict, bool isDemandWaiting, TimePoint now) override;
     [[nodiscard]] EndpointPoolStats stats(std::string_view service, TimePoint now) const override;
@@ -72,8 +77,8 @@
 
     [[nodiscard]] int64_t windowBound(const Announcement& announcement) const;
     [[nodiscard]] int64_t connectionPart(const Announcement& announcement) const;
-    [[nodiscard]] static bool isServing(const Row& row, TimePoint now);
-    [[nodiscard]] static bool isUsable(const Row& row, TimePoint now);
+    [[nodiscard]] bool isServing(const Row& row, TimePoint now) const;
+    [[nodiscard]] bool isUsable(const Row& row, TimePoint now) const;
     [[nodiscard]] int64_t servingCount(const Service& service, TimePoint now) const;
     [[nodiscard]] double medianShare(const Service& service, EndpointHandle except, TimePoint now) const;
     Row& row(EndpointHandle handle) { return m_rows[handle.index]; }
@@ -98,6 +103,7 @@
     std::vector<Row> m_rows;
     std::vector<EndpointHandle> m_freeRows;
     Services m_services;
+    std::set<std::string, std::less<>> m_draining;
     std::unordered_map<std::string, Newest> m_newest;
 };
 
--- a/src/follow/catalog_change.cpp
+++ b/src/follow/catalog_change.cpp
@@ -42,6 +42,14 @@
             for (auto& it : catalog.keys)
                 it.withdrawn = it.withdrawn || it.id == change.id;
         }
+        void operator()(const DrainStarted& change) const
+        {
+            auto it = std::lower_bound(catalog.draining.begin(), catalog.draining.end(), change.instance);
+            if (it == catalog.draining.end() || *it != change.instance)
+                catalog.draining.insert(it, change.instance);
+        }
+        void operator()(const DrainEnded& change) const { std::erase(catalog.draining, change.instance); }
+        void operator()(const RemoveInstance& change) const { std::erase(catalog.draining, change.name); }
         template <typename T>
         void operator()(const T& /*change*/) const { }
     };
--- a/src/operator/state_view.cpp
+++ b/src/operator/state_view.cpp
@@ -39,13 +39,15 @@
         if (kind == "keys")
             return arrayOf(state.catalog().keys, part);
         if (kind == "pools")
-            return arrayOf(state.pools(), [](const auto& it) { return json { { "name", it.second.name }, { "service", it.second.service } }; });
+            return arrayOf(state.pools(), [](const auto& it) { return json { { "name", it.second.name }, { "service", it.second.service }, { "minimum", it.second.minimum } }; });
         if (kind == "instances")
             return arrayOf(state.instances(), [](const auto& it) { return instanceToJson(it.second); });
         if (kind == "operators")
             return arrayOf(state.operators(), [](const auto& it) { return json { { "name", it.second.name }, { "role", roleName(it.second.role) } }; });
         if (kind == "entries")
             return arrayOf(state.entries(), [](const auto& it) { return json { { "name", it.first }, { "zone", it.second } }; });
+        if (kind == "waves")
+            return arrayOf(state.fleet().waves, part);
         if (kind == "parts")
             return arrayOf(state.parts(), partToJson);
         return std::nullopt;
@@ -58,7 +60,7 @@
         const char* pointer;
     };
 
-    constexpr std::array<SubjectField, 16> subjectFields { {
+    constexpr std::array<SubjectField, 22> subjectFields { {
         { "put-profile", "profiles", "/profile/name" },
         { "delete-profile", "profiles", "/name" },
         { "put-service", "services", "/service/name" },
@@ -75,6 +77,12 @@
         { "put-operator", "operators", "/name" },
         { "delete-operator", "operators", "/name" },
         { "remove-entry", "entries", "/name" },
+        { "start-wave", "waves", "/name" },
+        { "halt-wave", "waves", "/name" },
+        { "resume-wave", "waves", "/name" },
+        { "rollback-wave", "waves", "/name" },
+        { "drain-started", "instances", "/instance" },
+        { "drain-ended", "instances", "/instance" },
     } };
 
     /// @returns the kind and name of the subject of a change, or empty texts.
