Plan drains, waves and moves as pure modules

Cause: decisions on planned stops have to be testable without processes and explainable from a copy of the state and the observations.

WavePlanner chooses batches by rack and zone, counts planned and unplanned absences together, doubles a batch after a healthy one, falls back to one after a failure and halts on correlated failures. PoolPlanner sizes pools as need plus the largest rack plus what a wave holds out, with hysteresis and a cost of a move. One instance at a time and a fixed fraction are policies for comparison.

--- /dev/null
+++ b/src/fleet/pool_planner.cpp
@@ -0,0 +1,184 @@
+#include "pool_planner_p.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace vanillalift {
+
+namespace {
+
+    /// A missing instance of the buffer costs only when a failure comes, a missing one of the need costs at once.
+    constexpr double bufferGain = 0.5;
+
+    bool isMovingTo(const InstanceModel& it, std::string_view pool) { return it.status.targetPool == pool && it.instance.pool != pool; }
+
+    bool isMovingAway(const InstanceModel& it) { return !it.status.targetPool.empty() && it.status.targetPool != it.instance.pool; }
+
+    std::map<std::string_view, int64_t> racksOf(const FleetModel& model, const PoolModel& pool)
+    {
+        std::map<std::string_view, int64_t> racks;
+        for (auto n : pool.members)
+            ++racks[model.instances[n].instance.rack];
+        return racks;
+    }
+
+    /// @returns the candidate whose rack holds the fewest of the pool's instances, which keeps the pool's buffer small.
+    std::optional<size_t> leastCrowded(const FleetModel& model, const PoolModel& pool, const std::vector<size_t>& candidates)
+    {
+        auto racks = racksOf(model, pool);
+        auto count = [&](size_t n) { return racks[model.instances[n].instance.rack]; };
+        auto it = std::min_element(candidates.begin(), candidates.end(), [&](size_t a, size_t b) { return count(a) < count(b); });
+        return it == candidates.end() ? std::nullopt : std::optional(*it);
+    }
+
+    std::vector<size_t> movable(const FleetModel& model, const PoolModel& pool)
+    {
+        std::vector<size_t> candidates;
+        std::copy_if(pool.members.begin(), pool.members.end(), std::back_inserter(candidates), [&](size_t n) { return model.instances[n].isAvailable; });
+        return candidates;
+    }
+
+    FleetAction makeMove(const InstanceModel& it, const PoolModel& to, std::string reason, std::vector<std::string> alternatives)
+    {
+        FleetAction action { .kind = FleetActionKind::BeginDrain, .instance = it.instance.name, .pool = to.name };
+        action.incarnation = it.observation.incarnation;
+        action.reason = std::move(reason);
+        action.alternatives = std::move(alternatives);
+        return action;
+    }
+
+    std::string sizeText(const PoolModel& pool, const PoolSize& size)
+    {
+        return "pool " + pool.name + " has " + std::to_string(size.size) + ", wants need " + std::to_string(size.need) + " + buffer " + std::to_string(size.buffer) + " + in a wave " + std::to_string(size.inWave);
+    }
+
+} // namespace
+
+PoolSize PoolPlanner::sizeOf(const FleetModel& model, const PoolModel& pool)
+{
+    PoolSize size { pool.need };
+    std::map<std::string_view, int64_t> racks;
+    auto count = [&](const InstanceModel& it) {
+        ++size.size;
+        size.buffer = std::max(size.buffer, ++racks[it.instance.rack]);
+    };
+    for (auto n : pool.members) {
+        const auto& it = model.instances[n];
+        if (it.status.phase == InstancePhase::Failed || isMovingAway(it))
+            continue;
+        count(it);
+        // Where moves weigh more than the roll-out, the wave waits for its own instances instead of borrowing others.
+        size.inWave += !it.status.wave.empty() && pool.rollOutWeight >= pool.moveWeight ? 1 : 0;
+    }
+    for (const auto& it : model.instances) {
+        if (isMovingTo(it, pool.name) && it.status.phase != InstancePhase::Failed)
+            count(it);
+    }
+    return size;
+}
+
+void PoolPlanner::remember(const FleetModel& model)
+{
+    for (const auto& pool : model.pools) {
+        auto size = sizeOf(model, pool);
+        auto& memory = m_memory[pool.name];
+        auto keep = [&](int64_t& since, bool holds) { since = !holds ? 0 : since == 0 ? model.nowMs
+                                                                                      : since; };
+        keep(memory.shortSinceMs, !pool.isSpare() && size.size < size.wanted());
+        keep(memory.aboveSinceMs, !pool.isSpare() && size.size > size.wanted());
+    }
+    std::erase_if(m_memory, [&](const auto& it) { return std::none_of(model.pools.begin(), model.pools.end(), [&](const PoolModel& pool) { return pool.name == it.first; }); });
+}
+
+bool PoolPlanner::canGive(const FleetModel& model, const PoolModel& pool) const
+{
+    if (pool.isSpare())
+        return pool.available > pool.need;
+    auto memory = m_memory.find(pool.name);
+    bool isAbove = memory != m_memory.end() && memory->second.aboveSinceMs != 0 && model.nowMs - memory->second.aboveSinceMs >= m_options.aboveTimeMs;
+    return isAbove && pool.available > pool.need;
+}
+
+std::optional<FleetAction> PoolPlanner::fill(const FleetModel& model, size_t index) const
+{
+    const auto& pool = model.pools[index];
+    auto since = m_memory.at(pool.name).shortSinceMs;
+    if (since == 0 || model.nowMs - since < m_options.shortTimeMs)
+        return std::nullopt;
+    auto size = sizeOf(model, pool);
+    auto gain = pool.shareWeight * static_cast<double>(m_options.holdingTimeMs) * (pool.available < pool.need ? 1 : bufferGain);
+    auto cost = pool.moveWeight * static_cast<double>(m_options.moveTimeMs);
+    if (gain <= cost)
+        return std::nullopt;
+    // An instance in the most crowded rack would raise the buffer by itself and leave the pool as short as before.
+    auto racks = racksOf(model, pool);
+    auto helps = [&](size_t n) { return pool.available < pool.need || racks[model.instances[n].instance.rack] < size.buffer; };
+    auto give = [&](bool isSpare) {
+        std::vector<size_t> candidates;
+        for (const auto& other : model.pools) {
+            if (&other == &pool || other.isSpare() != isSpare || !canGive(model, other))
+                continue;
+            auto some = movable(model, other);
+            std::copy_if(some.begin(), some.end(), std::back_inserter(candidates), helps);
+        }
+        return leastCrowded(model, pool, candidates);
+    };
+    auto source = give(true);
+    bool isFromSpare = source.has_value();
+    if (!source)
+        source = give(false);
+    if (!source)
+        return std::nullopt;
+    auto reason = sizeText(pool, size) + " for " + std::to_string((model.nowMs - since) / 1000) + " s; the gain of " + std::to_string(static_cast<int64_t>(gain / 1000)) + " instance seconds exceeds the cost of " + std::to_string(static_cast<int64_t>(cost / 1000));
+    return makeMove(model.instances[*source], pool, reason, { isFromSpare ? "take from a pool above its size" : "take from spare: none is free", "stay short" });
+}
+
+std::optional<FleetAction> PoolPlanner::giveBack(const FleetModel& model, size_t index) const
+{
+    const auto& pool = model.pools[index];
+    auto spare = std::find_if(model.pools.begin(), model.pools.end(), [](const PoolModel& it) { return it.isSpare(); });
+    auto size = sizeOf(model, pool);
+    if (pool.isSpare() || spare == model.pools.end() || size.size <= size.wanted() || !canGive(model, pool))
+        return std::nullopt;
+    auto gain = pool.bufferWeight * static_cast<double>(m_options.holdingTimeMs) * bufferGain;
+    auto cost = pool.moveWeight * static_cast<double>(m_options.moveTimeMs);
+    if (gain <= cost)
+        return std::nullopt;
+    auto candidates = movable(model, pool);
+    auto racks = racksOf(model, pool);
+    auto count = [&](size_t n) { return racks[model.instances[n].instance.rack]; };
+    auto it = std::max_element(candidates.begin(), candidates.end(), [&](size_t a, size_t b) { return count(a) < count(b); });
+    if (it == candidates.end())
+        return std::nullopt;
+    return makeMove(model.instances[*it], *spare, sizeText(pool, size) + "; above it for " + std::to_string(m_options.aboveTimeMs / 1000) + " s", { "keep it in the pool" });
+}
+
+std::vector<FleetAction> PoolPlanner::plan(const FleetModel& model)
+{
+    remember(model);
+    // The shortest pools come first, those below their need before those that lack buffer only.
+    std::vector<size_t> order(model.pools.size());
+    std::iota(order.begin(), order.end(), 0);
+    auto urgency = [&](size_t n) {
+        const auto& pool = model.pools[n];
+        return pool.shareWeight * static_cast<double>(pool.need - pool.available);
+    };
+    std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) { return urgency(a) > urgency(b); });
+    std::vector<FleetAction> actions;
+    auto remaining = model;
+    auto add = [&](std::optional<FleetAction> action) {
+        if (!action)
+            return;
+        reserve(remaining, *action);
+        actions.push_back(std::move(*action));
+    };
+    for (auto n : order) {
+        if (!model.pools[n].isSpare())
+            add(fill(remaining, n));
+    }
+    for (auto n : order)
+        add(giveBack(remaining, n));
+    return actions;
+}
+
+} // namespace vanillalift
--- /dev/null
+++ b/src/fleet/wave_planner.cpp
@@ -0,0 +1,242 @@
+#include "wave_planner_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanillalift {
+
+namespace {
+
+    using Batch = std::vector<size_t>;
+
+    /// Instances that each pool can spare now. Planned and unplanned absences count together: neither is available.
+    class Headroom {
+    public:
+        explicit Headroom(const FleetModel& model)
+        {
+            for (const auto& pool : model.pools)
+                m_free.push_back(ofPool(pool));
+        }
+
+        static int64_t ofPool(const PoolModel& pool)
+        {
+            if (pool.isBudgetSpent() && !pool.isSpare())
+                return 0;
+            auto free = std::max<int64_t>(0, pool.available - pool.need);
+            if (pool.isSpare())
+                return free;
+            // Where the teams' shares weigh more than the roll-out, a part of what is free stays in service.
+            auto weights = pool.rollOutWeight + pool.shareWeight;
+            auto part = weights > 0 ? std::min(1.0, 2 * pool.rollOutWeight / weights) : 1.0;
+            return std::min(free, std::max<int64_t>(1, static_cast<int64_t>(std::floor(part * static_cast<double>(free)))));
+        }
+
+        bool take(size_t pool)
+        {
+            if (m_free[pool] == 0)
+                return false;
+            --m_free[pool];
+            return true;
+        }
+
+    private:
+        std::vector<int64_t> m_free;
+    };
+
+    Batch startable(const FleetModel& model, const Wave& wave)
+    {
+        Batch batch;
+        for (const auto& name : wave.pending) {
+            const auto* it = model.findInstance(name);
+            if (it && it->isAvailable)
+                batch.push_back(static_cast<size_t>(it - model.instances.data()));
+        }
+        return batch;
+    }
+
+    /// Adds what the pools can spare of @p candidates until the batch has @p limit instances.
+    void extend(Batch& batch, const FleetModel& model, const Batch& candidates, Headroom& headroom, size_t limit)
+    {
+        for (auto n : candidates) {
+            if (batch.size() >= limit)
+                return;
+            if (std::find(batch.begin(), batch.end(), n) == batch.end() && headroom.take(model.instances[n].pool))
+                batch.push_back(n);
+        }
+    }
+
+    template <typename Key>
+    std::map<std::string, Batch> groupBy(const FleetModel& model, const Batch& batch, Key key)
+    {
+        std::map<std::string, Batch> groups;
+        for (auto n : batch)
+            groups[model.instances[n].instance.*key].push_back(n);
+        return groups;
+    }
+
+    struct Choice {
+        Batch batch;
+        std::string reason;
+        std::vector<std::string> alternatives;
+    };
+
+    std::string sizeText(const std::string& domain, const Batch& batch)
+    {
+        return domain + ": " + std::to_string(batch.size()) + (batch.size() == 1 ? " instance" : " instances");
+    }
+
+    /// The largest batch in one rack, filled up from the rack's zone.
+    Choice chooseWidening(const FleetModel& model, const Wave& wave, const Batch& waiting)
+    {
+        auto limit = static_cast<size_t>(wave.batchLimit);
+        std::map<std::string, Batch> byRack;
+        for (const auto& [rack, members] : groupBy(model, waiting, &Instance::rack)) {
+            Headroom headroom(model);
+            Batch batch;
+            extend(batch, model, members, headroom, limit);
+            if (!batch.empty())
+                byRack[rack] = batch;
+        }
+        if (byRack.empty())
+            return {};
+        auto best = std::max_element(byRack.begin(), byRack.end(), [](const auto& a, const auto& b) { return a.second.size() < b.second.size(); });
+        Choice choice { best->second };
+        auto zone = model.instances[choice.batch.front()].instance.zone;
+        Headroom headroom(model);
+        for (auto n : choice.batch)
+            headroom.take(model.instances[n].pool);
+        extend(choice.batch, model, groupBy(model, waiting, &Instance::zone)[zone], headroom, limit);
+        choice.reason = "batch of " + std::to_string(choice.batch.size()) + " of at most " + std::to_string(limit) + ", rack " + best->first + " first, then zone " + zone;
+        for (const auto& [rack, batch] : byRack) {
+            if (rack != best->first && choice.alternatives.size() < 3)
+                choice.alternatives.push_back(sizeText("rack " + rack, batch));
+        }
+        return choice;
+    }
+
+    struct ChooseBatch {
+        const FleetModel& model;
+        const Wave& wave;
+        const Batch& waiting;
+
+        Choice operator()(const WideningBatch& /*policy*/) const { return chooseWidening(model, wave, waiting); }
+        Choice operator()(const OneAtATime& /*policy*/) const
+        {
+            Choice choice { {}, "one instance at a time", {} };
+            Headroom headroom(model);
+            extend(choice.batch, model, waiting, headroom, 1);
+            return choice;
+        }
+        Choice operator()(const FixedFraction& policy) const
+        {
+            Choice choice { {}, "a fixed fraction of each pool", {} };
+            std::map<size_t, int64_t> taken;
+            for (auto n : waiting) {
+                auto pool = model.instances[n].pool;
+                auto most = std::max<int64_t>(1, static_cast<int64_t>(policy.fraction * static_cast<double>(model.pools[pool].members.size())));
+                if (++taken[pool] <= most)
+                    choice.batch.push_back(n);
+            }
+            return choice;
+        }
+    };
+
+    std::vector<std::string> underWay(const FleetModel& model, const Wave& wave)
+    {
+        std::vector<std::string> names;
+        for (const auto& it : model.instances) {
+            if (it.status.wave == wave.name)
+                names.push_back(it.instance.name);
+        }
+        return names;
+    }
+
+    std::vector<FleetAction> beginDrains(const FleetModel& model, const Wave& wave, const Choice& choice)
+    {
+        std::vector<FleetAction> actions;
+        std::map<size_t, int64_t> taken;
+        for (auto n : choice.batch)
+            ++taken[model.instances[n].pool];
+        for (auto n : choice.batch) {
+            const auto& it = model.instances[n];
+            const auto& pool = model.poolOf(it);
+            FleetAction action { .kind = FleetActionKind::BeginDrain, .instance = it.instance.name, .wave = wave.name };
+            action.incarnation = it.observation.incarnation;
+            action.reason = choice.reason + "; pool " + pool.name + " keeps " + std::to_string(pool.available - taken[it.pool]) + " available of need " + std::to_string(pool.need);
+            action.alternatives = choice.alternatives;
+            actions.push_back(std::move(action));
+        }
+        return actions;
+    }
+
+} // namespace
+
+std::optional<FleetAction> WavePlanner::planHalt(const FleetModel& model, const Wave& wave) const
+{
+    std::vector<WaveOutcome> failures;
+    for (size_t n = wave.settledOutcomes; n < wave.outcomes.size(); ++n) {
+        if (!wave.outcomes[n].isHealthy)
+            failures.push_back(wave.outcomes[n]);
+    }
+    auto count = static_cast<size_t>(m_options.correlatedFailures);
+    for (size_t n = count; n <= failures.size(); ++n) {
+        if (failures[n - 1].timeMs - failures[n - count].timeMs > m_options.correlationMs)
+            continue;
+        FleetAction action { .kind = FleetActionKind::HaltWave, .wave = wave.name };
+        action.reason = "correlated failures within " + std::to_string(m_options.correlationMs / 60000) + " minutes:";
+        for (auto it = failures.begin() + static_cast<ptrdiff_t>(n - count); it != failures.end(); ++it) {
+            const auto* instance = model.findInstance(it->instance);
+            action.reason += " " + it->instance + (instance ? " (rack " + instance->instance.rack + ", zone " + instance->instance.zone + ")" : "");
+        }
+        action.alternatives = { "go on with batches of one", "roll back" };
+        return action;
+    }
+    return std::nullopt;
+}
+
+std::vector<FleetAction> WavePlanner::plan(const FleetModel& model) const
+{
+    std::vector<FleetAction> actions;
+    auto remaining = model;
+    for (const auto& wave : model.waves) {
+        if (!wave.isOpen() || wave.phase == WavePhase::Halted)
+            continue;
+        bool isRunning = wave.phase == WavePhase::Running;
+        if (auto halt = isRunning ? planHalt(model, wave) : std::nullopt) {
+            actions.push_back(std::move(*halt));
+            continue;
+        }
+        if (!underWay(model, wave).empty())
+            continue;
+        if (!isRunning || wave.pending.empty()) {
+            FleetAction finish { .kind = FleetActionKind::FinishWave, .wave = wave.name };
+            finish.reason = isRunning ? "each instance was maintained or has failed" : "rolled back; " + std::to_string(wave.pending.size()) + " instances were not started";
+            actions.push_back(std::move(finish));
+            continue;
+        }
+        auto waiting = startable(remaining, wave);
+        auto choice = std::visit(ChooseBatch { remaining, wave, waiting }, m_options.policy);
+        for (auto& it : beginDrains(remaining, wave, choice)) {
+            reserve(remaining, it);
+            actions.push_back(std::move(it));
+        }
+    }
+    return actions;
+}
+
+std::string WavePlanner::explain(const FleetModel& model, const Wave& wave) const
+{
+    if (wave.phase != WavePhase::Running)
+        return std::string(wavePhaseName(wave.phase)) + (wave.reason.empty() ? "" : ": " + wave.reason);
+    if (auto names = underWay(model, wave); !names.empty())
+        return "waits for " + std::to_string(names.size()) + " instances under way, first " + names.front();
+    std::string text;
+    for (const auto& pool : model.pools) {
+        bool isWaiting = std::any_of(pool.members.begin(), pool.members.end(), [&](size_t n) { return std::binary_search(wave.pending.begin(), wave.pending.end(), model.instances[n].instance.name); });
+        if (isWaiting && Headroom::ofPool(pool) == 0)
+            text += (text.empty() ? "" : "; ") + std::string("pool ") + pool.name + (pool.isBudgetSpent() ? " has spent its availability budget" : " has " + std::to_string(pool.available) + " available of need " + std::to_string(pool.need));
+    }
+    return text;
+}
+
+} // namespace vanillalift
--- /dev/null
+++ b/src/fleet/wave_planner_p.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "fleet_model_p.h"
+
+#include <variant>
+
+namespace vanillalift {
+
+/// Goes by failure domain within the availability budget and doubles its batch while batches return healthy.
+struct WideningBatch {
+};
+/// Baseline for comparison: one instance of the wave at a time, within the availability budget.
+struct OneAtATime {
+};
+/// Baseline for comparison: a fixed fraction of each pool at once, whatever the pool can spare.
+struct FixedFraction {
+    double fraction = 0.25;
+};
+using BatchPolicy = std::variant<WideningBatch, OneAtATime, FixedFraction>;
+
+struct WavePlannerOptions {
+    BatchPolicy policy = WideningBatch {};
+    /// Failures of two instances within this time are correlated.
+    int64_t correlationMs = 10 * 60 * 1000;
+    int64_t correlatedFailures = 2;
+};
+
+/// Chooses the next batch of each running wave, and halts or finishes waves. Pure.
+class WavePlanner {
+public:
+    explicit WavePlanner(WavePlannerOptions options = {})
+        : m_options(options)
+    {
+    }
+
+    [[nodiscard]] std::vector<FleetAction> plan(const FleetModel& model) const;
+
+    /// @returns why nothing of the wave is started now, or an empty string.
+    [[nodiscard]] std::string explain(const FleetModel& model, const Wave& wave) const;
+
+private:
+    [[nodiscard]] std::optional<FleetAction> planHalt(const FleetModel& model, const Wave& wave) const;
+
+    WavePlannerOptions m_options;
+};
+
+} // namespace vanillalift
