Add the platform interface, its client and a stand-in

Cause: drains and reboots are carried out by the platform, and its published interface needs a client and something to test against.

Change: drain, reboot, resume and the list of instances over HTTP and JSON. Requests carry the action id and the term; a lower term is refused and a repeated action gets its first outcome. resume starts the endpoint of a drained instance that moves or is called back. vanillalift-platform simulates drains, reboots and faults: never returns, returns broken, new address, slow, refuses, correlated failures within a rack.

--- a/src/fleet/fleet_model_p.h
+++ b/src/fleet/fleet_model_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <vanillalift/control_state.h>
+#include <vanillalift/platform.h>
 
 #include <map>
 #include <string>
@@ -9,20 +10,6 @@
 /// What the fleet planners decide on: a copy of the committed state together with observations.
 namespace vanillalift {
 
-enum class PlatformState : uint8_t {
-    /// No report.
-    Unknown,
-    /// Runs; nothing is planned.
-    Up,
-    Draining,
-    /// The endpoint has announced leaving, its announcements ended longer than their expiry ago, and nothing runs.
-    Drained,
-    Rebooting,
-    /// Runs, but fails its health check.
-    Broken,
-    PlatformStateCount,
-};
-
 struct InstanceObservation {
     bool isAnnounced = false;
     bool isLeaving = false;
--- /dev/null
+++ b/src/standin/platform_server_p.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "platform_work_p.h"
+
+#include <httplib.h>
+
+#include <functional>
+
+namespace vanillalift::standin {
+
+/// Adds the platform's HTTP interface to a server.
+/// @param nowMs source of time; must outlive the server.
+void addPlatformRoutes(httplib::Server& server, PlatformWork& work, std::function<int64_t()> nowMs);
+
+} // namespace vanillalift::standin
--- /dev/null
+++ b/tools/platform/main.cpp
@@ -0,0 +1,91 @@
+#include "core/command_line_p.h"
+#include "standin/platform_server_p.h"
+
+#include <vanillalift/clock.h>
+
+#include <glog/logging.h>
+
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+using namespace vanillalift;
+using namespace vanillalift::standin;
+
+namespace {
+
+struct FaultOption {
+    const char* option;
+    const char* field;
+    const char* help;
+};
+
+constexpr std::array<FaultOption, 6> faultOptions { {
+    { "never-returns", "never_returns", "probability that a reboot never ends" },
+    { "returns-broken", "returns_broken", "probability that an instance is broken after its reboot" },
+    { "new-address", "new_address", "probability that an instance returns under a new address" },
+    { "slow", "slow", "probability that a reboot takes slow_ms longer" },
+    { "refuses", "refuses", "probability that a drain or reboot is refused" },
+    { "rack-fails", "rack_fails", "probability that a reboot fails after another one failed in the rack" },
+} };
+
+tl::expected<PlatformSettings, int> settingsFromCommandLine(int argc, char** argv)
+{
+    CommandLine commandLine("vanillalift-platform", "SETTINGS", 1, 1);
+    std::array<std::string, faultOptions.size()> texts;
+    for (size_t n = 0; n < faultOptions.size(); ++n)
+        commandLine.add(faultOptions[n].option, '\0', "PROBABILITY", faultOptions[n].help, texts[n]);
+    auto operands = commandLine.parse(argc, argv);
+    if (!operands)
+        return tl::unexpected(operands.error());
+    auto value = loadSettings(operands->front());
+    if (!value) {
+        std::cerr << describe(value.error());
+        return tl::unexpected(2);
+    }
+    for (size_t n = 0; n < faultOptions.size() && value->is_object(); ++n) {
+        if (!texts[n].empty())
+            (*value)[faultOptions[n].field] = nlohmann::json::parse(texts[n], nullptr, false);
+    }
+    auto settings = platformSettingsFromJson(*value, operands->front());
+    if (!settings) {
+        std::cerr << describe(settings.error());
+        return tl::unexpected(2);
+    }
+    return *settings;
+}
+
+int run(const PlatformSettings& settings, const sigset_t& signals)
+{
+    PlatformWork work(settings);
+    httplib::Server server;
+    addPlatformRoutes(server, work, wallClockMs);
+    auto colon = settings.address.rfind(':');
+    if (!server.bind_to_port(settings.address.substr(0, colon), std::atoi(settings.address.c_str() + colon + 1))) {
+        LOG(ERROR) << "cannot bind " << settings.address;
+        return 1;
+    }
+    std::thread serving([&] { server.listen_after_bind(); });
+    int signal = 0;
+    sigwait(&signals, &signal);
+    server.stop();
+    serving.join();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    google::InitGoogleLogging(argv[0]);
+    FLAGS_logtostderr = true;
+    // Blocked before the first thread starts, so that only sigwait() receives them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    auto settings = settingsFromCommandLine(argc, argv);
+    return settings ? run(*settings, signals) : settings.error();
+}
