Run the fleet's decisions in the control leader

Cause: the planners' actions have to be committed before the platform is called, and a new leader has to go on from the committed phases.

Change: FleetController runs a round a second on the leader: observe, plan, commit each action, then make the platform calls of committed phases that the platform has not accepted yet. FleetObserver supplies what entries see. Found by the simulation tests: the id of a phase is now that of the last action that calls the platform; a drain past its limit is called back instead of failed, and a failed instance that the platform holds drained is called back, since both stayed out of service for good before. Two failures without a healthy return between them halt a wave too, because batches of one that run into the reboot's time limit are further apart than 10 minutes.

--- a/include/vanillalift/fleet.h
+++ b/include/vanillalift/fleet.h
@@ -28,7 +28,7 @@
 
 enum class FleetActionKind : uint8_t {
     BeginDrain,
-    /// Calls a draining or drained instance back without a reboot or move.
+    /// Calls an instance back without a reboot or move: while it is draining, drained, or failed after that.
     CancelDrain,
     ConfirmDrained,
     BeginReboot,
@@ -74,7 +74,7 @@
     uint64_t incarnation = 0;
     /// Wall-clock milliseconds at which the phase began.
     int64_t sinceMs = 0;
-    /// Id and kind of the action that began the phase. Calls to the platform carry the id.
+    /// Id and kind of the last action that a call to the platform follows. The call carries the id.
     uint64_t actionId = 0;
     FleetActionKind action = FleetActionKind::BeginDrain;
 
@@ -90,6 +90,7 @@
     WavePhaseCount,
 };
 
+/// An instance whose stop for the wave has ended; one that was called back without its reboot is not healthy.
 struct WaveOutcome {
     std::string instance;
     int64_t timeMs = 0;
--- a/src/control/fleet_applier.cpp
+++ b/src/control/fleet_applier.cpp
@@ -22,7 +22,7 @@
     using enum InstancePhase;
     constexpr std::array<Transition, 10> transitions { {
         { FleetActionKind::BeginDrain, bit(Serving), Draining },
-        { FleetActionKind::CancelDrain, bit(Draining) | bit(Drained), Returning },
+        { FleetActionKind::CancelDrain, bit(Draining) | bit(Drained) | bit(Failed), Returning },
         { FleetActionKind::ConfirmDrained, bit(Draining), Drained },
         { FleetActionKind::BeginReboot, bit(Drained), Rebooting },
         { FleetActionKind::ChangePool, bit(Drained), Returning },
@@ -33,6 +33,11 @@
         { FleetActionKind::SetAddress, bit(Returning) | bit(Failed), Returning },
     } };
 
+    bool callsPlatform(FleetActionKind kind)
+    {
+        return kind == FleetActionKind::BeginDrain || kind == FleetActionKind::CancelDrain || kind == FleetActionKind::BeginReboot || kind == FleetActionKind::ChangePool;
+    }
+
     const Transition* findTransition(FleetActionKind kind)
     {
         const auto* it = std::find_if(transitions.begin(), transitions.end(), [&](const Transition& transition) { return transition.kind == kind; });
@@ -123,8 +128,12 @@
     auto before = status;
     status.phase = findTransition(m_action.kind)->to;
     status.sinceMs = m_command.timeMs;
-    status.actionId = m_fleet.lastActionId;
-    status.action = m_action.kind;
+    if (callsPlatform(m_action.kind)) {
+        status.actionId = m_fleet.lastActionId;
+        status.action = m_action.kind;
+    }
+    if (m_action.kind == FleetActionKind::CancelDrain)
+        status.targetPool.clear();
     if (m_action.kind == FleetActionKind::BeginDrain)
         return beginDrain(status);
     if (m_action.kind == FleetActionKind::ChangePool)
@@ -138,7 +147,7 @@
     m_fleet.statuses.erase(m_action.instance);
     endDrain(before);
     if (m_action.kind == FleetActionKind::FinishReturn)
-        recordOutcome(before, true);
+        recordOutcome(before, before.action == FleetActionKind::BeginReboot);
 }
 
 void FleetApplier::beginDrain(InstanceStatus& status)
@@ -169,7 +178,8 @@
 void FleetApplier::recordOutcome(const InstanceStatus& status, bool isHealthy)
 {
     auto* wave = m_fleet.findWave(status.wave);
-    if (!wave)
+    // Instances that a roll back called back were neither maintained nor did they fail.
+    if (!wave || wave->phase == WavePhase::RollingBack)
         return;
     wave->outcomes.push_back({ m_action.instance, m_command.timeMs, isHealthy });
     if (!isHealthy) {
--- a/src/fleet/drain_tracker.cpp
+++ b/src/fleet/drain_tracker.cpp
@@ -73,7 +73,7 @@
     if (missing.empty())
         return make(Kind::ConfirmDrained, it, "the drain is in force, nothing is in flight, and the platform confirms it");
     if (isOver(model, it, m_options.drainLimitMs))
-        return make(Kind::Fail, it, "not drained within " + seconds(m_options.drainLimitMs) + ": " + missing, { "wait on" });
+        return make(Kind::CancelDrain, it, "not drained within " + seconds(m_options.drainLimitMs) + ": " + missing, { "wait on", "stop what still runs" });
     return std::nullopt;
 }
 
@@ -121,6 +121,9 @@
 {
     const auto& seen = it.observation;
     bool isSpare = model.poolOf(it).isSpare();
+    bool isKnownStopped = it.status.drainRevision != 0 && seen.platform == PlatformState::Drained;
+    if (isKnownStopped)
+        return make(Kind::CancelDrain, it, "the platform holds it drained", { "leave it out until an operator replaces it" });
     // The same process may be back: the platform refused the drain, or the network lost its announcements.
     bool isBack = seen.platform == PlatformState::Up && (isSpare || isAnnouncedServing(it));
     // A process that restarts again and again is not back.
--- a/src/fleet/wave_planner.cpp
+++ b/src/fleet/wave_planner.cpp
@@ -169,28 +169,39 @@
         return actions;
     }
 
+    FleetAction makeHalt(const FleetModel& model, const Wave& wave, std::string reason, const std::vector<WaveOutcome>& failures)
+    {
+        reason += ":";
+        for (const auto& it : failures) {
+            const auto* instance = model.findInstance(it.instance);
+            reason += " " + it.instance + (instance ? " (rack " + instance->instance.rack + ", zone " + instance->instance.zone + ")" : "");
+        }
+        FleetAction action { .kind = FleetActionKind::HaltWave, .wave = wave.name };
+        action.reason = std::move(reason);
+        action.alternatives = { "go on with batches of one", "roll back" };
+        return action;
+    }
+
 } // namespace
 
 std::optional<FleetAction> WavePlanner::planHalt(const FleetModel& model, const Wave& wave) const
 {
     std::vector<WaveOutcome> failures;
+    size_t sinceHealthy = 0;
     for (size_t n = wave.settledOutcomes; n < wave.outcomes.size(); ++n) {
+        sinceHealthy = wave.outcomes[n].isHealthy ? 0 : sinceHealthy + 1;
         if (!wave.outcomes[n].isHealthy)
             failures.push_back(wave.outcomes[n]);
     }
     auto count = static_cast<size_t>(m_options.correlatedFailures);
     for (size_t n = count; n <= failures.size(); ++n) {
-        if (failures[n - 1].timeMs - failures[n - count].timeMs > m_options.correlationMs)
-            continue;
-        FleetAction action { .kind = FleetActionKind::HaltWave, .wave = wave.name };
-        action.reason = "correlated failures within " + std::to_string(m_options.correlationMs / 60000) + " minutes:";
-        for (auto it = failures.begin() + static_cast<ptrdiff_t>(n - count); it != failures.end(); ++it) {
-            const auto* instance = model.findInstance(it->instance);
-            action.reason += " " + it->instance + (instance ? " (rack " + instance->instance.rack + ", zone " + instance->instance.zone + ")" : "");
-        }
-        action.alternatives = { "go on with batches of one", "roll back" };
-        return action;
+        std::vector<WaveOutcome> last(failures.begin() + static_cast<ptrdiff_t>(n - count), failures.begin() + static_cast<ptrdiff_t>(n));
+        if (last.back().timeMs - last.front().timeMs <= m_options.correlationMs)
+            return makeHalt(model, wave, "correlated failures within " + std::to_string(m_options.correlationMs / 60000) + " minutes", last);
     }
+    // Batches of one fail further apart than that, since each waits for the time limit of its reboot.
+    if (sinceHealthy >= count)
+        return makeHalt(model, wave, "correlated failures without a healthy return between them", { failures.end() - static_cast<ptrdiff_t>(count), failures.end() });
     return std::nullopt;
 }
 
--- /dev/null
+++ b/src/standin/fleet_simulation.cpp
@@ -0,0 +1,130 @@
+#include "fleet_simulation_p.h"
+
+namespace vanillalift::standin {
+
+using nlohmann::json;
+
+std::future<ProposeResult> SimulatedLog::propose(std::string command)
+{
+    std::promise<ProposeResult> promise;
+    if (commitsLeft == 0) {
+        promise.set_value(tl::unexpected(ProposeError { ProposeErrorCode::NotLeader, "" }));
+        return promise.get_future();
+    }
+    commitsLeft -= commitsLeft > 0 ? 1 : 0;
+    promise.set_value(Committed { ++m_index, m_machine.apply(m_index, command) });
+    return promise.get_future();
+}
+
+std::future<ReadResult> SimulatedLog::readIndex()
+{
+    std::promise<ReadResult> promise;
+    promise.set_value(m_index);
+    return promise.get_future();
+}
+
+std::future<ProposeResult> SimulatedLog::replaceMember(std::string /*name*/, std::string /*storageId*/)
+{
+    return propose({});
+}
+
+ReplicaStatus SimulatedLog::status() const
+{
+    ReplicaStatus status;
+    status.role = commitsLeft == 0 ? ReplicaRole::Follower : ReplicaRole::Leader;
+    status.term = term;
+    return status;
+}
+
+FleetSimulation::FleetSimulation(const ControlState& state, PlatformSettings settings, FleetControllerOptions options)
+    : work(std::move(settings))
+    , log(m_machine)
+    , m_options(options)
+{
+    std::string bytes;
+    json::to_cbor(state.toJson(), bytes);
+    m_machine.restore(bytes);
+    m_controller = std::make_unique<FleetController>(
+        log, m_machine, *this, *this, [this] { return nowMs; }, options);
+}
+
+void FleetSimulation::step()
+{
+    m_controller->runOnce();
+    nowMs += 1000;
+}
+
+void FleetSimulation::changeLeader()
+{
+    ++log.term;
+    log.commitsLeft = -1;
+    callsLeft = -1;
+    m_controller = std::make_unique<FleetController>(
+        log, m_machine, *this, *this, [this] { return nowMs; }, m_options);
+}
+
+ChangeOutcome FleetSimulation::change(const json& value)
+{
+    ChangeCommand command { "ana", "sim-" + std::to_string(++m_operations), read([](const ControlState& state) { return state.revision(); }), nowMs, value };
+    (void)log.propose(encodeCommand(command)).get();
+    return *read([&](const ControlState& state) { return state.findOperation(command.operation); });
+}
+
+PlatformResult FleetSimulation::request(const PlatformRequest& request)
+{
+    if (callsLeft == 0) {
+        log.commitsLeft = 0;
+        return tl::unexpected(PlatformError { PlatformFault::Unreachable, "the leader was lost" });
+    }
+    callsLeft -= callsLeft > 0 ? 1 : 0;
+    return work.request(request, nowMs);
+}
+
+tl::expected<PlatformInstances, PlatformError> FleetSimulation::instances()
+{
+    return work.instances(nowMs);
+}
+
+FleetObservations FleetSimulation::observe(const std::vector<ObservedDrain>& drains)
+{
+    FleetObservations observations;
+    observations.demand = demand;
+    for (const auto& [name, it] : work.observe(nowMs)) {
+        auto& seen = m_seen[name];
+        if (seen.isAnnounced != it.isAnnounced)
+            seen = { it.isAnnounced, nowMs };
+        observations.instances[name] = { .isAnnounced = it.isAnnounced, .isLeaving = it.isLeaving, .announcedChangeMs = seen.changeMs, .incarnation = it.incarnation, .address = it.address };
+    }
+    for (const auto& it : drains) {
+        auto& instance = observations.instances[it.instance];
+        instance.isDrainInForce = instance.isInFlightKnown = true;
+    }
+    return observations;
+}
+
+FleetModel FleetSimulation::model()
+{
+    auto observations = observe({});
+    for (const auto& [name, it] : work.instances(nowMs)) {
+        observations.instances[name].platform = it.state;
+        observations.instances[name].platformActionId = it.actionId;
+    }
+    return read([&](const ControlState& state) { return makeFleetModel(state, observations, nowMs); });
+}
+
+bool FleetSimulation::isClosed(std::string_view wave) const
+{
+    return read([&](const ControlState& state) {
+        const auto* found = state.fleet().findWave(wave);
+        return found && !found->isOpen();
+    });
+}
+
+PlatformSettings platformSettingsFor(const ControlState& state, PlatformSettings settings)
+{
+    for (const auto& [name, it] : state.instances())
+        settings.instances.push_back({ name, it.rack, it.address });
+    return settings;
+}
+
+} // namespace vanillalift::standin
