Add the wave verbs to vanillalift-ctl

Cause: operators had no way to start, follow or end a maintenance wave, nor to see why an instance is out of service.

Change: start-wave, waves, halt-wave, resume-wave and rollback-wave. explain instance shows the phase, the leader's actions on the instance and on its waves, each with reason and alternatives.

--- a/src/operator/ctl_verbs.cpp
+++ b/src/operator/ctl_verbs.cpp
@@ -19,6 +19,9 @@
 
     using std::chrono::milliseconds;
 
+    /// Each instance is maintained once in 4 weeks, so a longer wave would run into the next one.
+    constexpr int64_t maxWaveHours = 4 * 7 * 24;
+
     TimePoint deadlineOf(const CtlContext& context)
     {
         return BootClock::now() + milliseconds(context.options.timeoutMs);
@@ -142,6 +145,33 @@
         return proposeChange(context, { { "kind", "move-instance" }, { "instance", context.operands[0] }, { "from", context.operands[1] }, { "to", context.operands[2] } });
     }
 
+    CtlExit runStartWave(CtlContext& context)
+    {
+        int64_t hours = 0;
+        const auto& text = context.operands[1];
+        auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), hours);
+        if (ec != std::errc {} || end != text.data() + text.size() || hours < 1 || hours > maxWaveHours) {
+            context.err << "vanillalift-ctl: the hours must be a whole number from 1 to " << maxWaveHours << "\n";
+            return CtlExit::Usage;
+        }
+        std::vector<std::string> pools(context.operands.begin() + 2, context.operands.end());
+        return proposeChange(context, { { "kind", "start-wave" }, { "name", context.operands[0] }, { "pools", pools }, { "deadline_ms", wallClockMs() + hours * 3600 * 1000 } });
+    }
+
+    CtlExit runWaves(CtlContext& context)
+    {
+        return callAndPrint(context, "read", { { "kind", "waves" } }, "items");
+    }
+
+    CtlExit proposeWaveChange(CtlContext& context, const char* kind)
+    {
+        return proposeChange(context, { { "kind", kind }, { "name", context.operands[0] } });
+    }
+
+    CtlExit runHaltWave(CtlContext& context) { return proposeWaveChange(context, "halt-wave"); }
+    CtlExit runResumeWave(CtlContext& context) { return proposeWaveChange(context, "resume-wave"); }
+    CtlExit runRollBackWave(CtlContext& context) { return proposeWaveChange(context, "rollback-wave"); }
+
     CtlExit runPutOperator(CtlContext& context)
     {
         auto secret = randomHex(32);
@@ -183,14 +213,19 @@
         return callAndPrint(context, "replace_replica", { { "name", context.operands[0] }, { "storage_id", context.operands[1] } });
     }
 
-    constexpr std::array<CtlVerb, 11> verbs { {
-        { "get", "KIND", 1, 1, "lists profiles, services, teams, keys, pools, instances, operators, entries or parts", runGet },
+    constexpr std::array<CtlVerb, 16> verbs { {
+        { "get", "KIND", 1, 1, "lists profiles, services, teams, keys, pools, instances, operators, entries, waves or parts", runGet },
         { "history", "", 0, 0, "lists the accepted changes with revision, author and time", runHistory },
-        { "explain", "instance|team NAME", 2, 2, "tells why an instance is in its pool, or what a team holds and may use", runExplain },
+        { "explain", "instance|team NAME", 2, 2, "tells why an instance is in its pool and phase, or what a team holds and may use", runExplain },
         { "apply", "FILE", 1, 1, "proposes the change in a file (JSON with comments)", runApply },
         { "give-key", "TEAM ID", 2, 2, "makes a key for a team and prints it once", runGiveKey },
         { "withdraw-key", "ID", 1, 1, "withdraws a key", runWithdrawKey },
         { "move", "INSTANCE FROM TO", 3, 3, "moves an instance from one pool to another", runMove },
+        { "start-wave", "NAME HOURS POOL...", 3, 2 + config::maxServices, "starts maintenance of all instances of the pools, to be complete in so many hours", runStartWave },
+        { "waves", "", 0, 0, "lists the maintenance waves with their progress", runWaves },
+        { "halt-wave", "NAME", 1, 1, "starts no further instance of a wave", runHaltWave },
+        { "resume-wave", "NAME", 1, 1, "goes on with a halted wave", runResumeWave },
+        { "rollback-wave", "NAME", 1, 1, "ends a wave and calls its draining and drained instances back", runRollBackWave },
         { "put-operator", "NAME viewer|editor|admin", 2, 2, "makes an account or changes its role, with a new secret that is printed once", runPutOperator },
         { "in-force", "REVISION", 1, 1, "tells whether a revision is in force everywhere", runInForce },
         { "status", "", 0, 0, "shows the control replicas", runStatus },
--- a/src/operator/state_view.cpp
+++ b/src/operator/state_view.cpp
@@ -18,6 +18,30 @@
         return { { "team", it.team }, { "entry", it.entry }, { "amount", it.amount }, { "target", it.target } };
     }
 
+    /// Counts instead of lists of instances, which would fill the screen.
+    json waveToJson(const Wave& it)
+    {
+        auto healthy = std::count_if(it.outcomes.begin(), it.outcomes.end(), [](const WaveOutcome& outcome) { return outcome.isHealthy; });
+        return { { "name", it.name }, { "phase", wavePhaseName(it.phase) }, { "reason", it.reason }, { "pools", it.pools }, { "deadline_ms", it.deadlineMs },
+            { "waiting", it.pending.size() }, { "healthy", healthy }, { "failed", static_cast<int64_t>(it.outcomes.size()) - healthy }, { "batch_limit", it.batchLimit } };
+    }
+
+    /// @returns the leader's actions on the instance, and those on waves that it is or was part of.
+    json actionsOf(const ControlState& state, const std::string& instance)
+    {
+        auto actions = json::array();
+        std::vector<std::string_view> waves;
+        for (const auto& it : state.fleet().records) {
+            const auto& action = it.action;
+            bool isOnWave = action.instance.empty() && std::find(waves.begin(), waves.end(), action.wave) != waves.end();
+            if (action.instance == instance && !action.wave.empty())
+                waves.push_back(action.wave);
+            if (action.instance == instance || isOnWave)
+                actions.push_back(toJson(it));
+        }
+        return actions;
+    }
+
     template <typename Table, typename Convert>
     json arrayOf(const Table& table, Convert convert)
     {
@@ -47,7 +71,7 @@
         if (kind == "entries")
             return arrayOf(state.entries(), [](const auto& it) { return json { { "name", it.first }, { "zone", it.second } }; });
         if (kind == "waves")
-            return arrayOf(state.fleet().waves, part);
+            return arrayOf(state.fleet().waves, waveToJson);
         if (kind == "parts")
             return arrayOf(state.parts(), partToJson);
         return std::nullopt;
@@ -111,6 +135,7 @@
         auto pool = state.pools().find(instance.pool);
         return { { "revision", state.revision() }, { "instance", instanceToJson(instance) },
             { "service", pool == state.pools().end() ? std::string() : pool->second.service },
+            { "status", toJson(state.fleet().statusOf(instance.name)) }, { "actions", actionsOf(state, instance.name) },
             { "changes", changesOf(state, "instances", instance.name) } };
     }
 
