Offer TLS on the operators' port by settings

Cause: operators' secrets and keys cross the network in clear text. Change: with operator_certificate_file and operator_key_file the operators' port is served by the HTTP library's TLS server; vanillalift-ctl checks the certificate against ca_file. Callers' TLS ends at the platform's balancer, because the library's TLS server holds a thread for each connection.

--- a/include/vanillalift/rpc.h
+++ b/include/vanillalift/rpc.h
@@ -42,6 +42,9 @@
     /// Shared secret that each call has to carry; empty for none.
     std::string token;
     size_t maxRequestBytes = 16U << 20U;
+    /// PEM files; with both, the server accepts TLS connections only.
+    std::string certificateFile;
+    std::string keyFile;
 };
 
 /// Serves methods on one address.
@@ -55,7 +58,7 @@
     /// Adds a method. All methods are added before start().
     void add(const std::string& method, RpcHandler handler);
 
-    /// Binds and serves on a thread of its own. @returns false if the address cannot be bound.
+    /// Binds and serves on a thread of its own. @returns false if the address cannot be bound or a file cannot be used.
     [[nodiscard]] bool start();
     /// Stops accepting and waits for calls in progress.
     void stop();
@@ -71,7 +74,8 @@
 class RpcClient {
 public:
     /// @param address "ip:port".
-    RpcClient(std::string address, std::string token);
+    /// @param caFile PEM file with the certificates that the server's is checked against; empty for a server without TLS.
+    RpcClient(std::string address, std::string token, std::string caFile = {});
     ~RpcClient();
     RpcClient(const RpcClient&) = delete;
     RpcClient& operator=(const RpcClient&) = delete;
--- a/src/control/control_process.cpp
+++ b/src/control/control_process.cpp
@@ -25,6 +25,14 @@
         return { .address = settings.address, .port = static_cast<int>(port), .threads = threads, .token = std::move(token) };
     }
 
+    RpcServerDesc operatorDesc(const ControlSettings& settings)
+    {
+        auto desc = rpcDesc(settings, settings.operatorPort, operatorThreads, "");
+        desc.certificateFile = settings.operatorCertificateFile;
+        desc.keyFile = settings.operatorKeyFile;
+        return desc;
+    }
+
 } // namespace
 
 tl::expected<std::unique_ptr<ControlProcess>, ReplicaFault> ControlProcess::open(const ControlSettings& settings, bool bootstrap)
@@ -49,7 +57,7 @@
 ControlProcess::ControlProcess(const ControlSettings& settings)
     : m_settings(settings)
     , m_server(rpcDesc(settings, settings.port, internalThreads, settings.token))
-    , m_operatorServer(rpcDesc(settings, settings.operatorPort, operatorThreads, ""))
+    , m_operatorServer(operatorDesc(settings))
     , m_adminServer({ .address = settings.address, .port = static_cast<int>(settings.adminPort) })
 {
 }
--- a/src/control/control_settings.cpp
+++ b/src/control/control_settings.cpp
@@ -33,6 +33,10 @@
     reader.read("address", settings.address);
     reader.read("port", settings.port, ports, Presence::Required);
     reader.read("operator_port", settings.operatorPort, ports, Presence::Required);
+    reader.read("operator_certificate_file", settings.operatorCertificateFile, Presence::Optional);
+    reader.read("operator_key_file", settings.operatorKeyFile, Presence::Optional);
+    if (settings.operatorCertificateFile.empty() != settings.operatorKeyFile.empty())
+        reader.fault("operator_key_file", "must be given together with operator_certificate_file");
     reader.read("admin_port", settings.adminPort, ports, Presence::Required);
     readPeers(reader, settings.peers);
     reader.read("token", settings.token, Presence::Optional);
--- a/src/control/control_settings_p.h
+++ b/src/control/control_settings_p.h
@@ -17,6 +17,9 @@
     int64_t port = 0;
     /// Port for operators.
     int64_t operatorPort = 0;
+    /// PEM files of the operators' port; with both, operators connect by TLS.
+    std::string operatorCertificateFile;
+    std::string operatorKeyFile;
     /// Port of /healthz, /readyz and /metrics.
     int64_t adminPort = 0;
     /// "ip:port" of the other replicas by name.
--- a/src/operator/operator_client.cpp
+++ b/src/operator/operator_client.cpp
@@ -38,7 +38,7 @@
     : m_desc(std::move(desc))
 {
     for (const auto& it : m_desc.replicas)
-        m_clients.push_back(std::make_unique<RpcClient>(it, m_desc.token));
+        m_clients.push_back(std::make_unique<RpcClient>(it, m_desc.token, m_desc.caFile));
 }
 
 tl::expected<json, OperatorError> OperatorClient::callReplica(size_t replica, const std::string& method, json params, TimePoint deadline)
--- a/src/operator/operator_client_p.h
+++ b/src/operator/operator_client_p.h
@@ -14,6 +14,8 @@
     std::string account;
     std::string secret;
     std::string token;
+    /// PEM file with the certificates that the replicas' are checked against; empty without TLS.
+    std::string caFile;
 };
 
 enum class OperatorFault : uint8_t {
--- a/src/rpc/rpc_client.cpp
+++ b/src/rpc/rpc_client.cpp
@@ -22,9 +22,10 @@
 
 class RpcClient::Impl {
 public:
-    Impl(std::string address, std::string token)
+    Impl(std::string address, std::string token, std::string caFile)
         : m_address(std::move(address))
         , m_token(std::move(token))
+        , m_caFile(std::move(caFile))
     {
     }
 
@@ -78,7 +79,9 @@
             m_idle.pop_back();
             return client;
         }
-        auto client = std::make_unique<httplib::Client>("http://" + m_address);
+        auto client = std::make_unique<httplib::Client>((m_caFile.empty() ? "http://" : "https://") + m_address);
+        if (!m_caFile.empty())
+            client->set_ca_cert_path(m_caFile);
         client->set_keep_alive(true);
         client->set_tcp_nodelay(true);
         if (!m_token.empty())
@@ -94,12 +97,13 @@
 
     std::string m_address;
     std::string m_token;
+    std::string m_caFile;
     std::mutex m_mutex;
     std::vector<std::unique_ptr<httplib::Client>> m_idle;
 };
 
-RpcClient::RpcClient(std::string address, std::string token)
-    : m_impl(std::make_unique<Impl>(std::move(address), std::move(token)))
+RpcClient::RpcClient(std::string address, std::string token, std::string caFile)
+    : m_impl(std::make_unique<Impl>(std::move(address), std::move(token), std::move(caFile)))
 {
 }
 
--- a/src/rpc/rpc_server.cpp
+++ b/src/rpc/rpc_server.cpp
@@ -2,8 +2,10 @@
 
 #include "http/http_server_p.h"
 #include "jsonrpc_codec.h"
+#include "tls_server_p.h"
 
 #include <map>
+#include <variant>
 
 namespace vanillalift {
 
@@ -15,6 +17,36 @@
     // The JSON decoder of jsonrpccpp recurses up to 1,000 levels deep.
     constexpr size_t stackBytes = 1U << 20U;
 
+    HttpServerDesc httpDesc(const RpcServerDesc& desc)
+    {
+        return { .address = desc.address, .port = desc.port, .maxActiveRequests = static_cast<size_t>(desc.threads), .stackBytes = stackBytes, .maxBodyBytes = desc.maxRequestBytes };
+    }
+
+    struct AddRoute {
+        httplib::Server::Handler handler;
+
+        void operator()(std::monostate& /*none*/) const { }
+        void operator()(httplib::Server& server) const { server.Post("/rpc", handler); }
+    };
+
+    struct Start {
+        bool operator()(std::monostate& /*none*/) const { return false; }
+        template <typename S>
+        bool operator()(S& server) const { return server.start(); }
+    };
+
+    struct Stop {
+        void operator()(std::monostate& /*none*/) const { }
+        template <typename S>
+        void operator()(S& server) const { server.stop(); }
+    };
+
+    struct Port {
+        int operator()(const std::monostate& /*none*/) const { return 0; }
+        template <typename S>
+        int operator()(const S& server) const { return server.port(); }
+    };
+
 } // namespace
 
 class RpcServer::Impl {
@@ -22,13 +54,13 @@
     explicit Impl(RpcServerDesc desc)
         : m_desc(std::move(desc))
         , m_dispatcher([this](const std::string& method, const std::string& params) { return invoke(method, params); })
-        , m_server({ .address = m_desc.address,
-              .port = m_desc.port,
-              .maxActiveRequests = static_cast<size_t>(m_desc.threads),
-              .stackBytes = stackBytes,
-              .maxBodyBytes = m_desc.maxRequestBytes })
     {
-        m_server.Post("/rpc", [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); });
+        if (m_desc.certificateFile.empty())
+            m_server.emplace<HttpServer>(httpDesc(m_desc));
+        else
+            m_server.emplace<TlsServer>(m_desc);
+        httplib::Server::Handler handler = [this](const httplib::Request& request, httplib::Response& response) { serve(request, response); };
+        std::visit(AddRoute { std::move(handler) }, m_server);
     }
 
     void add(const std::string& method, RpcHandler handler)
@@ -37,11 +69,20 @@
         m_dispatcher.addMethod(method);
     }
 
-    bool start() { return m_server.start(); }
+    bool start()
+    {
+        return std::visit(Start {}, m_server);
+    }
 
-    void stop() { m_server.stop(); }
+    void stop()
+    {
+        std::visit(Stop {}, m_server);
+    }
 
-    [[nodiscard]] int port() const { return m_server.port(); }
+    [[nodiscard]] int port() const
+    {
+        return std::visit(Port {}, m_server);
+    }
 
 private:
     void serve(const httplib::Request& request, httplib::Response& response)
@@ -70,7 +111,7 @@
     RpcServerDesc m_desc;
     std::map<std::string, RpcHandler> m_handlers;
     JsonRpcDispatcher m_dispatcher;
-    HttpServer m_server;
+    std::variant<std::monostate, HttpServer, TlsServer> m_server;
 };
 
 RpcServer::RpcServer(RpcServerDesc desc)
--- a/tools/ctl/main.cpp
+++ b/tools/ctl/main.cpp
@@ -29,6 +29,7 @@
     reader.read("account", desc.account);
     reader.read("secret", desc.secret, Presence::Optional);
     reader.read("token", desc.token, Presence::Optional);
+    reader.read("ca_file", desc.caFile, Presence::Optional);
     if (desc.replicas.empty())
         reader.fault("replicas", "must name at least one replica");
     reader.finish();
