Dispatch nothing to draining instances

Cause: the configuration that entries follow names the draining instances, but the entry did not act on it. Change: each new configuration is passed to the endpoint table.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -235,6 +235,8 @@
 
 void EntryProcess::authorityChanged()
 {
+    if (auto catalog = m_authority.catalog())
+        m_endpoints.setDraining({ catalog->draining.begin(), catalog->draining.end() });
     m_scheduler.authorityChanged(m_clock.now());
 }
 
