--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -5,6 +5,8 @@
 
 #include <glog/logging.h>
 
+#include <numeric>
+
 namespace vanillalift {
 
 namespace {
@@ -14,6 +16,10 @@
     /// Longest pause between two looks for expired endpoints.
     constexpr milliseconds endpointCheckInterval { 100 };
 
+    /// Endpoints announce themselves once a second with a time limit of 0.5 s. Before that, an entry that has just
+    /// started knows none of them and refuses with no-endpoint what another entry could run.
+    constexpr milliseconds firstAnnouncements { 1500 };
+
     HttpServerDesc serverDesc(const EntrySettings& settings, int64_t port)
     {
         return { .address = settings.address, .port = static_cast<int>(port), .idleTimeout = milliseconds(settings.idleTimeoutMs) };
@@ -46,10 +52,15 @@
         return addresses;
     }
 
+    auto ownEntry(const EntrySettings& settings)
+    {
+        return std::find_if(settings.entries.begin(), settings.entries.end(), [&](const SiteEntry& it) { return it.name == settings.name; });
+    }
+
     RpcServerDesc peerServerDesc(const EntrySettings& settings)
     {
-        const auto& own = *std::find_if(settings.entries.begin(), settings.entries.end(), [&](const SiteEntry& it) { return it.name == settings.name; });
-        auto port = std::atoi(own.peerAddress.c_str() + own.peerAddress.rfind(':') + 1);
+        const auto& address = ownEntry(settings)->peerAddress;
+        auto port = std::atoi(address.c_str() + address.rfind(':') + 1);
         // Each peer uses up to PeerClaimsDesc::callsPerPeer connections, and each call in progress holds a thread.
         auto threads = static_cast<int>(PeerClaimsDesc {}.callsPerPeer * settings.entries.size());
         return { settings.address, port, threads, settings.token };
@@ -72,11 +83,12 @@
         return std::make_unique<ControlFollower>(std::move(desc), clock);
     }
 
-    std::unique_ptr<Authority> makeStaticAuthority(std::optional<Catalog> catalog, size_t entryCount)
+    std::unique_ptr<Authority> makeStaticAuthority(const EntrySettings& settings, std::optional<Catalog> catalog)
     {
         if (!catalog)
             return nullptr;
-        return std::make_unique<StaticAuthority>(std::move(*catalog), static_cast<int64_t>(entryCount));
+        auto index = ownEntry(settings) - settings.entries.begin();
+        return std::make_unique<StaticAuthority>(std::move(*catalog), static_cast<int64_t>(settings.entries.size()), index);
     }
 
 } // namespace
@@ -84,7 +96,7 @@
 EntryProcess::EntryProcess(const EntrySettings& settings, std::optional<Catalog> catalog, uint64_t incarnation)
     : m_settings(settings)
     , m_follower(makeFollower(settings, m_clock, incarnation))
-    , m_ownAuthority(makeStaticAuthority(std::move(catalog), settings.entries.size()))
+    , m_ownAuthority(makeStaticAuthority(settings, std::move(catalog)))
     , m_authority(m_follower ? static_cast<Authority&>(*m_follower) : *m_ownAuthority)
     , m_endpoints(settings.zone, static_cast<int64_t>(settings.entries.size()), std::mt19937_64(incarnation))
     , m_client(m_clock)
@@ -93,7 +105,7 @@
     , m_claims(claimsDesc(settings, incarnation), makeRing(settings), m_peerTransport, m_clock)
     , m_claimServer(m_claims)
     , m_runner(settings.name, m_clock, m_authority, m_scheduler, m_client, m_claims)
-    , m_callers({ settings.name, callerDesc(settings) }, m_clock, m_authority, m_runner, m_metrics, m_decisions)
+    , m_callers({ settings.name, callerDesc(settings) }, m_clock, m_authority, m_runner, m_metrics, m_decisions, m_burns)
     , m_announcements(settings.name, static_cast<int64_t>(settings.entries.size()), m_endpoints, m_clock)
     , m_announceServer(serverDesc(settings, settings.announcePort))
     , m_adminServer(serverDesc(settings, settings.adminPort))
@@ -116,7 +128,13 @@
 
 bool EntryProcess::isReady() const
 {
-    return !m_isStopping && m_authority.catalog() != nullptr;
+    auto catalog = m_authority.catalog();
+    if (m_isStopping || !catalog || m_clock.now() < m_startedAt + firstAnnouncements)
+        return false;
+    // Without a lease the entry can only answer for services that are open to all. If there are none, the balancer should
+    // send its callers to another entry.
+    auto isOpen = [&](const Service& it) { return catalog->profileOf(catalog->findService(it.name)).openToAll; };
+    return m_clock.now() < m_authority.leaseEnd() || std::any_of(catalog->services.begin(), catalog->services.end(), isOpen);
 }
 
 void EntryProcess::addGauges()
@@ -145,6 +163,9 @@
             rows.push_back(toJson(it));
         response.set_content(rows.dump() + "\n", "application/json");
     });
+    m_adminServer.Get("/v1/burn", [this](const httplib::Request& /*request*/, httplib::Response& response) {
+        response.set_content(burnToJson().dump() + "\n", "application/json");
+    });
     m_adminServer.Get("/v1/teams", [this](const httplib::Request& /*request*/, httplib::Response& response) {
         auto rows = nlohmann::json::array();
         for (const auto& it : m_scheduler.teamUse())
@@ -153,6 +174,32 @@
     });
 }
 
+nlohmann::json EntryProcess::burnToJson() const
+{
+    nlohmann::json value { { "services", nlohmann::json::array() }, { "teams", nlohmann::json::array() } };
+    auto catalog = m_authority.catalog();
+    if (!catalog)
+        return value;
+    for (const auto& it : m_burns.burn(m_clock.now())) {
+        auto service = catalog->findService(it.service);
+        if (!service.isValid())
+            continue;
+        nlohmann::json row { { "service", it.service }, { "availability_budget", catalog->profileOf(service).availabilityBudget }, { "windows", nlohmann::json::array() } };
+        for (const auto& window : it.windows)
+            row["windows"].push_back({ { "length_s", window.length.count() }, { "good", window.good }, { "bad", window.bad } });
+        value["services"].push_back(std::move(row));
+    }
+    for (const auto& it : m_scheduler.teamStats()) {
+        auto team = catalog->findTeam(it.name);
+        if (!team.isValid())
+            continue;
+        auto refused = std::accumulate(it.refused.byReason.begin(), it.refused.byReason.end(), uint64_t { 0 });
+        value["teams"].push_back({ { "team", it.name }, { "share", catalog->at(team).share }, { "upper_limit", catalog->at(team).upperLimit },
+            { "running", it.running }, { "queued", it.queued }, { "dispatched", it.dispatched }, { "refused", refused } });
+    }
+    return value;
+}
+
 bool EntryProcess::start()
 {
     if (!m_peerServer->start() || !m_announceServer.start() || !m_adminServer.start() || !m_callers.start()) {
--- a/src/entry/entry_process_p.h
+++ b/src/entry/entry_process_p.h
@@ -37,13 +37,16 @@
 private:
     void addGauges();
     void addStatusRoutes();
+    [[nodiscard]] nlohmann::json burnToJson() const;
     void expireEndpoints(const std::stop_token& stop);
     [[nodiscard]] bool isReady() const;
 
     EntrySettings m_settings;
     SystemClock m_clock;
+    TimePoint m_startedAt = m_clock.now();
     Metrics m_metrics;
     DecisionLog m_decisions;
+    BurnLog m_burns;
     std::atomic<bool> m_isStopping { false };
     std::unique_ptr<ControlFollower> m_follower;
     std::unique_ptr<Authority> m_ownAuthority;
--- a/src/follow/follow_service.cpp
+++ b/src/follow/follow_service.cpp
@@ -36,8 +36,8 @@
     {
         auto catalog = state.catalog();
         int64_t longest = 0;
-        for (uint16_t n = 0; n < catalog.services.size(); ++n) {
-            const auto& profile = catalog.profileOf({ n });
+        for (const auto& it : catalog.services) {
+            const auto& profile = catalog.profileOf(catalog.findService(it.name));
             if (profile.openToAll)
                 longest = std::max(longest, profile.isolatedMs);
         }
@@ -121,8 +121,9 @@
         ++m_stats.refusedPolls;
         return tl::unexpected(notLeader(m_log.status().leader));
     }
-    m_entries->recordAnswer(request->entry, m_clock.now());
-    return toJson(makeResponse(*request));
+    auto response = makeResponse(*request);
+    m_entries->recordAnswer(request->entry, response.revision, m_clock.now());
+    return toJson(response);
 }
 
 bool FollowService::registerEntry(const FollowRequest& request)
