--- a/tools/capacity-bench/main.cpp
+++ b/tools/capacity-bench/main.cpp
@@ -19,14 +19,14 @@
 /// scripts/measure-capacity fits them. Times are CPU time of this thread, memory is what malloc has handed out.
 namespace {
 
-std::mt19937_64 s_random(1); // NOLINT(cert-msc32-c,cert-msc51-cpp): a fixed seed makes a run repeatable
+std::mt19937_64 randomNumbers(1); // NOLINT(cert-msc32-c,cert-msc51-cpp): a fixed seed makes a run repeatable
 
 std::string hex(size_t digits)
 {
     constexpr std::string_view alphabet = "0123456789abcdef";
     std::string text;
     for (size_t n = 0; n < digits; ++n)
-        text += alphabet[s_random() % alphabet.size()];
+        text += alphabet[randomNumbers() % alphabet.size()];
     return text;
 }
 
@@ -160,10 +160,10 @@
     for (size_t entry = 0; entry < entries; ++entry) {
         std::vector<TeamUse> use;
         for (size_t team = 0; team < teams; ++team)
-            use.push_back({ numbered("team", team), static_cast<int64_t>(s_random() % 20), static_cast<int64_t>(s_random() % 60) });
+            use.push_back({ numbered("team", team), static_cast<int64_t>(randomNumbers() % 20), static_cast<int64_t>(randomNumbers() % 60) });
         FollowRequest request { { numbered("entry", entry), 1 }, "zone-0", state.revision(), state.partsVersion(), use, 500 };
         table.recordPoll(request, now);
-        table.recordAnswer(request.entry, now);
+        table.recordAnswer(request.entry, request.revision, now);
     }
     return table;
 }
@@ -242,7 +242,7 @@
     commandLine.add("seed", 's', "N", "seed of keys, operation ids and demand (default 1)", seed);
     if (auto operands = commandLine.parse(argc, argv); !operands)
         return operands.error();
-    s_random.seed(static_cast<uint64_t>(seed));
+    randomNumbers.seed(static_cast<uint64_t>(seed));
     measureTable("team", { 6, 25, 50, 100 }, &Builder::putTeam);
     measureTable("service", { 5, 75, 150, 295 }, &Builder::putService);
     measureTable("key", { 50, 250, 500, 1000 }, &Builder::giveKey);
