--- a/src/fleet/fleet_controller_p.h
+++ b/src/fleet/fleet_controller_p.h
@@ -24,7 +24,8 @@
 public:
     virtual ~FleetObserver() = default;
     /// @param drains the drains that are under way, for isDrainInForce, isInFlightKnown and inFlight.
-    /// @remarks The platform's fields are filled in by the controller.
+    /// @remarks The platform's fields are filled in by the controller. An instance without an announcement counts as absent
+    /// from announcedChangeMs on, so an observer that no entry has reported to leaves announcedChangeMs at 0.
     virtual FleetObservations observe(const std::vector<ObservedDrain>& drains) = 0;
 };
 
--- a/src/standin/platform_server_p.h
+++ b/src/standin/platform_server_p.h
@@ -9,7 +9,7 @@
 namespace vanillalift::standin {
 
 /// Adds the platform's HTTP interface to a server.
-/// @param nowMs source of time; must outlive the server.
-void addPlatformRoutes(httplib::Server& server, PlatformWork& work, std::function<int64_t()> nowMs);
+/// @param nowMs source of time.
+void addPlatformRoutes(httplib::Server& server, PlatformWork& work, const std::function<int64_t()>& nowMs);
 
 } // namespace vanillalift::standin
