--- a/tests/control_site.py
+++ b/tests/control_site.py
@@ -77,12 +77,12 @@
         program = "vanillalift-control" if name[0] == "r" else "vanillalift-entry"
         self.spawn(name, [f"{self.build}/bin/{program}", *options, str(self.folder / f"{name}.json")])
 
-    def start_endpoint(self, n, per_zone, service_ms, zone=None, service=None):
+    def start_endpoint(self, n, per_zone, service_ms, zone=None, service=None, slots=8):
         zone = zone or ZONES[n // per_zone]
         service = service or ("quote" if n % per_zone == 0 else "status")
         entries = ",".join(f"127.0.0.1:{self.port + 110 + k}" for k in range(len(self.entries)))
         self.spawn(f"endpoint-{n}", [f"{self.build}/bin/vanillalift-endpoint", "--service", service, "--address", f"127.0.0.1:{self.port + 200 + n}",
-            "--zone", zone, "--instance", f"i{n}", "--slots", "8", "--connections", "64", "--entries", entries, "--service-ms", str(service_ms),
+            "--zone", zone, "--instance", f"i{n}", "--slots", str(slots), "--connections", str(8 * slots), "--entries", entries, "--service-ms", str(service_ms),
             "--record-file", str(self.folder / f"record-{n}.jsonl"), "--seed", str(n + 1)])
 
     def spawn(self, name, command):
