End the waits of idle polls together

Cause: each poll of an entry needs a confirmation of the leadership, and the polls of 9 entries ended one by one: 18 rounds of messages between the replicas a second on top of the heartbeats. Change: polls without news end on multiples of 250 ms, at most 250 ms early, so that one round confirms them all.

--- a/src/follow/follow_service.cpp
+++ b/src/follow/follow_service.cpp
@@ -12,6 +12,9 @@
 
     constexpr milliseconds planInterval { 1000 };
     constexpr milliseconds maxWait { 1000 };
+    /// Polls without news end together, on multiples of this time, so that one confirmation of the leadership serves
+    /// them all. Singly, the polls of 9 entries cost 18 rounds of messages between the replicas a second.
+    constexpr milliseconds waitGrid { 250 };
     constexpr milliseconds readTimeout { 1000 };
     /// Records of entries are kept this long after their lease, which is longer than any run bound in use.
     constexpr std::chrono::hours entryRetention { 2 };
@@ -21,6 +24,14 @@
         return { RpcErrorCode::Refused, "not-leader " + leader };
     }
 
+    /// @returns the end of a poll's wait, at most one step of the grid earlier than asked for.
+    TimePoint endOfWait(TimePoint now, milliseconds wait)
+    {
+        auto end = now + std::min(maxWait, wait);
+        auto onGrid = end - end.time_since_epoch() % waitGrid;
+        return onGrid > now ? onGrid : end;
+    }
+
     /// @returns whether the change of the revision concerns how services are served; true if it is no longer known.
     bool isServiceChangeAt(const ControlState& state, uint64_t revision)
     {
@@ -108,7 +119,7 @@
         m_entries->recordPoll(*request, m_clock.now());
         term = m_term;
     }
-    m_machine.waitForNews(request->revision, request->partsVersion, m_clock.now() + std::min(maxWait, milliseconds(request->waitMs)));
+    m_machine.waitForNews(request->revision, request->partsVersion, endOfWait(m_clock.now(), milliseconds(request->waitMs)));
 
     auto read = m_log.readIndex();
     if (read.wait_for(readTimeout) != std::future_status::ready || !read.get()) {
