Bound the retention in claim messages, and refuse leases of an older group

Cause: a retain_ms near the largest integer overflowed the clock, so that the claim expired at once; an entry that had followed a newer revision took a lease from a group formed anew, whose revisions start again. Change: one reader of retain_ms with a bound of 48 hours; a lease is taken only for exactly the revision that the entry holds. Both new tests fail without the change (read from the code for the overflow, which is undefined behaviour; not run).

--- a/src/follow/control_follower.cpp
+++ b/src/follow/control_follower.cpp
@@ -110,8 +110,9 @@
         m_partsVersion = response.partsVersion;
         isChanged = true;
     }
-    // A lease for a revision that this entry does not hold would let it act on an older one.
-    if (m_catalog && m_catalog->revision >= response.revision)
+    // A newer revision is not applied yet; an older one comes from another group than the one followed before, since
+    // committed revisions never revert.
+    if (m_catalog && m_catalog->revision == response.revision)
         m_leaseEnd = std::max(m_leaseEnd.load(), sentAt + config::entryLease);
     return isChanged;
 }
--- a/src/peer/claim_holder.cpp
+++ b/src/peer/claim_holder.cpp
@@ -42,7 +42,7 @@
 {
     auto key = claimKeyFromJson(params.at("key"));
     auto attempt = claimAttemptFromJson(params.at("attempt"));
-    auto expiry = m_clock.now() + std::chrono::milliseconds(params.at("retain_ms").get<int64_t>());
+    auto expiry = claimExpiryFromJson(params, m_clock.now());
     bool isLatest = m_incarnations.observe(attempt.entry, attempt.incarnation);
     auto holders = m_ring.holders(key);
     ClaimReply reply { ClaimVerdict::Recovering, {} };
@@ -62,7 +62,7 @@
 nlohmann::json ClaimHolder::settle(const nlohmann::json& params)
 {
     auto now = m_clock.now();
-    auto expiry = now + std::chrono::milliseconds(params.at("retain_ms").get<int64_t>());
+    auto expiry = claimExpiryFromJson(params, now);
     bool isRecorded = m_table.settle(claimKeyFromJson(params.at("key")), claimAttemptFromJson(params.at("attempt")), expiry, now);
     return { { "incarnation", m_desc.incarnation }, { "recorded", isRecorded } };
 }
@@ -70,7 +70,7 @@
 nlohmann::json ClaimHolder::release(const nlohmann::json& params)
 {
     auto now = m_clock.now();
-    auto expiry = now + std::chrono::milliseconds(params.at("retain_ms").get<int64_t>());
+    auto expiry = claimExpiryFromJson(params, now);
     bool isRecorded = m_table.release(claimKeyFromJson(params.at("key")), claimAttemptFromJson(params.at("attempt")), expiry, now);
     return { { "incarnation", m_desc.incarnation }, { "recorded", isRecorded } };
 }
--- a/src/peer/claim_messages.cpp
+++ b/src/peer/claim_messages.cpp
@@ -1,5 +1,7 @@
 #include "claim_messages_p.h"
 
+#include <algorithm>
+
 #include <openssl/evp.h>
 
 namespace vanillalift {
@@ -53,6 +55,14 @@
     return value;
 }
 
+TimePoint claimExpiryFromJson(const nlohmann::json& value, TimePoint now)
+{
+    // Above the longest timeout and retention of a profile together; a larger value would overflow the clock.
+    constexpr std::chrono::milliseconds longest = std::chrono::hours(48);
+    auto retainMs = std::clamp<int64_t>(value.at("retain_ms").get<int64_t>(), 0, longest.count());
+    return now + std::chrono::milliseconds(retainMs);
+}
+
 KeyedClaim keyedClaimFromJson(const nlohmann::json& value, TimePoint now)
 {
     KeyedClaim claim { claimKeyFromJson(value.at("key")), {} };
@@ -62,7 +72,7 @@
         claim.record.closed.push_back(claimAttemptFromJson(it));
     if (value.contains("settled"))
         claim.record.settled = claimAttemptFromJson(value.at("settled"));
-    claim.record.expiry = now + std::chrono::milliseconds(value.at("retain_ms").get<int64_t>());
+    claim.record.expiry = claimExpiryFromJson(value, now);
     return claim;
 }
 
--- a/src/peer/claim_messages_p.h
+++ b/src/peer/claim_messages_p.h
@@ -15,6 +15,8 @@
 ClaimAttempt claimAttemptFromJson(const nlohmann::json& value);
 
 nlohmann::json toJson(const KeyedClaim& claim, TimePoint now);
+/// @returns when a claim of a message expires; its "retain_ms" is bounded.
+TimePoint claimExpiryFromJson(const nlohmann::json& value, TimePoint now);
 KeyedClaim keyedClaimFromJson(const nlohmann::json& value, TimePoint now);
 
 /// Outcomes cross as base64 of CBOR, because bodies and headers need not be UTF-8.
--- a/tests/claim_table_test.cpp
+++ b/tests/claim_table_test.cpp
@@ -176,3 +176,11 @@
     auto unknown = decodeOutcome(encodeOutcome(Unknown { Reason::AnswerCrossed, "x", {} }));
     CHECK(std::get<Unknown>(unknown).reason == Reason::AnswerCrossed);
 }
+
+TEST_CASE("a retention beyond the clock's range must not expire a claim at once", "[claims]")
+{
+    TimePoint now { std::chrono::hours(1) };
+    auto expiry = claimExpiryFromJson({ { "retain_ms", std::numeric_limits<int64_t>::max() } }, now);
+    CHECK(expiry > now + std::chrono::hours(25));
+    CHECK(claimExpiryFromJson({ { "retain_ms", -1 } }, now) == now);
+}
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -82,6 +82,17 @@
     CHECK(follower.limitPart("red", clock.now()) == 2);
 }
 
+TEST_CASE("an entry takes no lease from a group whose revision is behind its own", "[follow]")
+{
+    ManualClock clock;
+    ControlFollower follower({ { "e1", 1 }, "a", {}, "" }, clock);
+    follower.applyResponse({ 9, {}, Catalog { 9, {}, {}, {}, {} }, 0, std::nullopt }, clock.now());
+    auto end = follower.leaseEnd();
+    clock.time += seconds(1);
+    follower.applyResponse({ 2, {}, std::nullopt, 0, std::nullopt }, clock.now());
+    CHECK(follower.leaseEnd() == end);
+}
+
 TEST_CASE("a change counts as in force only when each entry applied it or its lease ended", "[follow]")
 {
     TimePoint start { seconds(1000) };
