Leave answers with a server error out of goodput

Cause: an endpoint that stops a request at its deadline answers 504, and the summary counted this as goodput.

Change: only answers with a status under 500 count. The comment on the promise of a final answer follows the check.

--- a/src/bench/history_p.h
+++ b/src/bench/history_p.h
@@ -87,7 +87,7 @@
     OwnAnswer,
     UpperLimit,
     LeavingEndpoint,
-    /// The last call of a request that its caller did not abandon got no answer.
+    /// No call of a request got an answer, although its caller did not abandon the last one.
     FinalAnswer,
     /// Endpoints ran something that no call asked for, so that the files do not belong together.
     FilesMatch,
--- a/src/bench/history_summary.cpp
+++ b/src/bench/history_summary.cpp
@@ -82,7 +82,8 @@
         if (it.outcome != "answered")
             continue;
         ++service.answered;
-        if (it.endNs >= history.run.fullFromNs && it.endNs < history.run.fullToNs)
+        // An endpoint that fails or gives up at the deadline has answered too, but to no use.
+        if (it.status < 500 && it.endNs >= history.run.fullFromNs && it.endNs < history.run.fullToNs)
             service.goodput += 1e9 / static_cast<double>(history.run.fullToNs - history.run.fullFromNs);
         latencies[it.service].push_back(static_cast<double>(it.endNs - it.intendedNs) / 1e6);
     }
