Count the time of an answer in admission and keep work running for a margin

Cause: at 5x overload a fifth of the attempts ended at their deadline, because admission and dispatch compared only the wait with the deadline and left out the time that an answer takes. Ruled out: the queue bound (unchanged) and the retry budget (requests were not retried). Change: the median time of an answer is added to the estimated wait, and a request with less time left is refused right before its attempt, unless no attempt was answered for a second. A unit without an answer is held until config::endpointStopMargin after the deadline.

--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -33,4 +33,8 @@
 /// An endpoint that sends no newer announcement for this time is removed.
 constexpr milliseconds announcementExpiry { 3000 };
 
+/// An endpoint counts an attempt's deadline from when the request reached it, so it may stop later than the entry expects
+/// by the time that the request was under way. Work without an answer counts as running for this much longer.
+constexpr milliseconds endpointStopMargin { 250 };
+
 } // namespace vanillalift::config
--- a/src/follow/follow_service.cpp
+++ b/src/follow/follow_service.cpp
@@ -2,6 +2,8 @@
 
 #include "limit_planner_p.h"
 
+#include <vanillalift/config.h>
+
 #include <glog/logging.h>
 
 namespace vanillalift {
@@ -208,7 +210,7 @@
             return;
         auto now = m_clock.now();
         command = m_machine.read([&](const ControlState& state) {
-            return planParts({ state, *m_entries, milliseconds(state.runBoundMs(wallClockMs())), now });
+            return planParts({ state, *m_entries, milliseconds(state.runBoundMs(wallClockMs())) + config::endpointStopMargin, now });
         });
         m_entries->forget(now - entryRetention);
         m_stats.partsCommands += command ? 1 : 0;
--- a/src/request/scheduler.cpp
+++ b/src/request/scheduler.cpp
@@ -1,5 +1,7 @@
 #include "scheduler_p.h"
 
+#include <vanillalift/config.h>
+
 #include <algorithm>
 
 namespace vanillalift {
@@ -66,7 +68,7 @@
         auto place = m_endpoints.acquire({ service.stats.name, isSpilling, ticket.avoid, ticket.requestKind }, now);
         if (!place)
             return;
-        grant(ticket, std::move(*place));
+        grant(ticket, std::move(*place), now);
     }
 }
 
@@ -91,7 +93,7 @@
     }
 }
 
-void Scheduler::grant(Ticket& ticket, EndpointPlace place)
+void Scheduler::grant(Ticket& ticket, EndpointPlace place, TimePoint now)
 {
     auto& queue = *ticket.queue;
     queue.service->remove(ticket);
@@ -102,6 +104,7 @@
         ++stats->dispatched;
     }
     ticket.place = std::move(place);
+    ticket.grantedAt = now;
     ticket.state = TicketState::Granted;
     ticket.wake.notify_all();
 }
@@ -143,8 +146,9 @@
     --service.stats.running;
     bool isUnstarted = verdict == AttemptVerdict::NotStarted || verdict == AttemptVerdict::NotSent || verdict == AttemptVerdict::Unused;
     bool mayStillRun = verdict == AttemptVerdict::Broken || verdict == AttemptVerdict::TimedOut;
-    if (mayStillRun && now < ticket.deadline) {
-        m_held.push({ ticket.deadline, &team });
+    auto stopped = ticket.deadline + config::endpointStopMargin;
+    if (mayStillRun && now < stopped) {
+        m_held.push({ stopped, &team });
         m_timerChanged.notify_all();
     } else {
         --team.stats.running;
@@ -153,6 +157,8 @@
         ServiceQueue::refund(ticket);
     else
         service.recordCompletion(now);
+    if (verdict == AttemptVerdict::Succeeded)
+        service.recordServiceTime(now - ticket.grantedAt, now);
     ticket.state = TicketState::Idle;
     if (after == AfterAttempt::Requeue)
         returnToHead(ticket, now);
@@ -164,10 +170,12 @@
 {
     std::lock_guard lock(m_mutex);
     bool isStale = !isAuthorised(*ticket.queue, now);
+    auto& service = *ticket.queue->service;
     // The endpoint is told the remaining time in whole milliseconds.
-    if (!isStale && millisecondsUntil(ticket.deadline, now) > 0)
+    auto remainingMs = millisecondsUntil(ticket.deadline, now);
+    bool isHopeless = now + service.serviceTime(now) > ticket.deadline;
+    if (!isStale && remainingMs > 0 && !isHopeless)
         return true;
-    auto& service = *ticket.queue->service;
     auto& team = *ticket.queue->team;
     m_endpoints.release(ticket.place, AttemptVerdict::Unused, service.stats.queued > 0, now);
     --service.stats.running;
@@ -175,6 +183,8 @@
     ServiceQueue::refund(ticket);
     if (isStale)
         refuse(ticket, Reason::ConfigurationStale, "the lease ended before the request was sent", now);
+    else if (remainingMs > 0)
+        refuse(ticket, Reason::DeadlineUnreachable, "the request has " + std::to_string(remainingMs) + " ms left, which is less than an answer takes", now);
     else
         expireLocked(ticket, now);
     pumpTeam(team, now);
--- a/src/request/scheduler_admission.cpp
+++ b/src/request/scheduler_admission.cpp
@@ -32,9 +32,9 @@
         expireLocked(ticket, now);
     } else if (!isAuthorised(queue, now)) {
         refuse(ticket, Reason::ConfigurationStale, "this entry has no valid lease on its configuration", now);
-    } else if (auto wait = queue.service->estimatedWait(queue); wait > ticket.deadline - now) {
+    } else if (auto wait = queue.service->estimatedWait(queue) + queue.service->serviceTime(now); wait > ticket.deadline - now) {
         auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-        refuse(ticket, Reason::DeadlineUnreachable, "the estimated wait is " + std::to_string(waitMs) + " ms, the request has " + std::to_string(millisecondsUntil(ticket.deadline, now)) + " ms", now);
+        refuse(ticket, Reason::DeadlineUnreachable, "the estimated wait and run time is " + std::to_string(waitMs) + " ms, the request has " + std::to_string(millisecondsUntil(ticket.deadline, now)) + " ms", now);
     } else {
         return queue.service->stats.queued < queue.service->policy.bound || makeRoom(ticket, queue, now);
     }
--- a/src/request/scheduler_p.h
+++ b/src/request/scheduler_p.h
@@ -39,18 +39,18 @@
     /// Refuses the ticket if it is queued; a granted one is refused when it is queued again.
     void cancel(Ticket& ticket, TimePoint now);
 
-    /// Checks lease and deadline of a granted ticket right before its attempt. If they have passed, the ticket is
-    /// refused and its place is given back. @returns whether the attempt may start.
+    /// Checks lease and deadline of a granted ticket right before its attempt. If they have passed, or an answer is not to
+    /// be expected before the deadline, the ticket is refused and its place is given back. @returns whether the attempt may start.
     bool confirm(Ticket& ticket, TimePoint now);
     /// Ends the attempt of a granted ticket: gives the place back and frees the team's unit, at the ticket's
-    /// deadline if the endpoint may still be running the attempt.
+    /// deadline plus config::endpointStopMargin if the endpoint may still be running the attempt.
     void endAttempt(Ticket& ticket, AttemptVerdict verdict, AfterAttempt after, TimePoint now);
 
     /// Dispatches what endpoints that gained room can take.
     void endpointsChanged(std::string_view service, TimePoint now);
     /// Dispatches what new parts of limits or a new lease permit, and refuses what a lost lease forbids.
     void authorityChanged(TimePoint now);
-    /// Frees the units whose attempts' deadlines have passed.
+    /// Frees the units whose attempts have ended at their endpoints by now.
     void releaseExpired(TimePoint now);
     /// Frees held units when they are due and refuses keyed requests when the lease ends, until stopped.
     void runExpiry(const std::stop_token& stop, const Clock& clock);
@@ -79,7 +79,7 @@
     bool admit(Ticket& ticket, TeamQueue& queue, TimePoint now);
     bool makeRoom(Ticket& ticket, TeamQueue& queue, TimePoint now);
     void refuse(Ticket& ticket, Reason reason, std::string detail, TimePoint now);
-    void grant(Ticket& ticket, EndpointPlace place);
+    void grant(Ticket& ticket, EndpointPlace place, TimePoint now);
     void returnToHead(Ticket& ticket, TimePoint now);
     void expireLocked(Ticket& ticket, TimePoint now);
     void pump(ServiceQueue& service, TimePoint now);
--- a/src/request/service_queue.cpp
+++ b/src/request/service_queue.cpp
@@ -90,6 +90,25 @@
     m_lastCompletion = now;
 }
 
+void ServiceQueue::recordServiceTime(Duration time, TimePoint now)
+{
+    constexpr double step = 0.05;
+    auto sample = static_cast<double>(time.count());
+    if (m_serviceTimes++ == 0)
+        m_serviceTime = sample;
+    else
+        m_serviceTime *= sample > m_serviceTime ? 1 + step : 1 - step;
+    m_lastServiceTime = now;
+}
+
+Duration ServiceQueue::serviceTime(TimePoint now) const
+{
+    constexpr std::chrono::seconds validity { 1 };
+    if (m_serviceTimes < gapsForRate || now - m_lastServiceTime > validity)
+        return Duration(0);
+    return Duration(static_cast<int64_t>(m_serviceTime));
+}
+
 Duration ServiceQueue::estimatedWait(const TeamQueue& queue) const
 {
     double activeWeight = 0;
--- a/src/request/service_queue_p.h
+++ b/src/request/service_queue_p.h
@@ -52,6 +52,7 @@
     EndpointPlace place;
     NotRun refusal;
     TimePoint queuedAt {};
+    TimePoint grantedAt {};
     /// What the grant added to the team's pass, to be given back if the attempt was not started.
     double charge = 0;
     TeamQueue* queue = nullptr;
@@ -142,6 +143,11 @@
     [[nodiscard]] TeamQueue* mostOverShare(TeamQueue& arriving) const;
 
     void recordCompletion(TimePoint now);
+    /// Records how long an answered attempt took.
+    void recordServiceTime(Duration time, TimePoint now);
+    /// @returns the median time of an answered attempt; 0 while it is not known, or if no attempt was answered in the last
+    /// second, so that a service that became faster is tried again.
+    [[nodiscard]] Duration serviceTime(TimePoint now) const;
     /// @returns the time until a request that arrives now at the end of @p queue is served; 0 while no rate is known.
     [[nodiscard]] Duration estimatedWait(const TeamQueue& queue) const;
     /// @returns the time until the queue is half empty, or nothing while no rate is known.
@@ -160,6 +166,10 @@
     int64_t m_gaps = 0;
     /// Last completion that left requests queued; the epoch if the queue was empty since.
     TimePoint m_lastCompletion {};
+    /// Estimate of the median service time in nanoseconds; follows the median, because single slow attempts move a mean.
+    double m_serviceTime = 0;
+    int64_t m_serviceTimes = 0;
+    TimePoint m_lastServiceTime {};
 };
 
 } // namespace vanillalift
