Stop a test site that could not be formed, and keep sites' ports apart

Cause: a site that failed to form left its processes running, and the relays of a site on port 28000 shared ports with the processes of one on 28400. scripts/measure-control had failed to form its site for that reason (ports taken by a trial on 28300), not because of the load. Change: a failure while forming stops the site; a site uses the 400 ports from its first.

--- a/tests/control_site.py
+++ b/tests/control_site.py
@@ -1,5 +1,5 @@
 """A whole site on loopback from examples/site: three control replicas, three entries, two endpoints a zone, with a
-relay on each link between a control replica and another replica or an entry."""
+relay on each link between a control replica and another replica or an entry. A site uses the 400 ports from its first."""
 
 import http.client
 import json
@@ -36,6 +36,13 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="vanillalift-site-"))
         self.entries = [f"entry-{ZONES[n % 3]}{n // 3 or ''}" for n in range(entries)]
         self.write_settings()
+        try:
+            self.form(endpoints, service_ms)
+        except BaseException:
+            self.stop()
+            raise
+
+    def form(self, endpoints, service_ms):
         self.relay = subprocess.Popen([sys.executable, ROOT / "tests/relay.py", *self.links], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
         assert self.relay.stdout.readline() == "ready\n"
         self.start("r0", "--bootstrap")
@@ -46,14 +53,14 @@
         for n in range(3 * endpoints):
             self.start_endpoint(n, endpoints, service_ms)
         changes = ROOT / "examples/site/changes"
-        output = subprocess.run([ROOT / "scripts/form-site", build, self.folder, changes, self.folder], check=True, timeout=60, stdout=subprocess.PIPE, text=True)
+        output = subprocess.run([ROOT / "scripts/form-site", self.build, self.folder, changes, self.folder], check=True, timeout=60, stdout=subprocess.PIPE, text=True)
         print(output.stdout.strip(), flush=True)
         self.admin = load(self.folder / "ctl.json")
         self.keys = {team: (self.folder / f"key-{team}").read_text().strip() for team in ("bench", "shops")}
 
     def relayed(self, source, replica):
         """Port of the link from a process to a replica."""
-        listen = self.port + 500 + len(self.links)
+        listen = self.port + 300 + len(self.links)
         self.links.append(f"{source}>r{replica}={listen}:{self.port + replica}")
         return f"127.0.0.1:{listen}"
 
