Read the endpoints' records in the site test by their own clock

Cause: the records of the stand-in endpoints changed to one line at the start and one at the end of an attempt, on the boot clock. The site test compared them with the wall clock, so its checks of withdrawn keys could not fail, and its limit check saw no attempt at all (that is how it was found: the check that the limit was used at all failed). Change: the test uses the boot clock, pairs start and end lines, and asserts that work ran under the key before the withdrawal and that the clocks agree.

--- a/tests/control_site.py
+++ b/tests/control_site.py
@@ -30,6 +30,11 @@
     raise AssertionError(f"not within {seconds} s: {what}")
 
 
+def now_ns():
+    """The clock of the endpoints' records."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+
 class Site:
     def __init__(self, build, port=28000, entries=3, endpoints=2, service_ms=20):
         self.build, self.port, self.procs, self.links = build, port, {}, []
@@ -167,7 +172,11 @@
             connection.close()
 
     def records(self):
-        return [json.loads(line) for path in self.folder.glob("record-*.jsonl") for line in path.read_text().splitlines()]
+        """Attempts that the endpoints started; one without an end has not ended yet."""
+        lines = [json.loads(line) for path in self.folder.glob("record-*.jsonl") for line in path.read_text().splitlines()]
+        ends = {it["attempt"]: it["end_ns"] for it in lines if it["event"] == "end"}
+        starts = [it for it in lines if it["event"] == "start"]
+        return [it | {"end_ns": ends.get(it["attempt"], now_ns())} for it in starts]
 
     def stop(self):
         for it in [*self.procs.values(), self.relay]:
@@ -187,7 +196,7 @@
 
     def run(self, site, entry, service, key, pause):
         while not self.isStopping:
-            sent = time.time_ns()
+            sent = now_ns()
             self.results.append((sent, *site.request(entry, service, key)))
             time.sleep(pause)
 
--- a/tests/control_site_e2e.py
+++ b/tests/control_site_e2e.py
@@ -28,13 +28,14 @@
 def in_force_at(site, revision, seconds=10):
     """Time by the wall clock at which the revision was known to be in force everywhere."""
     until("in force", lambda: site.call("in_force", revision=revision)["in_force"], seconds)
-    return time.time_ns()
+    return now_ns()
 
 
 def check_withdrawn(site, team, loads, accepted, reported):
     results = [it for load in loads for it in load.stop()]
     starts = [it["start_ns"] for it in site.records() if it["team"] == team]
-    assert starts, "no work ran under the key"
+    assert starts and min(starts) < accepted, "no work ran under the key before it was withdrawn"
+    assert max(starts) > accepted - 10e9, "the records and the test do not use the same clock"
     print(f"  last start {(max(starts) - accepted) / 1e9:.2f} s after the withdrawal was accepted, reported in force after {(reported - accepted) / 1e9:.2f} s", flush=True)
     assert max(starts) < accepted + KEY_BOUND * 1e9, "work started under a withdrawn key after the bound"
     late = [it for it in results if it[0] > reported and it[1] == 200]
@@ -53,7 +54,7 @@
         time.sleep(1)
         site.tell("block", "entry-a>", direction)
         outcome = site.propose(f"withdraw-{team}", {"kind": "withdraw-key", "id": f"key-{team}"})
-        accepted = time.time_ns()
+        accepted = now_ns()
         reported = in_force_at(site, outcome["revision"])
         time.sleep(max(0, accepted / 1e9 + KEY_BOUND + 1 - time.time()))
         check_withdrawn(site, team, loads, accepted, reported)
@@ -73,12 +74,12 @@
     time.sleep(1)
     site.kill("entry-b", signal.SIGSTOP)
     outcome = site.propose("withdraw-paused", {"kind": "withdraw-key", "id": "key-paused"})
-    accepted = time.time_ns()
+    accepted = now_ns()
     reported = in_force_at(site, outcome["revision"])
     time.sleep(LEASE + 0.5)
     # It must refuse without a poll: no poll gets through until the link is restored.
     site.tell("block", "entry-b>", "both")
-    resumed = time.time_ns()
+    resumed = now_ns()
     site.kill("entry-b", signal.SIGCONT)
     time.sleep(1.5)
     assert site.request(1, "quote", site.keys["bench"]) == (503, "configuration-stale")
@@ -224,7 +225,7 @@
     """Demand moves between the entries while one is cut off and one is killed."""
     limit = 12
     key = site.keys["bench"]
-    base = time.time_ns()
+    base = now_ns()
     steady = [Load(site, entry, "quote", key, threads=3, pause=0) for entry in range(3)]
     for step, entry in enumerate((0, 1, 2, 0)):
         if step == 2:
--- a/tests/rpc_tls_test.cpp
+++ b/tests/rpc_tls_test.cpp
@@ -19,7 +19,7 @@
     Certificate()
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "vanillalift-tls-XXXXXX").string();
-        folder = mkdtemp(pattern.data());
+        m_folder = mkdtemp(pattern.data());
         auto* key = EVP_RSA_gen(2048);
         auto* x509 = X509_new();
         X509_set_version(x509, 2);
@@ -39,12 +39,12 @@
         X509_free(x509);
         EVP_PKEY_free(key);
     }
-    ~Certificate() { std::filesystem::remove_all(folder); }
+    ~Certificate() { std::filesystem::remove_all(m_folder); }
     Certificate(const Certificate&) = delete;
     Certificate& operator=(const Certificate&) = delete;
 
-    [[nodiscard]] std::string certificateFile() const { return folder + "/certificate.pem"; }
-    [[nodiscard]] std::string keyFile() const { return folder + "/key.pem"; }
+    [[nodiscard]] std::string certificateFile() const { return m_folder + "/certificate.pem"; }
+    [[nodiscard]] std::string keyFile() const { return m_folder + "/key.pem"; }
 
 private:
     template <typename Writer>
@@ -56,7 +56,7 @@
         std::fclose(file);
     }
 
-    std::string folder;
+    std::string m_folder;
 };
 
 TimePoint soon() { return BootClock::now() + std::chrono::seconds(10); }
