--- a/tools/control/main.cpp
+++ b/tools/control/main.cpp
@@ -1,9 +1,9 @@
 #include "control/control_process_p.h"
 #include "core/command_line_p.h"
+#include "core/stop_signals_p.h"
 
 #include <glog/logging.h>
 
-#include <csignal>
 #include <iostream>
 
 using namespace vanillalift;
@@ -12,14 +12,7 @@
 
 int run(const ControlSettings& settings, bool bootstrap)
 {
-    // Blocked before any thread starts, so that only sigwait() below receives them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    signal(SIGPIPE, SIG_IGN);
-
+    StopSignals signals;
     auto process = ControlProcess::open(settings, bootstrap);
     if (!process) {
         LOG(ERROR) << "replica " << settings.name << " cannot start: " << process.error().reason;
@@ -30,8 +23,7 @@
         return 1;
     }
     LOG(INFO) << "replica " << settings.name << " has started";
-    int received = 0;
-    sigwait(&signals, &received);
+    signals.wait();
     LOG(INFO) << "replica " << settings.name << " is shutting down";
     (*process)->stop();
     return 0;
--- a/tools/endpoint/main.cpp
+++ b/tools/endpoint/main.cpp
@@ -1,9 +1,9 @@
+#include "core/stop_signals_p.h"
 #include "standin/announcer_p.h"
 #include "standin/endpoint_server_p.h"
 
 #include <glog/logging.h>
 
-#include <csignal>
 #include <iostream>
 
 using namespace vanillalift;
@@ -29,7 +29,7 @@
     std::this_thread::sleep_for(refusalTime);
 }
 
-int run(EndpointSettings settings, const sigset_t& signals)
+int run(EndpointSettings settings, const StopSignals& signals)
 {
     SystemClock clock;
     settings.announcement.incarnation = static_cast<uint64_t>(wallClockMs()) * 1000000;
@@ -44,8 +44,7 @@
     std::thread serving([&] { server.listen_after_bind(); });
     {
         Announcer announcer(settings.announcement, settings.entries, [&] { return work.running(); });
-        int signal = 0;
-        sigwait(&signals, &signal);
+        signals.wait();
         leaveGracefully(settings, announcer, work);
     }
     server.stop();
@@ -59,12 +58,7 @@
 {
     google::InitGoogleLogging(argv[0]);
     FLAGS_logtostderr = true;
-    // Blocked before the first thread starts, so that only sigwait() receives them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    StopSignals signals;
     auto settings = endpointSettingsFromCommandLine(argc, const_cast<const char**>(argv));
     if (!settings) {
         std::cerr << describe(settings.error());
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -1,33 +1,15 @@
 #include "core/command_line_p.h"
+#include "core/stop_signals_p.h"
 #include "entry/entry_process_p.h"
 
 #include <glog/logging.h>
 
-#include <csignal>
 #include <iostream>
 
 using namespace vanillalift;
 
 namespace {
 
-sigset_t stopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
-/// Waits for SIGTERM or SIGINT, then gives both their default effect, so that a second signal ends the process at once.
-void waitForStopSignal()
-{
-    auto signals = stopSignals();
-    int signal = 0;
-    sigwait(&signals, &signal);
-    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
-}
-
 tl::expected<std::optional<Catalog>, SettingsFaults> loadCatalog(const EntrySettings& settings)
 {
     if (settings.catalogFile.empty())
@@ -69,17 +51,14 @@
         settings->claimRecoveryMs = 0;
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
-    // Blocked before any thread starts, so that only waitForStopSignal() receives them.
-    auto signals = stopSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    signal(SIGPIPE, SIG_IGN);
+    StopSignals signals;
     timespec startedAt {};
     clock_gettime(CLOCK_REALTIME, &startedAt);
     auto incarnation = static_cast<uint64_t>(startedAt.tv_sec) * 1000000000U + static_cast<uint64_t>(startedAt.tv_nsec);
     EntryProcess entry(*settings, std::move(*catalog), incarnation);
     if (!entry.start())
         return 1;
-    waitForStopSignal();
+    signals.wait();
     entry.shutDown();
     return 0;
 }
--- a/tools/platform/main.cpp
+++ b/tools/platform/main.cpp
@@ -1,4 +1,5 @@
 #include "core/command_line_p.h"
+#include "core/stop_signals_p.h"
 #include "standin/platform_server_p.h"
 
 #include <vanillalift/clock.h>
@@ -6,7 +7,6 @@
 #include <glog/logging.h>
 
 #include <array>
-#include <csignal>
 #include <iostream>
 #include <thread>
 
@@ -56,7 +56,7 @@
     return *settings;
 }
 
-int run(const PlatformSettings& settings, const sigset_t& signals)
+int run(const PlatformSettings& settings, const StopSignals& signals)
 {
     PlatformWork work(settings);
     httplib::Server server;
@@ -67,8 +67,7 @@
         return 1;
     }
     std::thread serving([&] { server.listen_after_bind(); });
-    int signal = 0;
-    sigwait(&signals, &signal);
+    signals.wait();
     server.stop();
     serving.join();
     return 0;
@@ -80,12 +79,7 @@
 {
     google::InitGoogleLogging(argv[0]);
     FLAGS_logtostderr = true;
-    // Blocked before the first thread starts, so that only sigwait() receives them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    StopSignals signals;
     auto settings = settingsFromCommandLine(argc, argv);
     return settings ? run(*settings, signals) : settings.error();
 }
