--- a/src/bench/history_summary.cpp
+++ b/src/bench/history_summary.cpp
@@ -122,7 +122,7 @@
              << it.p50Ms << std::setw(12) << it.p99Ms << std::setw(12) << it.maxMs << "\n";
     }
     text << std::left << std::setw(24) << "team" << std::right << std::setw(10) << "requests" << std::setw(10) << "answered" << std::setw(10) << "not run" << std::setw(10)
-         << "unknown" << std::setw(10) << "lost" << std::setw(10) << "resent" << std::setw(14) << "share error"
+         << "unknown" << std::setw(10) << "no answer" << std::setw(10) << "resent" << std::setw(14) << "share error"
          << "\n";
     for (const auto& [name, it] : summary.teams) {
         text << std::left << std::setw(24) << name << std::right << std::setw(10) << it.requests << std::setw(10) << it.answered << std::setw(10) << it.notRun
