Let the control service test use a free port

Cause: a fixed port fails when another run of the tests uses it. Change: the server binds any free port and the client asks for it.

--- a/tests/control_service_test.cpp
+++ b/tests/control_service_test.cpp
@@ -192,10 +192,10 @@
 {
     Control control;
     OperatorService service(control.log, control.machine, control.follow);
-    RpcServer server({ "127.0.0.1", 18471, 2, "" });
+    RpcServer server({ .address = "127.0.0.1", .threads = 2 });
     service.addMethods(server);
     REQUIRE(server.start());
-    RpcClient client("127.0.0.1:18471", "");
+    RpcClient client("127.0.0.1:" + std::to_string(server.port()), "");
     auto call = [&](const std::string& secret, const std::string& method, json params) {
         params["account"] = "ana";
         params["secret"] = secret;
