--- /dev/null
+++ b/include/vanillalift/endpoint_link.h
@@ -0,0 +1,202 @@
+#pragma once
+
+#include <vanillalift/clock.h>
+#include <vanillalift/job.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+/// What the leader asks of endpoints, of the service that advises placements, and of the platform that owns the machines.
+/// Implementations translate to a platform's protocol.
+namespace vanillalift::jobs {
+
+/// A task as endpoints know it.
+struct TaskName {
+    std::string job;
+    uint32_t occurrence = 0;
+    uint32_t step = 0;
+    uint32_t index = 0;
+
+    auto operator<=>(const TaskName&) const = default;
+};
+
+struct StartOrder {
+    TaskName task;
+    uint32_t run = 0;
+    std::string_view payload;
+    /// On the endpoint's clock, in milliseconds. All that runs there may run until then.
+    int64_t leaseUntilMs = 0;
+    uint64_t fencingToken = 0;
+    /// Empty for a start from the beginning.
+    std::string checkpoint;
+    /// Empty if the queue is not advised.
+    std::string ticket;
+};
+
+struct StopOrder {
+    TaskName task;
+    uint32_t run = 0;
+    uint64_t fencingToken = 0;
+};
+
+struct PaceOrder {
+    TaskName task;
+    uint32_t run = 0;
+    /// Share of its full speed, 0 to 100.
+    uint32_t percent = 100;
+    uint64_t fencingToken = 0;
+};
+
+struct HoldOrder {
+    uint64_t fencingToken = 0;
+    /// Ends up to this number may be forgotten.
+    uint64_t ackedThrough = 0;
+    /// On the endpoint's clock, in milliseconds.
+    std::optional<int64_t> leaseUntilMs;
+    /// Longest time for which the endpoint waits for an end before it answers, in milliseconds.
+    uint32_t waitMs = 0;
+};
+
+enum class OrderStatus : uint8_t {
+    Accepted,
+    /// A higher fencing token has been seen.
+    Fenced,
+    /// The run is not newer than one that has ended or been stopped there.
+    Superseded,
+    /// The lease that came with the order had ended.
+    LeaseEnded,
+    NoRoom,
+    TicketInvalid,
+    /// The endpoint is unhealthy and has done nothing.
+    Unhealthy,
+    /// Another life of a machine answers at the address.
+    WrongInstance,
+    /// The endpoint refused the order as malformed.
+    Malformed,
+    /// Certainly not carried out: nothing was sent.
+    NotSent,
+    /// May have been carried out, or may still be.
+    Unknown,
+    OrderStatusCount,
+};
+
+/// @returns the status as shown in logs, e.g. "no-room".
+std::string_view orderStatusName(OrderStatus status);
+
+struct OrderReply {
+    OrderStatus status = OrderStatus::Unknown;
+    /// The endpoint's clock at the answer, in milliseconds.
+    std::optional<int64_t> clockMs;
+};
+
+struct RunningRow {
+    TaskName task;
+    uint32_t run = 0;
+    std::string checkpoint;
+    /// Progress of a task, or for a lasting one 100 once it is at work.
+    uint32_t percent = 0;
+    /// Tail latency in milliseconds for a task that serves, thousandths of a core in use for others.
+    int64_t figure = 0;
+};
+
+struct EndedRow {
+    uint64_t number = 0;
+    TaskName task;
+    uint32_t run = 0;
+    RunEnd end = RunEnd::Done;
+    std::string checkpoint;
+};
+
+struct HoldReply {
+    OrderStatus status = OrderStatus::Unknown;
+    std::optional<int64_t> clockMs;
+    std::optional<int64_t> bornMs;
+    std::vector<RunningRow> running;
+    std::vector<EndedRow> ended;
+    /// Further ends are listed once these are acknowledged.
+    bool hasMoreEnds = false;
+};
+
+/// Orders to one endpoint. Handlers are called once each, never from within the call that takes them, and not after
+/// the link's destruction.
+class EndpointLink {
+public:
+    virtual ~EndpointLink() = default;
+    virtual void start(const StartOrder& order, TimePoint deadline, std::function<void(const OrderReply&)> handler) = 0;
+    virtual void stop(const StopOrder& order, TimePoint deadline, std::function<void(const OrderReply&)> handler) = 0;
+    virtual void pace(const PaceOrder& order, TimePoint deadline, std::function<void(const OrderReply&)> handler) = 0;
+    virtual void hold(const HoldOrder& order, TimePoint deadline, std::function<void(HoldReply)> handler) = 0;
+};
+
+class EndpointLinks {
+public:
+    virtual ~EndpointLinks() = default;
+    /// @returns nullptr if the endpoint's address is malformed.
+    virtual std::unique_ptr<EndpointLink> open(const Endpoint& endpoint) = 0;
+};
+
+/// An endpoint that may run a step, and the proof of it that a start has to carry.
+struct Advice {
+    std::string endpoint;
+    std::string ticket;
+};
+
+struct AdviceReply {
+    /// Empty without an answer.
+    std::optional<std::vector<Advice>> allowed;
+    uint32_t validMs = 0;
+};
+
+class AdviceService {
+public:
+    virtual ~AdviceService() = default;
+    virtual void ask(const TaskName& step, std::vector<std::string> endpoints, TimePoint deadline, std::function<void(AdviceReply)> handler) = 0;
+};
+
+enum class MachineState : uint8_t { Up, Moving, Maintenance, Down, MachineStateCount };
+
+struct Machine {
+    std::string name;
+    std::string pool;
+    MachineState state = MachineState::Down;
+    std::string availabilityZone;
+    Resources capacity;
+    std::vector<std::string> labels;
+    /// Its present life; empty if there is none.
+    std::string endpoint;
+};
+
+enum class MachineOrderStatus : uint8_t {
+    Accepted,
+    Fenced,
+    /// The machine is not up, or is leaving.
+    Busy,
+    /// The machine is not part of the wave.
+    NotOfWave,
+    /// No such machine, or the pool takes other machines.
+    Impossible,
+    /// Too many calls from all of the system's instances.
+    RateLimited,
+    NotSent,
+    Unknown,
+    MachineOrderStatusCount,
+};
+
+std::string_view machineOrderStatusName(MachineOrderStatus status);
+
+/// The platform that owns the machines.
+class MachineService {
+public:
+    virtual ~MachineService() = default;
+    /// Reads one page of the machines.
+    /// @param pageToken empty for the first page.
+    virtual void list(const std::string& pageToken, TimePoint deadline, std::function<void(std::optional<std::vector<Machine>>, std::string nextPage)> handler) = 0;
+    virtual void move(const std::string& machine, const std::string& pool, uint64_t fencingToken, TimePoint deadline, std::function<void(MachineOrderStatus)> handler) = 0;
+    virtual void maintain(const std::string& machine, uint64_t wave, uint64_t fencingToken, TimePoint deadline, std::function<void(MachineOrderStatus)> handler) = 0;
+};
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/core/event_log.cpp
@@ -0,0 +1,115 @@
+#include "event_log_p.h"
+
+#include <algorithm>
+#include <poll.h>
+#include <unistd.h>
+
+namespace vanillalift {
+
+EventLog::Line::Line(EventLog* log, std::string_view event)
+    : m_log(log)
+{
+    if (!m_log)
+        return;
+    m_text = "time=" + std::to_string(wallClockMs()) + " event=";
+    m_text += event;
+}
+
+EventLog::Line::Line(Line&& other) noexcept
+    : m_log(std::exchange(other.m_log, nullptr))
+    , m_text(std::move(other.m_text))
+{
+}
+
+EventLog::Line::~Line()
+{
+    if (m_log)
+        m_log->append(m_text);
+}
+
+EventLog::Line&& EventLog::Line::field(std::string_view name, std::string_view value) &&
+{
+    if (!m_log)
+        return std::move(*this);
+    m_text += ' ';
+    m_text += name;
+    m_text += '=';
+    bool isPlain = !value.empty() && std::none_of(value.begin(), value.end(), [](char it) { return it <= ' ' || it == '"' || it == '=' || it == 127; });
+    if (isPlain) {
+        m_text += value;
+        return std::move(*this);
+    }
+    m_text += '"';
+    for (char it : value) {
+        if (it == '"' || it == '\\')
+            m_text += '\\';
+        m_text += static_cast<unsigned char>(it) < ' ' ? ' ' : it;
+    }
+    m_text += '"';
+    return std::move(*this);
+}
+
+EventLog::Line&& EventLog::Line::field(std::string_view name, const jobs::TaskKey& task) &&
+{
+    if (!m_log)
+        return std::move(*this);
+    auto text = std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.' + std::to_string(task.index);
+    return std::move(*this).field(name, std::string_view(text));
+}
+
+EventLog::EventLog(const Clock& clock, int fd, Limits limits)
+    : m_clock(clock)
+    , m_fd(fd)
+    , m_limits(limits)
+    , m_tokens(limits.burst)
+    , m_filledAt(clock.now())
+{
+}
+
+bool EventLog::take()
+{
+    auto now = m_clock.now();
+    m_tokens = std::min(m_limits.burst, m_tokens + std::chrono::duration<double>(now - m_filledAt).count() * m_limits.linesPerSecond);
+    m_filledAt = now;
+    if (m_tokens < 1) {
+        m_dropped++;
+        return false;
+    }
+    m_tokens--;
+    return true;
+}
+
+EventLog::Line EventLog::line(std::string_view event) { return { take() ? this : nullptr, event }; }
+
+EventLog::Line EventLog::stateLine(std::string_view event) { return { this, event }; }
+
+void EventLog::append(std::string_view text)
+{
+    if (m_backlog.size() + text.size() > m_limits.backlogBytes) {
+        m_dropped++;
+        return;
+    }
+    m_backlog += text;
+    m_backlog += '\n';
+}
+
+void EventLog::flush()
+{
+    if (m_dropped != m_reportedDropped && m_backlog.size() < m_limits.backlogBytes / 2) {
+        m_backlog += "time=" + std::to_string(wallClockMs()) + " event=log-dropped lines=" + std::to_string(m_dropped - m_reportedDropped) + '\n';
+        m_reportedDropped = m_dropped;
+    }
+    while (!m_backlog.empty()) {
+        // A write of at most PIPE_BUF bytes to a pipe that polls as writable does not block.
+        constexpr size_t chunk = 4096;
+        pollfd ready { m_fd, POLLOUT, 0 };
+        if (poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT))
+            return;
+        auto n = write(m_fd, m_backlog.data(), std::min(chunk, m_backlog.size()));
+        if (n <= 0)
+            return;
+        m_backlog.erase(0, static_cast<size_t>(n));
+    }
+}
+
+} // namespace vanillalift
--- /dev/null
+++ b/src/jobs/dispatcher.cpp
@@ -0,0 +1,376 @@
+#include "dispatcher_p.h"
+
+#include "core/event_log_p.h"
+
+#include <vanillalift/config.h>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace vanillalift::jobs {
+
+Dispatcher::Dispatcher(DispatcherDesc desc, JobStore& store, const Clock& clock, EndpointLinks& links, AdviceService& advice, EventLog& log)
+    : m_desc(std::move(desc))
+    , m_store(store)
+    , m_clock(clock)
+    , m_links(links)
+    , m_adviceService(advice)
+    , m_log(log)
+    , m_startedAt(clock.now())
+{
+    adoptState();
+    m_store.setObserver(this);
+}
+
+Dispatcher::~Dispatcher()
+{
+    *m_isAlive = false;
+    m_store.setObserver(nullptr);
+}
+
+void Dispatcher::adoptState()
+{
+    for (const auto& [id, it] : m_store.endpoints())
+        openSession(it);
+    for (const auto& [serial, job] : m_store.jobs()) {
+        if (job->isActive())
+            planOf(*job);
+        adoptPlacements(*job);
+    }
+    flushEnds();
+}
+
+void Dispatcher::adoptPlacements(Job& job)
+{
+    for (uint32_t occurrence = 0; occurrence < job.occurrences.size(); occurrence++) {
+        auto& steps = job.occurrences[occurrence].steps;
+        for (uint32_t step = 0; step < steps.size(); step++) {
+            for (uint32_t index = 0; index < steps[step].tasks.size(); index++) {
+                for (const auto& it : steps[step].tasks[index].placements) {
+                    RunKey key { { job.serial, occurrence, step, index }, it.run };
+                    auto* session = findSession(it.endpoint);
+                    if (!session) {
+                        m_ended.push_back({ key, RunEnd::Lost, "" });
+                        continue;
+                    }
+                    auto& run = addRun(*session, job, key);
+                    run.isInherited = true;
+                    run.phase = RunPhase::Running;
+                    run.mustStop = !job.isActive();
+                }
+            }
+        }
+    }
+}
+
+EndpointSession& Dispatcher::openSession(const Endpoint& endpoint)
+{
+    auto& session = m_sessions[endpoint.id];
+    if (!session) {
+        session = std::make_unique<EndpointSession>();
+        // An earlier leader's lease may run until then.
+        session->leaseEndsAt = m_startedAt + config::endpointLease;
+        session->lastBeatAt = m_clock.now();
+    }
+    session->endpoint = endpoint;
+    session->link = m_links.open(endpoint);
+    return *session;
+}
+
+EndpointSession* Dispatcher::findSession(const std::string& id)
+{
+    auto it = m_sessions.find(id);
+    return it == m_sessions.end() ? nullptr : it->second.get();
+}
+
+Run* Dispatcher::findRun(EndpointSession& session, const RunKey& key)
+{
+    auto it = session.runs.find(key);
+    return it == session.runs.end() ? nullptr : &it->second;
+}
+
+JobPlan& Dispatcher::planOf(Job& job)
+{
+    auto [it, isNew] = m_plans.try_emplace(job.serial);
+    auto& plan = it->second;
+    if (!isNew)
+        return plan;
+    plan.job = &job;
+    auto now = m_clock.now();
+    auto ageMs = std::clamp<int64_t>(wallClockMs() - job.acceptedAtMs, 0, 600000);
+    plan.acceptedAt = now - std::chrono::milliseconds(ageMs);
+    plan.estimate = estimateJob(job, 0);
+    plan.objective = latencyObjective(m_store.queueOf(job), plan.estimate);
+    auto& mean = m_meanWork[job.queue.name];
+    constexpr double meanWeight = 0.05;
+    mean = mean == 0 ? plan.estimate.totalWorkMs : mean + meanWeight * (plan.estimate.totalWorkMs - mean);
+    plan.relativeSize = mean > 0 ? plan.estimate.totalWorkMs / mean : 1;
+    return plan;
+}
+
+void Dispatcher::markDirty(uint64_t serial)
+{
+    auto it = m_plans.find(serial);
+    if (it != m_plans.end())
+        it->second.isDirty = true;
+}
+
+Run& Dispatcher::addRun(EndpointSession& session, Job& job, const RunKey& key)
+{
+    const auto& step = job.spec.steps[key.task.step];
+    auto& run = session.runs[key];
+    run.key = key;
+    run.jobId = job.spec.id;
+    run.workspace = job.workspace;
+    run.need = countedNeed(step);
+    run.share = step.need;
+    run.isLasting = step.isLasting;
+    run.isFiller = step.isFiller;
+    run.savesProgress = step.savesProgress;
+    run.targetMs = step.targetMs;
+    run.estimateMs = step.estimateMs;
+    run.placedAt = m_clock.now();
+    run.progressAt = run.placedAt;
+    session.used += run.need;
+    if (!run.workspace.empty())
+        m_workspaceUse[run.workspace] += run.share;
+    return run;
+}
+
+void Dispatcher::releaseRun(EndpointSession& session, Run& run)
+{
+    if (run.phase == RunPhase::Ended)
+        return;
+    run.phase = RunPhase::Ended;
+    session.used -= run.need;
+    if (!run.workspace.empty())
+        m_workspaceUse[run.workspace] -= run.share;
+}
+
+void Dispatcher::eraseRun(EndpointSession& session, const RunKey& key)
+{
+    auto* run = findRun(session, key);
+    if (!run)
+        return;
+    bool hasWaited = run->phase == RunPhase::Ended;
+    releaseRun(session, *run);
+    session.runs.erase(key);
+    if (hasWaited && session.endsWaiting > 0)
+        session.endsWaiting--;
+    if (session.endsWaiting == 0)
+        session.endsRecorded = session.endsSeen;
+}
+
+TaskName Dispatcher::nameOf(const Run& run) const { return { run.jobId, run.key.task.occurrence, run.key.task.step, run.key.task.index }; }
+
+void Dispatcher::queueEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint)
+{
+    if (run.phase == RunPhase::Ended)
+        return;
+    releaseRun(session, run);
+    session.endsWaiting++;
+    m_ended.push_back({ run.key, end, checkpoint.empty() ? run.checkpoint : checkpoint });
+    m_log.line("run-end").field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("end", runEndName(end)).field("percent", run.percent);
+}
+
+void Dispatcher::flushEnds()
+{
+    if (!m_ended.empty())
+        m_desc.propose(EndRuns { std::exchange(m_ended, {}), wallClockMs() });
+}
+
+void Dispatcher::tick()
+{
+    if (mayLead()) {
+        for (auto& [id, session] : m_sessions)
+            serveSession(*session);
+        place();
+    }
+    flushEnds();
+}
+
+DispatcherStats Dispatcher::stats() const
+{
+    auto stats = m_stats;
+    for (const auto& [id, session] : m_sessions) {
+        for (const auto& [key, run] : session->runs)
+            stats.liveRuns += run.phase != RunPhase::Ended ? 1 : 0;
+    }
+    for (const auto& [serial, plan] : m_plans)
+        stats.readyTasks += plan.ready.size();
+    stats.openJobs = m_plans.size();
+    return stats;
+}
+
+void Dispatcher::receiveBeat(const Beat& beat, std::function<void()> onRecorded)
+{
+    const auto& said = beat.endpoint;
+    const auto* known = m_store.findEndpoint(said.id);
+    if (known && said.bornMs < known->bornMs)
+        return onRecorded();
+    auto* session = findSession(said.id);
+    auto now = m_clock.now();
+    bool isSameLife = known && session && known->bornMs == said.bornMs;
+    if (isSameLife) {
+        if (beat.sequence <= session->lastBeatSequence && session->lastBeatSequence != 0)
+            return onRecorded();
+        session->lastBeatSequence = beat.sequence;
+        session->lastBeatAt = now;
+        if (beat.clockMs)
+            session->addClockSample(*beat.clockMs, now);
+    }
+    auto recorded = said;
+    recorded.isDraining = said.isDraining || (isSameLife && known->isDraining);
+    if (isSameLife && *known == recorded)
+        return onRecorded();
+    m_waiters[said.id].push_back({ said.id, std::move(onRecorded) });
+    if (session && session->isRegistrationOut && isSameLife)
+        return;
+    if (session)
+        session->isRegistrationOut = true;
+    m_log.line("endpoint-report").field("endpoint", recorded.id).field("born", recorded.bornMs).field("service", recorded.service).field("address", recorded.address).field("draining", recorded.isDraining).field("sequence", beat.sequence);
+    m_desc.propose(PutEndpoint { std::move(recorded) });
+}
+
+void Dispatcher::receiveLeave(const std::string& endpointId, std::function<void()> onRecorded)
+{
+    const auto* known = m_store.findEndpoint(endpointId);
+    if (!known)
+        return onRecorded();
+    m_waiters[endpointId].push_back({ endpointId, std::move(onRecorded) });
+    m_log.line("endpoint-leave").field("endpoint", endpointId).field("born", known->bornMs);
+    m_desc.propose(RemoveEndpoint { endpointId, known->bornMs });
+}
+
+void Dispatcher::setLeaving(const std::set<std::string>& endpointIds)
+{
+    for (auto& [id, session] : m_sessions)
+        session->isLeaving = endpointIds.contains(id);
+}
+
+void Dispatcher::evacuate(const std::string& endpointId, const RunKey& run)
+{
+    auto* session = findSession(endpointId);
+    auto* found = session ? findRun(*session, run) : nullptr;
+    if (!found || found->mustStop || found->phase == RunPhase::Ended)
+        return;
+    found->mustStop = true;
+    found->nextOrderAt = {};
+    m_log.line("evacuate").field("job", found->jobId).field("task", run.task).field("run", run.number).field("endpoint", endpointId);
+}
+
+void Dispatcher::onCatalog()
+{
+    for (auto& [serial, plan] : m_plans)
+        plan.isDirty = true;
+}
+
+void Dispatcher::onEndpoint(const Endpoint& endpoint)
+{
+    auto* session = findSession(endpoint.id);
+    if (!session) {
+        openSession(endpoint);
+    } else {
+        bool isNewLife = session->endpoint.bornMs != endpoint.bornMs;
+        bool isMoved = session->endpoint.address != endpoint.address;
+        if (isNewLife)
+            session->resetLife();
+        session->isRegistrationOut = false;
+        session->lastBeatAt = m_clock.now();
+        if (isMoved)
+            openSession(endpoint);
+        session->endpoint = endpoint;
+    }
+    auto waiters = m_waiters.extract(endpoint.id);
+    if (!waiters.empty()) {
+        for (auto& it : waiters.mapped())
+            it.onRecorded();
+    }
+}
+
+void Dispatcher::onEndpointRemoved(const Endpoint& last)
+{
+    auto* session = findSession(last.id);
+    if (session) {
+        m_log.line("endpoint-removed").field("endpoint", last.id).field("born", last.bornMs).field("runs", session->runs.size());
+        for (auto& [key, run] : session->runs) {
+            if (run.phase == RunPhase::Committing) {
+                // The store refuses the placement when it is applied.
+                releaseRun(*session, run);
+                continue;
+            }
+            if (run.phase != RunPhase::Ended)
+                m_stats.runsLost++;
+            queueEnd(*session, run, RunEnd::Lost, "");
+        }
+        m_sessions.erase(last.id);
+    }
+    auto waiters = m_waiters.extract(last.id);
+    if (!waiters.empty()) {
+        for (auto& it : waiters.mapped())
+            it.onRecorded();
+    }
+}
+
+void Dispatcher::onJob(Job& job) { planOf(job); }
+
+void Dispatcher::onJobFinished(Job& job)
+{
+    m_plans.erase(job.serial);
+    if (job.placementCount == 0)
+        return;
+    for (auto& [id, session] : m_sessions) {
+        for (auto it = session->runs.lower_bound({ { job.serial, 0, 0, 0 }, 0 }); it != session->runs.end() && it->first.task.job == job.serial; ++it) {
+            it->second.mustStop = true;
+            it->second.nextOrderAt = {};
+        }
+    }
+}
+
+void Dispatcher::onRunPlaced(Job& job, const RunKey& key, const std::string& endpoint)
+{
+    auto plan = m_plans.find(job.serial);
+    if (plan != m_plans.end()) {
+        plan->second.committing.erase(key.task);
+        plan->second.isDirty = true;
+    }
+    auto* session = findSession(endpoint);
+    auto* run = session ? findRun(*session, key) : nullptr;
+    if (!run) {
+        // The endpoint's life has ended since, and no order was sent.
+        m_ended.push_back({ key, RunEnd::NotStarted, "" });
+        return;
+    }
+    run->phase = RunPhase::Starting;
+    run->placedAt = m_clock.now();
+    if (mayLead())
+        serveRun(*session, *run);
+}
+
+void Dispatcher::onRunEnded(Job& job, const EndedRun& run, const std::string& endpoint)
+{
+    auto plan = m_plans.find(job.serial);
+    if (plan != m_plans.end()) {
+        plan->second.committing.erase(run.run.task);
+        plan->second.isDirty = true;
+    }
+    auto* session = findSession(endpoint);
+    if (session)
+        eraseRun(*session, run.run);
+    // Other copies of a task that is done are not needed.
+    const auto* task = job.findTask(run.run.task);
+    if (!task || !task->isDone)
+        return;
+    for (const auto& it : task->placements)
+        evacuate(it.endpoint, { run.run.task, it.run });
+}
+
+bool Dispatcher::isReachable(const EndpointSession& session) const
+{
+    auto now = m_clock.now();
+    auto heardAt = std::max(session.lastAnswerAt, session.lastBeatAt);
+    return session.isConfirmed && session.unansweredHolds == 0 && now - heardAt < config::endpointSilence;
+}
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/jobs/dispatcher_p.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include "endpoint_session_p.h"
+#include "job_estimate_p.h"
+#include "job_store_p.h"
+#include "placement_p.h"
+
+#include <functional>
+#include <set>
+
+namespace vanillalift {
+class EventLog;
+}
+
+namespace vanillalift::jobs {
+
+/// What a dispatcher needs of its surroundings.
+struct DispatcherDesc {
+    /// Term of this leader, used as fencing token.
+    uint64_t term = 0;
+    /// Appends a command to the replicated log. The outcome shows in the store.
+    std::function<void(Command)> propose;
+    /// Newest moment at which this instance was certainly the only leader.
+    std::function<TimePoint()> leaderContactAt;
+    /// Longest lease that endpoints take.
+    Duration maxLease = std::chrono::seconds(10);
+    /// How long an endpoint takes to stop a run, at most.
+    Duration stopTimeout = std::chrono::seconds(1);
+};
+
+struct DispatcherStats {
+    uint64_t startsSent = 0;
+    uint64_t startsRefused = 0;
+    uint64_t startsUnanswered = 0;
+    uint64_t stopsSent = 0;
+    uint64_t holdsSent = 0;
+    uint64_t holdsUnanswered = 0;
+    uint64_t runsDone = 0;
+    uint64_t runsFailed = 0;
+    uint64_t runsLost = 0;
+    uint64_t placements = 0;
+    size_t readyTasks = 0;
+    size_t liveRuns = 0;
+    size_t openJobs = 0;
+};
+
+/// A job's place in the leader's plans.
+struct JobPlan {
+    Job* job = nullptr;
+    TimePoint acceptedAt;
+    JobEstimate estimate;
+    Duration objective {};
+    double relativeSize = 1;
+    /// Tasks that may be placed now.
+    std::vector<TaskKey> ready;
+    /// Tasks whose placement is proposed and not committed.
+    std::set<TaskKey> committing;
+    bool isDirty = true;
+};
+
+/// Tickets of one step.
+struct StepAdvice {
+    bool isAsked = false;
+    TimePoint nextAskAt;
+    TimePoint validUntil;
+    std::vector<std::string> endpoints;
+    std::vector<std::string> tickets;
+};
+
+/// The leader's work: places tasks, orders endpoints to start and stop them, keeps their leases, and records their ends.
+/// Exists for one term; all it knows beyond the store is learned from the endpoints again.
+class Dispatcher final : public StoreObserver {
+public:
+    Dispatcher(DispatcherDesc desc, JobStore& store, const Clock& clock, EndpointLinks& links, AdviceService& advice, EventLog& log);
+    ~Dispatcher() override;
+
+    /// Does all that is due.
+    void tick();
+
+    /// What an endpoint says of itself.
+    struct Beat {
+        Endpoint endpoint;
+        uint64_t sequence = 0;
+        std::optional<int64_t> clockMs;
+        /// Least time until the endpoint ends, while it drains.
+        std::optional<int64_t> remainingMs;
+    };
+    /// @param onRecorded called once the report is on record.
+    void receiveBeat(const Beat& beat, std::function<void()> onRecorded);
+    void receiveLeave(const std::string& endpointId, std::function<void()> onRecorded);
+
+    /// Marks the endpoints that a wave or a move will take down: nothing more is placed there.
+    void setLeaving(const std::set<std::string>& endpointIds);
+    /// Orders a run to end and its task to be started elsewhere.
+    void evacuate(const std::string& endpointId, const RunKey& run);
+
+    [[nodiscard]] const std::map<std::string, std::unique_ptr<EndpointSession>>& sessions() const { return m_sessions; }
+    [[nodiscard]] const std::map<uint64_t, JobPlan>& plans() const { return m_plans; }
+    [[nodiscard]] const Resources& useOf(const std::string& workspace) { return m_workspaceUse[workspace]; }
+    [[nodiscard]] DispatcherStats stats() const;
+    [[nodiscard]] bool isReachable(const EndpointSession& session) const;
+
+    void onCatalog() override;
+    void onEndpoint(const Endpoint& endpoint) override;
+    void onEndpointRemoved(const Endpoint& last) override;
+    void onJob(Job& job) override;
+    void onJobFinished(Job& job) override;
+    void onRunPlaced(Job& job, const RunKey& run, const std::string& endpoint) override;
+    void onRunEnded(Job& job, const EndedRun& run, const std::string& endpoint) override;
+    void onWave(const WaveState& /*wave*/) override { }
+
+private:
+    struct Waiter {
+        std::string endpoint;
+        std::function<void()> onRecorded;
+    };
+
+    // Takeover (dispatcher.cpp)
+    void adoptState();
+    void adoptPlacements(Job& job);
+    EndpointSession& openSession(const Endpoint& endpoint);
+    Run& addRun(EndpointSession& session, Job& job, const RunKey& key);
+    void releaseRun(EndpointSession& session, Run& run);
+    void eraseRun(EndpointSession& session, const RunKey& key);
+    EndpointSession* findSession(const std::string& id);
+    Run* findRun(EndpointSession& session, const RunKey& key);
+    JobPlan& planOf(Job& job);
+    void markDirty(uint64_t serial);
+    [[nodiscard]] TaskName nameOf(const Run& run) const;
+
+    // Ends (dispatcher.cpp)
+    void queueEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint);
+    void flushEnds();
+
+    // Orders and leases (dispatcher_orders.cpp)
+    [[nodiscard]] bool mayLead() const;
+    [[nodiscard]] TimePoint leaseTarget() const;
+    std::optional<int64_t> grantLease(EndpointSession& session);
+    void serveSession(EndpointSession& session);
+    void serveRun(EndpointSession& session, Run& run);
+    void sendHold(EndpointSession& session);
+    void receiveHold(EndpointSession& session, TimePoint sentAt, const HoldReply& reply);
+    void reconcile(EndpointSession& session, TimePoint sentAt, const HoldReply& reply);
+    void noteProgress(EndpointSession& session, Run& run, const RunningRow& row);
+    void noteEnd(EndpointSession& session, const EndedRow& row);
+    void settleAbsent(EndpointSession& session, Run& run, TimePoint sentAt);
+    void sendStart(EndpointSession& session, Run& run);
+    void receiveStart(EndpointSession& session, const RunKey& key, const OrderReply& reply);
+    void sendStop(EndpointSession& session, Run& run);
+    void receiveStop(EndpointSession& session, const RunKey& key, const OrderReply& reply);
+    void sendPace(EndpointSession& session, Run& run);
+    void expireSession(EndpointSession& session);
+    void removeEndpoint(EndpointSession& session, const char* reason);
+    void noteFailure(EndpointSession& session, const char* reason);
+    void paceFillers(EndpointSession& session);
+
+    // Placing (dispatcher_placing.cpp)
+    void place();
+    void placeService(const std::string& service, std::vector<JobPlan*>& plans);
+    void placeGang(JobPlan& plan, const TaskKey& first, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions);
+    bool placeTask(JobPlan& plan, const TaskKey& key, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions);
+    void commitPlacement(JobPlan& plan, const TaskKey& key, uint32_t run, EndpointSession& session, const std::string& ticket);
+    void refreshPlan(JobPlan& plan);
+    void collectReady(JobPlan& plan, uint32_t occurrence);
+    void flushPlacements();
+    [[nodiscard]] bool isWithinLimit(const Job& job, const StepSpec& step, uint32_t count);
+    [[nodiscard]] bool mayPlaceOn(const EndpointSession& session) const;
+    const StepAdvice* adviceFor(JobPlan& plan, const TaskKey& key, const std::vector<EndpointSession*>& sessions);
+    void preparePlacement(PlacementCandidate& candidate, const EndpointSession& session, const TaskKey& key, const StepSpec& step) const;
+
+    DispatcherDesc m_desc;
+    JobStore& m_store;
+    const Clock& m_clock;
+    EndpointLinks& m_links;
+    AdviceService& m_adviceService;
+    EventLog& m_log;
+    TimePoint m_startedAt;
+    std::map<std::string, std::unique_ptr<EndpointSession>> m_sessions;
+    std::map<uint64_t, JobPlan> m_plans;
+    std::map<std::string, Resources> m_workspaceUse;
+    /// Mean work of a queue's jobs, in milliseconds of a whole core.
+    std::map<std::string, double> m_meanWork;
+    std::map<TaskKey, StepAdvice> m_advice;
+    std::map<std::string, std::vector<Waiter>> m_waiters;
+    std::vector<PlacedRun> m_placed;
+    std::vector<EndedRun> m_ended;
+    DispatcherStats m_stats;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/jobs/dispatcher_placing.cpp
@@ -0,0 +1,338 @@
+#include "dispatcher_p.h"
+
+#include "core/event_log_p.h"
+#include "queue_order_p.h"
+
+#include <vanillalift/config.h>
+
+#include <algorithm>
+
+namespace vanillalift::jobs {
+
+namespace {
+
+    /// A job that takes longer than this many times its objective counts for nothing.
+    constexpr int lateFactor = 3;
+    /// Needs that fitted nowhere in this pass, kept to skip tasks that need as much.
+    constexpr size_t maxFailedNeeds = 8;
+    /// Time for which a step's advice is not asked again after a failure.
+    constexpr std::chrono::milliseconds adviceRetry { 200 };
+    /// Tickets are not used in their last part: the order has to reach the endpoint.
+    constexpr std::chrono::milliseconds ticketMargin { 300 };
+    /// Time that the advice service may take beyond what the queue's terms tell.
+    constexpr std::chrono::milliseconds adviceMargin { 1500 };
+
+    /// Share of the time before an occurrence is due within which it is placed: the placement is committed first.
+    constexpr int64_t occurrenceLeadMs = 0;
+
+    struct FailedNeeds {
+        std::vector<Resources> needs;
+
+        [[nodiscard]] bool covers(const Resources& need) const
+        {
+            return std::any_of(needs.begin(), needs.end(), [&](const auto& it) { return it.fitsIn(need); });
+        }
+        void add(const Resources& need)
+        {
+            if (needs.size() < maxFailedNeeds && !covers(need))
+                needs.push_back(need);
+        }
+    };
+
+    bool isConstrained(const StepSpec& step) { return step.maxPerEndpoint != 0 || !step.requiredLabel.empty(); }
+
+} // namespace
+
+void Dispatcher::refreshPlan(JobPlan& plan)
+{
+    plan.isDirty = false;
+    plan.ready.clear();
+    auto& job = *plan.job;
+    uint32_t current = 0;
+    for (uint32_t occurrence = 0; occurrence < job.occurrences.size(); occurrence++) {
+        if (job.occurrences[occurrence].isDone)
+            continue;
+        if (job.spec.occurrences != 0) {
+            auto dueAtMs = job.spec.firstAtMs + static_cast<int64_t>(occurrence) * job.spec.periodMs;
+            // Looked at again until it is due.
+            if (wallClockMs() + occurrenceLeadMs < dueAtMs) {
+                plan.isDirty = true;
+                break;
+            }
+        }
+        current = occurrence;
+        collectReady(plan, occurrence);
+    }
+    plan.estimate = estimateJob(job, current);
+    plan.objective = latencyObjective(m_store.queueOf(job), plan.estimate);
+}
+
+void Dispatcher::collectReady(JobPlan& plan, uint32_t occurrence)
+{
+    const auto& job = *plan.job;
+    const auto& steps = job.occurrences[occurrence].steps;
+    for (uint32_t step = 0; step < steps.size(); step++) {
+        const auto& tasks = steps[step].tasks;
+        if (steps[step].doneCount == tasks.size() || !job.isStepReady(occurrence, step))
+            continue;
+        for (uint32_t index = 0; index < tasks.size(); index++) {
+            TaskKey key { job.serial, occurrence, step, index };
+            if (tasks[index].isIdle() && !plan.committing.contains(key))
+                plan.ready.push_back(key);
+        }
+    }
+}
+
+bool Dispatcher::mayPlaceOn(const EndpointSession& session) const
+{
+    return isReachable(session) && !session.endpoint.isDraining && !session.isLeaving && !session.isRemovalOut && session.clock && m_clock.now() >= session.suspectUntil;
+}
+
+bool Dispatcher::isWithinLimit(const Job& job, const StepSpec& step, uint32_t count)
+{
+    const auto* workspace = job.workspace.empty() ? nullptr : m_store.catalog().workspaceNamed(job.workspace);
+    if (!workspace)
+        return true;
+    auto used = m_workspaceUse[job.workspace];
+    for (; count > 0; count--)
+        used += step.need;
+    auto isOver = [](int64_t value, int64_t limit) { return limit != 0 && value > limit; };
+    return !isOver(used.cpu, workspace->limit.cpu) && !isOver(used.memory, workspace->limit.memory) && !isOver(used.gpus, workspace->limit.gpus);
+}
+
+void Dispatcher::place()
+{
+    std::map<std::string, std::vector<JobPlan*>> byService;
+    for (auto& [serial, plan] : m_plans) {
+        if (plan.isDirty)
+            refreshPlan(plan);
+        if (!plan.ready.empty())
+            byService[m_store.queueOf(*plan.job).service].push_back(&plan);
+    }
+    for (auto& [service, plans] : byService)
+        placeService(service, plans);
+    flushPlacements();
+}
+
+void Dispatcher::placeService(const std::string& service, std::vector<JobPlan*>& plans)
+{
+    std::vector<PlacementCandidate> candidates;
+    std::vector<EndpointSession*> sessions;
+    for (auto& [id, session] : m_sessions) {
+        if (session->endpoint.service != service || !mayPlaceOn(*session))
+            continue;
+        PlacementCandidate candidate;
+        candidate.endpoint = &session->endpoint;
+        candidate.free = session->free();
+        candidate.recentFailures = session->failuresInRow;
+        candidate.speed = session->speed;
+        for (const auto& [key, run] : session->runs) {
+            if (run.phase == RunPhase::Ended)
+                continue;
+            candidate.servingRuns += run.targetMs != 0 ? 1 : 0;
+            candidate.fillerRuns += run.isFiller ? 1 : 0;
+        }
+        candidates.push_back(candidate);
+        sessions.push_back(session.get());
+    }
+    if (candidates.empty())
+        return;
+    auto now = m_clock.now();
+    std::vector<OrderedJob> ordered;
+    for (const auto* plan : plans) {
+        const auto& job = *plan->job;
+        OrderedJob entry { job.serial, m_store.queueOf(job).priority, job.isLasting(), job.hasStarted, plan->acceptedAt + plan->objective, plan->acceptedAt + lateFactor * plan->objective };
+        entry.chainMs = plan->estimate.chainMs;
+        entry.workMs = plan->estimate.workMs;
+        entry.relativeSize = plan->relativeSize;
+        ordered.push_back(entry);
+    }
+    FailedNeeds failed;
+    for (auto serial : orderJobs(ordered, now)) {
+        auto& plan = m_plans.at(serial);
+        std::vector<TaskKey> left;
+        for (const auto& key : std::exchange(plan.ready, {})) {
+            const auto& step = plan.job->spec.steps[key.step];
+            if (step.isGang) {
+                if (key.index == 0)
+                    placeGang(plan, key, candidates, sessions);
+                continue;
+            }
+            auto need = countedNeed(step);
+            if (failed.covers(need) || !placeTask(plan, key, candidates, sessions)) {
+                left.push_back(key);
+                if (!isConstrained(step) && isWithinLimit(*plan.job, step, 1) && !m_store.queueOf(*plan.job).isAdvised)
+                    failed.add(need);
+            }
+        }
+        plan.ready = std::move(left);
+    }
+}
+
+void Dispatcher::preparePlacement(PlacementCandidate& candidate, const EndpointSession& session, const TaskKey& key, const StepSpec& step) const
+{
+    candidate.runsOfStep = 0;
+    if (step.maxPerEndpoint == 0)
+        return;
+    RunKey first { { key.job, key.occurrence, key.step, 0 }, 0 };
+    for (auto it = session.runs.lower_bound(first); it != session.runs.end(); ++it) {
+        const auto& task = it->first.task;
+        if (task.job != key.job || task.occurrence != key.occurrence || task.step != key.step)
+            break;
+        // A run that has ended counts until its end is on record.
+        candidate.runsOfStep++;
+    }
+}
+
+bool Dispatcher::placeTask(JobPlan& plan, const TaskKey& key, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions)
+{
+    const auto& job = *plan.job;
+    const auto& step = job.spec.steps[key.step];
+    if (!isWithinLimit(job, step, 1))
+        return false;
+    const auto* task = job.findTask(key);
+    PlacementHints hints;
+    hints.avoid = task->failedAt;
+    const StepAdvice* advice = nullptr;
+    if (m_store.queueOf(job).isAdvised) {
+        advice = adviceFor(plan, key, sessions);
+        if (!advice)
+            return false;
+        hints.allowed = &advice->endpoints;
+    }
+    for (size_t n = 0; n < candidates.size(); n++)
+        preparePlacement(candidates[n], *sessions[n], key, step);
+    auto chosen = choosePlacement(step, hints, candidates);
+    if (!chosen)
+        return false;
+    std::string ticket;
+    if (advice) {
+        auto it = std::find(advice->endpoints.begin(), advice->endpoints.end(), sessions[*chosen]->endpoint.id);
+        ticket = advice->tickets[static_cast<size_t>(it - advice->endpoints.begin())];
+    }
+    commitPlacement(plan, key, task->lastRun + 1, *sessions[*chosen], ticket);
+    candidates[*chosen].free = sessions[*chosen]->free();
+    if (step.isFiller)
+        candidates[*chosen].fillerRuns++;
+    else if (step.targetMs != 0)
+        candidates[*chosen].servingRuns++;
+    return true;
+}
+
+void Dispatcher::placeGang(JobPlan& plan, const TaskKey& first, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions)
+{
+    const auto& job = *plan.job;
+    const auto& step = job.spec.steps[first.step];
+    const auto& tasks = job.occurrences[first.occurrence].steps[first.step].tasks;
+    bool isWhole = std::all_of(tasks.begin(), tasks.end(), [](const Task& it) { return it.isIdle(); });
+    if (!isWhole || !isWithinLimit(job, step, step.taskCount))
+        return;
+    uint32_t number = 0;
+    for (const auto& it : tasks)
+        number = std::max(number, it.lastRun);
+    const StepAdvice* advice = nullptr;
+    PlacementHints hints;
+    if (m_store.queueOf(job).isAdvised) {
+        advice = adviceFor(plan, first, sessions);
+        if (!advice)
+            return;
+        hints.allowed = &advice->endpoints;
+    }
+    // Tried on a copy: all members find a place, or none is placed.
+    auto trial = candidates;
+    std::vector<size_t> chosen;
+    std::string rack;
+    for (size_t n = 0; n < trial.size(); n++)
+        preparePlacement(trial[n], *sessions[n], first, step);
+    for (uint32_t index = 0; index < step.taskCount; index++) {
+        hints.avoid = tasks[index].failedAt;
+        hints.rack = step.wantsOneRack ? std::string_view(rack) : std::string_view();
+        auto place = choosePlacement(step, hints, trial);
+        if (!place)
+            return;
+        trial[*place].free -= countedNeed(step);
+        trial[*place].runsOfStep++;
+        rack = trial[*place].endpoint->rack;
+        chosen.push_back(*place);
+    }
+    for (uint32_t index = 0; index < step.taskCount; index++) {
+        auto& session = *sessions[chosen[index]];
+        std::string ticket;
+        if (advice) {
+            auto it = std::find(advice->endpoints.begin(), advice->endpoints.end(), session.endpoint.id);
+            ticket = advice->tickets[static_cast<size_t>(it - advice->endpoints.begin())];
+        }
+        commitPlacement(plan, { first.job, first.occurrence, first.step, index }, number + 1, session, ticket);
+        candidates[chosen[index]].free = session.free();
+    }
+}
+
+void Dispatcher::commitPlacement(JobPlan& plan, const TaskKey& key, uint32_t number, EndpointSession& session, const std::string& ticket)
+{
+    RunKey run { key, number };
+    addRun(session, *plan.job, run).ticket = ticket;
+    plan.committing.insert(key);
+    m_placed.push_back({ run, session.endpoint.id });
+    m_stats.placements++;
+    m_log.line("place").field("job", plan.job->spec.id).field("task", key).field("run", number).field("endpoint", session.endpoint.id).field("free-cpu", session.free().cpu).field("waited-ms", millisecondsUntil(m_clock.now(), plan.acceptedAt));
+    if (m_placed.size() >= config::maxRunsPerCommand)
+        flushPlacements();
+}
+
+void Dispatcher::flushPlacements()
+{
+    if (!m_placed.empty())
+        m_desc.propose(PlaceRuns { std::exchange(m_placed, {}) });
+}
+
+const StepAdvice* Dispatcher::adviceFor(JobPlan& plan, const TaskKey& key, const std::vector<EndpointSession*>& sessions)
+{
+    auto now = m_clock.now();
+    TaskKey stepKey { key.job, key.occurrence, key.step, 0 };
+    auto& advice = m_advice[stepKey];
+    if (!advice.endpoints.empty() && now + ticketMargin < advice.validUntil)
+        return &advice;
+    if (advice.isAsked || now < advice.nextAskAt)
+        return nullptr;
+    const auto& job = *plan.job;
+    const auto& step = job.spec.steps[key.step];
+    std::vector<std::pair<int64_t, std::string>> byRoom;
+    for (const auto* it : sessions) {
+        bool isUsable = step.requiredLabel.empty() || std::find(it->endpoint.labels.begin(), it->endpoint.labels.end(), step.requiredLabel) != it->endpoint.labels.end();
+        if (isUsable)
+            byRoom.emplace_back(it->free().cpu, it->endpoint.id);
+    }
+    std::sort(byRoom.rbegin(), byRoom.rend());
+    if (byRoom.size() > config::maxAdvisedEndpoints)
+        byRoom.resize(config::maxAdvisedEndpoints);
+    std::vector<std::string> asked;
+    for (auto& [room, id] : byRoom)
+        asked.push_back(std::move(id));
+    advice.isAsked = true;
+    const auto& terms = m_store.queueOf(job).advice;
+    auto deadline = now + std::chrono::milliseconds(terms.decideMs + terms.perEndpointMs * asked.size()) + adviceMargin;
+    TaskName name { job.spec.id, key.occurrence, key.step, 0 };
+    m_adviceService.ask(name, std::move(asked), deadline, [this, stepKey, isAlive = m_isAlive](const AdviceReply& reply) {
+        auto it = *isAlive ? m_advice.find(stepKey) : m_advice.end();
+        if (!*isAlive || it == m_advice.end())
+            return;
+        auto& advice = it->second;
+        auto now = m_clock.now();
+        advice.isAsked = false;
+        advice.nextAskAt = now + adviceRetry;
+        if (!reply.allowed) {
+            m_log.line("advice-missing").field("job", stepKey.job).field("step", stepKey.step);
+            return;
+        }
+        advice.validUntil = now + std::chrono::milliseconds(reply.validMs);
+        advice.endpoints.clear();
+        advice.tickets.clear();
+        for (const auto& allowed : *reply.allowed) {
+            advice.endpoints.push_back(allowed.endpoint);
+            advice.tickets.push_back(allowed.ticket);
+        }
+    });
+    return nullptr;
+}
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/jobs/endpoint_session.cpp
@@ -0,0 +1,58 @@
+#include "endpoint_session_p.h"
+
+#include <vanillalift/config.h>
+
+#include <algorithm>
+#include <array>
+
+namespace vanillalift::jobs {
+
+std::string_view orderStatusName(OrderStatus status)
+{
+    constexpr std::array<std::string_view, static_cast<size_t>(OrderStatus::OrderStatusCount)> names {
+        "accepted", "fenced", "superseded", "lease-ended", "no-room", "ticket-invalid", "unhealthy", "wrong-instance", "malformed", "not-sent", "unknown"
+    };
+    return names.at(static_cast<size_t>(status));
+}
+
+std::string_view machineOrderStatusName(MachineOrderStatus status)
+{
+    constexpr std::array<std::string_view, static_cast<size_t>(MachineOrderStatus::MachineOrderStatusCount)> names {
+        "accepted", "fenced", "busy", "not-of-wave", "impossible", "rate-limited", "not-sent", "unknown"
+    };
+    return names.at(static_cast<size_t>(status));
+}
+
+std::optional<int64_t> EndpointSession::clockAt(TimePoint moment) const
+{
+    if (!clock)
+        return std::nullopt;
+    auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(moment - clock->receivedAt).count();
+    return clock->clockMs + static_cast<int64_t>(static_cast<double>(passed) * (1 - config::maxClockDrift));
+}
+
+void EndpointSession::addClockSample(int64_t clockMs, TimePoint receivedAt)
+{
+    auto known = clockAt(receivedAt);
+    if (!known || clockMs >= *known)
+        clock = ClockSample { clockMs, receivedAt };
+}
+
+bool EndpointSession::hasLiveRuns() const
+{
+    return std::any_of(runs.begin(), runs.end(), [](const auto& it) { return it.second.phase != RunPhase::Ended; });
+}
+
+void EndpointSession::resetLife()
+{
+    isConfirmed = false;
+    clock.reset();
+    lastBeatSequence = 0;
+    endsSeen = 0;
+    endsRecorded = 0;
+    failuresInRow = 0;
+    suspectUntil = {};
+    speed = 1;
+}
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/jobs/endpoint_session_p.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <vanillalift/clock.h>
+#include <vanillalift/endpoint_link.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace vanillalift::jobs {
+
+enum class RunPhase : uint8_t {
+    /// The placement is not committed yet; no order has been sent.
+    Committing,
+    /// An order to start has been or will be sent; none was accepted yet.
+    Starting,
+    Running,
+    /// The end is known and waits for its commit. Holds no capacity.
+    Ended,
+    RunPhaseCount,
+};
+
+/// The leader's view of one run.
+struct Run {
+    RunKey key;
+    std::string jobId;
+    std::string workspace;
+    RunPhase phase = RunPhase::Committing;
+    /// Counted against the endpoint's capacity.
+    Resources need;
+    /// Counted against the workspace's limit.
+    Resources share;
+    bool isLasting = false;
+    bool isFiller = false;
+    bool savesProgress = false;
+    uint32_t targetMs = 0;
+    uint32_t estimateMs = 0;
+    /// An order to start it had no answer: a copy of that order may still be carried out.
+    bool hasUnansweredStart = false;
+    bool isOrderOut = false;
+    /// The run has to end here.
+    bool mustStop = false;
+    /// Placed by an earlier leader: what became of it is unknown until the endpoint lists its runs.
+    bool isInherited = false;
+    std::string ticket;
+    TimePoint placedAt;
+    TimePoint nextOrderAt;
+    /// Since when a list that lacks the run proves its end: an accepted start or stop.
+    TimePoint settledAt;
+    TimePoint startedAt;
+    uint32_t percent = 0;
+    TimePoint progressAt;
+    int64_t figure = 0;
+    TimePoint figureAt;
+    std::string checkpoint;
+    uint32_t pacePercent = 100;
+    uint32_t wantedPacePercent = 100;
+    bool isPaceOut = false;
+    /// Since when a serving task has been over its latency bound; the epoch if it is not.
+    TimePoint overTargetSince;
+
+    [[nodiscard]] bool isAtWork() const { return phase == RunPhase::Running && percent >= 100; }
+};
+
+/// A moment on an endpoint's clock.
+struct ClockSample {
+    int64_t clockMs = 0;
+    /// On our clock, when the sample arrived: the endpoint's clock has not been behind it since.
+    TimePoint receivedAt;
+};
+
+/// The leader's view of one endpoint.
+struct EndpointSession {
+    Endpoint endpoint;
+    std::unique_ptr<EndpointLink> link;
+    std::map<RunKey, Run> runs;
+    /// Needs of the runs that have not ended.
+    Resources used;
+    /// The endpoint has listed its runs in this leader's term.
+    bool isConfirmed = false;
+    std::optional<ClockSample> clock;
+    TimePoint lastBeatAt;
+    TimePoint lastAnswerAt;
+    uint64_t lastBeatSequence = 0;
+    bool isRegistrationOut = false;
+    /// By when everything there has ended unless the lease is extended.
+    TimePoint leaseEndsAt;
+    bool isHoldOut = false;
+    TimePoint holdSentAt;
+    TimePoint nextHoldAt;
+    uint32_t unansweredHolds = 0;
+    /// Highest number of an end that was processed, and up to which all ends are recorded.
+    uint64_t endsSeen = 0;
+    uint64_t endsRecorded = 0;
+    uint32_t endsWaiting = 0;
+    /// Failures in a row, and until when no task is placed because of them.
+    uint32_t failuresInRow = 0;
+    TimePoint suspectUntil;
+    /// Ratio of declared to seen run times, 1 for as declared.
+    double speed = 1;
+    /// A wave or a move will take the machine down.
+    bool isLeaving = false;
+    bool isRemovalOut = false;
+
+    /// @returns the endpoint's clock at least this early at a moment of ours: never ahead of the true one.
+    [[nodiscard]] std::optional<int64_t> clockAt(TimePoint moment) const;
+    void addClockSample(int64_t clockMs, TimePoint receivedAt);
+    [[nodiscard]] Resources free() const { return endpoint.capacity - used; }
+    /// Whether runs that are not ended are there.
+    [[nodiscard]] bool hasLiveRuns() const;
+    /// Forgets what was known of an earlier life.
+    void resetLife();
+};
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/jobs/job_store.cpp
@@ -0,0 +1,375 @@
+#include "job_store_p.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace vanillalift::jobs {
+
+namespace {
+
+    template <size_t n = 0>
+    std::optional<Command> unpackCommand(size_t kind, const msgpack::object& object)
+    {
+        if constexpr (n < std::variant_size_v<Command>) {
+            if (kind != n)
+                return unpackCommand<n + 1>(kind, object);
+            return object.as<std::variant_alternative_t<n, Command>>();
+        } else {
+            return std::nullopt;
+        }
+    }
+
+} // namespace
+
+void appendCommand(std::string& entry, const Command& command)
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, static_cast<uint32_t>(command.index()));
+    std::visit([&](const auto& it) { msgpack::pack(buf, it); }, command);
+    entry.append(buf.data(), buf.size());
+}
+
+bool Job::isStepReady(uint32_t occurrence, uint32_t step) const
+{
+    const auto& states = occurrences[occurrence].steps;
+    const auto& after = spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](uint32_t it) { return states[it].doneCount == states[it].tasks.size(); });
+}
+
+Task* Job::findTask(const TaskKey& key)
+{
+    bool isKnown = key.occurrence < occurrences.size() && key.step < occurrences[key.occurrence].steps.size()
+        && key.index < occurrences[key.occurrence].steps[key.step].tasks.size();
+    return isKnown ? &occurrences[key.occurrence].steps[key.step].tasks[key.index] : nullptr;
+}
+
+const Task* Job::findTask(const TaskKey& key) const { return const_cast<Job*>(this)->findTask(key); }
+
+bool WaveState::isIntended(std::string_view machine) const
+{
+    return std::find(intended.begin(), intended.end(), machine) != intended.end();
+}
+
+bool WaveState::isMaintained(std::string_view machine) const
+{
+    return std::find(maintained.begin(), maintained.end(), machine) != maintained.end();
+}
+
+void JobStore::apply(std::string_view entry)
+{
+    size_t offset = 0;
+    while (offset < entry.size()) {
+        auto kind = msgpack::unpack(entry.data(), entry.size(), offset);
+        auto body = msgpack::unpack(entry.data(), entry.size(), offset);
+        auto command = unpackCommand(kind.get().as<uint32_t>(), body.get());
+        CHECK(command) << "unknown command " << kind.get().as<uint32_t>() << ": written by a newer version";
+        std::visit([this](auto& it) { apply(it); }, *command);
+    }
+}
+
+void JobStore::apply(PutCatalog& command)
+{
+    if (command.catalog.version <= m_catalog.version)
+        return;
+    m_catalog = std::move(command.catalog);
+    if (m_observer)
+        m_observer->onCatalog();
+}
+
+void JobStore::apply(PutEndpoint& command)
+{
+    auto& added = command.endpoint;
+    auto known = m_endpoints.find(added.id);
+    if (known != m_endpoints.end() && added.bornMs < known->second.bornMs)
+        return;
+    // A younger life at the address, or on the machine, proves that the older one has ended.
+    std::vector<Endpoint> replaced;
+    for (const auto& [id, it] : m_endpoints) {
+        bool isSamePlace = it.address == added.address || (!it.machine.empty() && it.machine == added.machine);
+        if (id == added.id || !isSamePlace)
+            continue;
+        if (it.bornMs > added.bornMs)
+            return;
+        replaced.push_back(it);
+    }
+    for (const auto& it : replaced) {
+        m_endpoints.erase(it.id);
+        if (m_observer)
+            m_observer->onEndpointRemoved(it);
+    }
+    auto id = added.id;
+    m_endpoints[id] = std::move(added);
+    if (m_observer)
+        m_observer->onEndpoint(m_endpoints[id]);
+}
+
+void JobStore::apply(RemoveEndpoint& command)
+{
+    auto it = m_endpoints.find(command.id);
+    if (it == m_endpoints.end() || it->second.bornMs != command.bornMs)
+        return;
+    auto last = std::move(it->second);
+    m_endpoints.erase(it);
+    if (m_observer)
+        m_observer->onEndpointRemoved(last);
+}
+
+void JobStore::apply(PutJob& command)
+{
+    if (m_jobsById.contains(command.spec.id))
+        return;
+    const auto* queue = m_catalog.queueNamed(command.queue);
+    auto job = std::make_unique<Job>();
+    job->serial = ++m_lastSerial;
+    job->workspace = std::move(command.workspace);
+    job->acceptedAtMs = command.acceptedAtMs;
+    if (queue)
+        job->queue = *queue;
+    job->queue.name = command.queue;
+    Occurrence first;
+    for (const auto& it : command.spec.steps) {
+        first.steps.emplace_back();
+        first.steps.back().tasks.resize(it.taskCount);
+    }
+    job->occurrences.assign(command.spec.occurrenceCount(), first);
+    job->spec = std::move(command.spec);
+    auto& added = *job;
+    m_jobsById[added.spec.id] = &added;
+    m_jobs[added.serial] = std::move(job);
+    if (m_observer)
+        m_observer->onJob(added);
+}
+
+void JobStore::apply(CancelJob& command)
+{
+    auto* job = findJob(command.id);
+    if (job && job->isActive())
+        finish(*job, JobPhase::Cancelled, command.cancelledAtMs);
+}
+
+void JobStore::finish(Job& job, JobPhase phase, int64_t atMs)
+{
+    job.phase = phase;
+    job.finishedAtMs = atMs;
+    job.spec.payload.clear();
+    job.spec.payload.shrink_to_fit();
+    if (m_observer)
+        m_observer->onJobFinished(job);
+    if (job.placementCount == 0)
+        job.occurrences.clear();
+}
+
+void JobStore::apply(PlaceRuns& command)
+{
+    for (const auto& it : command.runs) {
+        auto* job = jobOf(it.run.task.job);
+        auto* task = job ? job->findTask(it.run.task) : nullptr;
+        if (!task || !job->isActive() || task->isDone || it.run.number <= task->lastRun || !m_endpoints.contains(it.endpoint)) {
+            if (m_observer && job) {
+                EndedRun refused { it.run, RunEnd::NotStarted, "" };
+                m_observer->onRunEnded(*job, refused, it.endpoint);
+            }
+            continue;
+        }
+        task->lastRun = it.run.number;
+        task->placements.push_back({ it.run.number, it.endpoint });
+        job->hasStarted = true;
+        job->placementCount++;
+        if (m_observer)
+            m_observer->onRunPlaced(*job, it.run, it.endpoint);
+    }
+}
+
+void JobStore::apply(EndRuns& command)
+{
+    for (const auto& it : command.runs)
+        end(it, command.endedAtMs);
+}
+
+void JobStore::end(const EndedRun& run, int64_t endedAtMs)
+{
+    const auto& key = run.run.task;
+    auto* job = jobOf(key.job);
+    auto* task = job ? job->findTask(key) : nullptr;
+    if (!task)
+        return;
+    auto placement = std::find_if(task->placements.begin(), task->placements.end(), [&](const auto& it) { return it.run == run.run.number; });
+    if (placement == task->placements.end())
+        return;
+    auto endpoint = placement->endpoint;
+    task->placements.erase(placement);
+    job->placementCount--;
+    if (!run.checkpoint.empty())
+        task->checkpoint = run.checkpoint;
+    if (run.end == RunEnd::Failed)
+        task->failedAt = endpoint;
+    const auto& spec = job->spec.steps[key.step];
+    if (job->isActive() && !task->isDone && !spec.isLasting) {
+        if (run.end == RunEnd::Done)
+            markDone(*job, key, endedAtMs);
+        else if (run.end == RunEnd::Failed)
+            countFailure(*job, *task, key, endedAtMs);
+    }
+    if (m_observer)
+        m_observer->onRunEnded(*job, run, endpoint);
+    if (!job->isActive() && job->placementCount == 0)
+        job->occurrences.clear();
+}
+
+void JobStore::countFailure(Job& job, Task& task, const TaskKey& key, int64_t endedAtMs)
+{
+    task.failures++;
+    uint32_t failures = task.failures;
+    if (job.spec.steps[key.step].isGang) {
+        failures = 0;
+        for (const auto& it : job.occurrences[key.occurrence].steps[key.step].tasks)
+            failures += it.failures;
+    }
+    if (failures >= queueOf(job).maxAttempts)
+        finish(job, JobPhase::Failed, endedAtMs);
+}
+
+void JobStore::markDone(Job& job, const TaskKey& key, int64_t endedAtMs)
+{
+    auto& occurrence = job.occurrences[key.occurrence];
+    auto& step = occurrence.steps[key.step];
+    if (job.spec.steps[key.step].isGang) {
+        // The members end together, and one report of it stands for all.
+        for (auto& it : step.tasks)
+            it.isDone = true;
+        step.doneCount = static_cast<uint32_t>(step.tasks.size());
+    } else {
+        step.tasks[key.index].isDone = true;
+        step.doneCount++;
+    }
+    auto isStepDone = [](const Step& it) { return it.doneCount == it.tasks.size(); };
+    occurrence.isDone = std::all_of(occurrence.steps.begin(), occurrence.steps.end(), isStepDone);
+    auto isOccurrenceDone = [](const Occurrence& it) { return it.isDone; };
+    if (std::all_of(job.occurrences.begin(), job.occurrences.end(), isOccurrenceDone))
+        finish(job, JobPhase::Completed, endedAtMs);
+}
+
+void JobStore::apply(PutWave& command)
+{
+    auto [it, isNew] = m_waves.try_emplace(command.wave.number, WaveState { command.wave, {}, {} });
+    if (isNew && m_observer)
+        m_observer->onWave(it->second);
+}
+
+void JobStore::apply(MarkMaintained& command)
+{
+    auto it = m_waves.find(command.wave);
+    if (it == m_waves.end() || it->second.isMaintained(command.machine))
+        return;
+    it->second.maintained.push_back(command.machine);
+    if (m_observer)
+        m_observer->onWave(it->second);
+}
+
+void JobStore::apply(IntendMaintenance& command)
+{
+    auto it = m_waves.find(command.wave);
+    if (it != m_waves.end() && !it->second.isIntended(command.machine))
+        it->second.intended.push_back(command.machine);
+}
+
+void JobStore::apply(ForgetJobs& command)
+{
+    for (const auto& it : command.ids) {
+        auto* job = findJob(it);
+        if (!job || job->isActive() || job->placementCount != 0)
+            continue;
+        auto serial = job->serial;
+        m_jobsById.erase(it);
+        m_jobs.erase(serial);
+    }
+}
+
+void JobStore::apply(PutReplica& command) { m_replicas[command.name] = { command.availabilityZone, command.isSuccessor }; }
+
+Job* JobStore::findJob(std::string_view id)
+{
+    auto it = m_jobsById.find(std::string(id));
+    return it == m_jobsById.end() ? nullptr : it->second;
+}
+
+const Job* JobStore::findJob(std::string_view id) const { return const_cast<JobStore*>(this)->findJob(id); }
+
+Job* JobStore::jobOf(uint64_t serial)
+{
+    auto it = m_jobs.find(serial);
+    return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+const Endpoint* JobStore::findEndpoint(const std::string& id) const
+{
+    auto it = m_endpoints.find(id);
+    return it == m_endpoints.end() ? nullptr : &it->second;
+}
+
+const Queue& JobStore::queueOf(const Job& job) const
+{
+    const auto* queue = m_catalog.queueNamed(job.queue.name);
+    return queue ? *queue : job.queue;
+}
+
+size_t JobStore::pendingJobs(std::string_view queue) const
+{
+    return static_cast<size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto& it) {
+        const auto& job = *it.second;
+        return job.isActive() && !job.hasStarted && job.spec.occurrences == 0 && job.queue.name == queue;
+    }));
+}
+
+std::vector<std::string> JobStore::finishedBefore(int64_t wallMs, size_t most) const
+{
+    std::vector<std::string> ids;
+    for (const auto& [serial, job] : m_jobs) {
+        if (ids.size() >= most)
+            break;
+        if (!job->isActive() && job->placementCount == 0 && job->finishedAtMs < wallMs)
+            ids.push_back(job->spec.id);
+    }
+    return ids;
+}
+
+std::string JobStore::snapshot() const
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, m_lastSerial);
+    msgpack::pack(buf, m_catalog);
+    msgpack::pack(buf, m_endpoints);
+    msgpack::pack(buf, m_waves);
+    msgpack::pack(buf, m_replicas);
+    msgpack::pack(buf, static_cast<uint64_t>(m_jobs.size()));
+    for (const auto& [serial, job] : m_jobs)
+        msgpack::pack(buf, *job);
+    return { buf.data(), buf.size() };
+}
+
+void JobStore::restore(std::string_view snapshot)
+{
+    size_t offset = 0;
+    auto next = [&] { return msgpack::unpack(snapshot.data(), snapshot.size(), offset); };
+    next().get().convert(m_lastSerial);
+    next().get().convert(m_catalog);
+    m_endpoints.clear();
+    next().get().convert(m_endpoints);
+    m_waves.clear();
+    next().get().convert(m_waves);
+    m_replicas.clear();
+    next().get().convert(m_replicas);
+    uint64_t count = 0;
+    next().get().convert(count);
+    m_jobs.clear();
+    m_jobsById.clear();
+    for (; count > 0; count--) {
+        auto job = std::make_unique<Job>();
+        next().get().convert(*job);
+        m_jobsById[job->spec.id] = job.get();
+        m_jobs[job->serial] = std::move(job);
+    }
+}
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/jobs/machine_keeper.cpp
@@ -0,0 +1,278 @@
+#include "machine_keeper_p.h"
+
+#include "core/event_log_p.h"
+
+#include <vanillalift/config.h>
+
+#include <algorithm>
+
+namespace vanillalift::jobs {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 50 };
+    constexpr std::chrono::milliseconds readInterval { 800 };
+    constexpr std::chrono::milliseconds readTimeout { 3000 };
+    constexpr std::chrono::milliseconds callTimeout { 3000 };
+    constexpr std::chrono::milliseconds callRetry { 300 };
+    /// Share of the platform's rate that this leader uses: an earlier leader's calls may still count.
+    constexpr double rateShare = 0.5;
+
+} // namespace
+
+MachineKeeper::MachineKeeper(MachineKeeperDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, MachineService& service, std::function<void(Command)> propose, const Clock& clock, EventLog& log)
+    : m_desc(desc)
+    , m_term(term)
+    , m_store(store)
+    , m_dispatcher(dispatcher)
+    , m_service(service)
+    , m_propose(std::move(propose))
+    , m_clock(clock)
+    , m_log(log)
+    , m_filledAt(clock.now())
+{
+}
+
+MachineKeeper::~MachineKeeper() { *m_isAlive = false; }
+
+bool MachineKeeper::takeCall()
+{
+    auto now = m_clock.now();
+    auto rate = m_desc.callsPerSecond * rateShare;
+    m_callTokens = std::min(rate + 1, m_callTokens + std::chrono::duration<double>(now - m_filledAt).count() * rate);
+    m_filledAt = now;
+    if (m_callTokens < 1)
+        return false;
+    m_callTokens--;
+    return true;
+}
+
+void MachineKeeper::tick()
+{
+    auto now = m_clock.now();
+    if (!m_desc.isEnabled || now < m_nextTickAt)
+        return;
+    m_nextTickAt = now + tickInterval;
+    bool hasOpenWave = std::any_of(m_store.waves().begin(), m_store.waves().end(), [](const auto& it) { return !it.second.isComplete(); });
+    if (hasOpenWave && !m_isReading && now >= m_nextReadAt)
+        readMachines();
+    if (!m_hasRead)
+        return;
+    for (const auto& [number, wave] : m_store.waves()) {
+        if (!wave.isComplete())
+            serveWave(wave);
+    }
+    updateLeaving();
+}
+
+void MachineKeeper::readMachines()
+{
+    if (!takeCall())
+        return;
+    m_isReading = true;
+    m_reading.clear();
+    readPage("", m_clock.now());
+}
+
+void MachineKeeper::readPage(const std::string& token, TimePoint sentAt)
+{
+    m_service.list(token, m_clock.now() + readTimeout, [this, sentAt, isAlive = m_isAlive](std::optional<std::vector<Machine>> machines, const std::string& next) {
+        if (!*isAlive)
+            return;
+        auto now = m_clock.now();
+        if (!machines) {
+            m_isReading = false;
+            m_nextReadAt = now + readInterval;
+            m_log.line("machines-unread");
+            return;
+        }
+        for (auto& it : *machines)
+            m_reading[it.name] = std::move(it);
+        if (!next.empty())
+            return readPage(next, sentAt);
+        m_isReading = false;
+        m_hasRead = true;
+        m_nextReadAt = now + readInterval;
+        m_machines.clear();
+        for (auto& [name, it] : std::exchange(m_reading, {}))
+            m_machines[name] = { std::move(it), sentAt };
+    });
+}
+
+const Endpoint* MachineKeeper::endpointOf(const std::string& machine) const
+{
+    for (const auto& [id, it] : m_store.endpoints()) {
+        if (it.machine == machine)
+            return &it;
+    }
+    auto known = m_machines.find(machine);
+    return known == m_machines.end() ? nullptr : m_store.findEndpoint(known->second.machine.endpoint);
+}
+
+const EndpointSession* MachineKeeper::sessionOf(const std::string& machine) const
+{
+    const auto* endpoint = endpointOf(machine);
+    if (!endpoint)
+        return nullptr;
+    auto it = m_dispatcher.sessions().find(endpoint->id);
+    return it == m_dispatcher.sessions().end() ? nullptr : it->second.get();
+}
+
+WaveMachine MachineKeeper::describe(const WaveState& wave, const std::string& name)
+{
+    WaveMachine described;
+    described.name = name;
+    auto& progress = m_progress[{ wave.wave.number, name }];
+    auto known = m_machines.find(name);
+    bool isMaintained = wave.isMaintained(name);
+    bool isOrdered = progress.isCallOut || wave.isIntended(name);
+    described.isBegun = isMaintained || isOrdered;
+    if (isMaintained && !progress.isBack && known != m_machines.end()) {
+        bool isNewer = known->second.readAt > progress.acceptedAt;
+        progress.isBack = isNewer && known->second.machine.state == MachineState::Up;
+    }
+    // A machine that is no longer listed has left for good.
+    if (known == m_machines.end() && isMaintained)
+        progress.isBack = true;
+    described.isDown = (isMaintained && !progress.isBack) || (isOrdered && !isMaintained);
+    described.isBlocked = known != m_machines.end() && known->second.machine.state != MachineState::Up && known->second.machine.state != MachineState::Down;
+    described.isDraining = progress.drainingSince != TimePoint {};
+    described.drainingSince = progress.drainingSince;
+    if (const auto* session = sessionOf(name)) {
+        for (const auto& [key, run] : session->runs) {
+            if (run.phase == RunPhase::Ended)
+                continue;
+            described.runs++;
+            described.lastingRuns += run.isLasting ? 1 : 0;
+        }
+        auto capacity = session->endpoint.capacity.cpu;
+        described.load = capacity > 0 ? static_cast<double>(session->used.cpu) / static_cast<double>(capacity) : 0;
+    }
+    return described;
+}
+
+void MachineKeeper::serveWave(const WaveState& wave)
+{
+    auto now = m_clock.now();
+    std::vector<WaveMachine> machines;
+    for (const auto& name : wave.wave.machines)
+        machines.push_back(describe(wave, name));
+    WaveTimes times;
+    times.dueAt = now + std::chrono::milliseconds(wave.wave.dueAtMs - wallClockMs());
+    times.maintenance = m_desc.maintenance;
+    times.maxAtOnce = wave.wave.maxAtOnce;
+    auto steps = planWave(machines, times, now);
+    for (auto n : steps.drain) {
+        m_progress[{ wave.wave.number, machines[n].name }].drainingSince = now;
+        m_log.line("wave-drain").field("wave", wave.wave.number).field("machine", machines[n].name).field("runs", machines[n].runs);
+    }
+    for (auto n : steps.maintain)
+        beginMaintenance(wave, machines[n].name);
+    for (const auto& it : machines) {
+        if (it.isDraining && !it.isBegun)
+            emptyMachine(it.name, false);
+        // The answer to an earlier order is missing, or an earlier leader's is.
+        if (it.isBegun && !wave.isMaintained(it.name))
+            callMaintenance(wave.wave.number, it.name);
+    }
+    for (auto n : steps.force)
+        emptyMachine(machines[n].name, true);
+}
+
+void MachineKeeper::beginMaintenance(const WaveState& wave, const std::string& name)
+{
+    auto& progress = m_progress[{ wave.wave.number, name }];
+    if (progress.isCallOut)
+        return;
+    // On record before the call: a later leader has to count the machine as down.
+    progress.isCallOut = true;
+    m_log.line("wave-maintain").field("wave", wave.wave.number).field("machine", name);
+    m_propose(IntendMaintenance { wave.wave.number, name });
+}
+
+void MachineKeeper::callMaintenance(uint64_t wave, const std::string& name)
+{
+    auto now = m_clock.now();
+    auto& progress = m_progress[{ wave, name }];
+    auto state = m_store.waves().find(wave);
+    if (state == m_store.waves().end() || !state->second.isIntended(name) || now < progress.nextCallAt || !takeCall())
+        return;
+    progress.nextCallAt = now + callTimeout + callRetry;
+    m_service.maintain(name, wave, m_term, now + callTimeout, [this, wave, name, isAlive = m_isAlive](MachineOrderStatus status) {
+        if (!*isAlive)
+            return;
+        auto now = m_clock.now();
+        auto& progress = m_progress[{ wave, name }];
+        m_log.line("wave-order").field("wave", wave).field("machine", name).field("status", machineOrderStatusName(status));
+        if (status == MachineOrderStatus::Accepted || status == MachineOrderStatus::Impossible || status == MachineOrderStatus::NotOfWave) {
+            progress.acceptedAt = now;
+            progress.isBack = status != MachineOrderStatus::Accepted;
+            m_propose(MarkMaintained { wave, name });
+            return;
+        }
+        progress.nextCallAt = now + callRetry;
+    });
+}
+
+bool MachineKeeper::mayStop(const Run& run) const
+{
+    const auto* job = m_store.findJob(run.jobId);
+    if (!job || !job->isActive() || !run.isLasting || !run.isAtWork())
+        return true;
+    const auto& step = job->spec.steps[run.key.task.step];
+    if (!step.hasMaxUnavailable)
+        return true;
+    uint32_t away = 0;
+    const auto& tasks = job->occurrences[run.key.task.occurrence].steps[run.key.task.step].tasks;
+    for (uint32_t index = 0; index < tasks.size(); index++) {
+        if (index == run.key.task.index)
+            continue;
+        bool isAtWork = false;
+        for (const auto& placement : tasks[index].placements) {
+            auto session = m_dispatcher.sessions().find(placement.endpoint);
+            if (session == m_dispatcher.sessions().end())
+                continue;
+            RunKey key { { run.key.task.job, run.key.task.occurrence, run.key.task.step, index }, placement.run };
+            auto other = session->second->runs.find(key);
+            isAtWork = isAtWork || (other != session->second->runs.end() && other->second.isAtWork() && !other->second.mustStop);
+        }
+        away += isAtWork ? 0 : 1;
+    }
+    return away < step.maxUnavailable;
+}
+
+void MachineKeeper::emptyMachine(const std::string& name, bool isForced)
+{
+    const auto* session = sessionOf(name);
+    if (!session)
+        return;
+    std::vector<RunKey> toStop;
+    for (const auto& [key, run] : session->runs) {
+        if (run.phase == RunPhase::Ended || run.mustStop)
+            continue;
+        if ((run.isLasting || isForced) && mayStop(run))
+            toStop.push_back(key);
+    }
+    // One at a time, since each one that is away counts for the next.
+    for (const auto& it : toStop) {
+        auto run = session->runs.find(it);
+        if (run != session->runs.end() && mayStop(run->second))
+            m_dispatcher.evacuate(session->endpoint.id, it);
+    }
+}
+
+void MachineKeeper::updateLeaving()
+{
+    std::set<std::string> leaving;
+    for (const auto& [key, progress] : m_progress) {
+        auto wave = m_store.waves().find(key.first);
+        bool isDue = wave != m_store.waves().end() && !wave->second.isMaintained(key.second);
+        if (!isDue || progress.drainingSince == TimePoint {})
+            continue;
+        if (const auto* endpoint = endpointOf(key.second))
+            leaving.insert(endpoint->id);
+    }
+    m_dispatcher.setLeaving(leaving);
+}
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/jobs/placement.cpp
@@ -0,0 +1,86 @@
+#include "placement_p.h"
+
+#include <algorithm>
+
+namespace vanillalift::jobs {
+
+namespace {
+
+    // Costs of a placement. Each outweighs the sum of those after it.
+    constexpr double leavingCost = 1000;
+    constexpr double failedHereCost = 400;
+    constexpr double failureCost = 100;
+    constexpr double remoteDataCost = 50;
+    constexpr double disturbanceCost = 20;
+    constexpr double slownessCost = 10;
+    /// Failures beyond this many make no difference.
+    constexpr uint32_t maxCountedFailures = 3;
+
+    bool isAllowed(const StepSpec& step, const PlacementHints& hints, const PlacementCandidate& it)
+    {
+        const auto& endpoint = *it.endpoint;
+        if (!countedNeed(step).fitsIn(it.free) || endpoint.id == hints.exclude)
+            return false;
+        if (step.maxPerEndpoint != 0 && it.runsOfStep >= step.maxPerEndpoint)
+            return false;
+        if (!step.requiredLabel.empty() && std::find(endpoint.labels.begin(), endpoint.labels.end(), step.requiredLabel) == endpoint.labels.end())
+            return false;
+        return !hints.allowed || std::find(hints.allowed->begin(), hints.allowed->end(), endpoint.id) != hints.allowed->end();
+    }
+
+    /// Room left over as a share of the endpoint's capacity, by the resource that is left least: full endpoints first
+    /// keeps whole endpoints free for large tasks.
+    double leftover(const StepSpec& step, const PlacementCandidate& it)
+    {
+        auto need = countedNeed(step);
+        const auto& capacity = it.endpoint->capacity;
+        auto share = [](int64_t left, int64_t whole) { return whole > 0 ? static_cast<double>(left) / static_cast<double>(whole) : 0; };
+        return share(it.free.cpu - need.cpu, capacity.cpu) + share(it.free.memory - need.memory, capacity.memory);
+    }
+
+    double cost(const StepSpec& step, const PlacementHints& hints, const PlacementCandidate& it)
+    {
+        const auto& endpoint = *it.endpoint;
+        double sum = leftover(step, it);
+        if (it.isLeaving)
+            sum += leavingCost;
+        if (endpoint.id == hints.avoid)
+            sum += failedHereCost;
+        sum += failureCost * std::min(it.recentFailures, maxCountedFailures);
+        auto wantedRack = step.dataRack.empty() ? hints.rack : std::string_view(step.dataRack);
+        if (!wantedRack.empty() && endpoint.rack != wantedRack)
+            sum += remoteDataCost;
+        if (step.isFiller)
+            sum += disturbanceCost * it.servingRuns;
+        else if (step.isLasting)
+            sum += disturbanceCost * it.fillerRuns;
+        return sum + slownessCost * std::max(0.0, 1 - it.speed);
+    }
+
+} // namespace
+
+Resources countedNeed(const StepSpec& step)
+{
+    auto need = step.need;
+    if (step.isFiller)
+        need.cpu = 0;
+    return need;
+}
+
+std::optional<size_t> choosePlacement(const StepSpec& step, const PlacementHints& hints, std::span<const PlacementCandidate> candidates)
+{
+    std::optional<size_t> best;
+    double bestCost = 0;
+    for (size_t n = 0; n < candidates.size(); n++) {
+        if (!isAllowed(step, hints, candidates[n]))
+            continue;
+        auto found = cost(step, hints, candidates[n]);
+        if (!best || found < bestCost) {
+            best = n;
+            bestCost = found;
+        }
+    }
+    return best;
+}
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/jobs/queue_order_p.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <vanillalift/clock.h>
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace vanillalift::jobs {
+
+/// A job with tasks to place, as the order of service sees it.
+struct OrderedJob {
+    uint64_t serial = 0;
+    /// Priority of the queue, 0 first.
+    int priority = 0;
+    bool isLasting = false;
+    bool hasStarted = false;
+    /// By when it has to complete to count in full.
+    TimePoint objectiveAt;
+    /// By when it has to complete to count at all.
+    TimePoint lateAt;
+    /// Estimates of what is left, in milliseconds; work in milliseconds of a whole core.
+    double chainMs = 0;
+    double workMs = 0;
+    /// Work of the whole job compared with the mean of its queue.
+    double relativeSize = 1;
+    /// Running capacity of its workspace by weight, compared with the other workspaces of the pool.
+    double workspaceShare = 0;
+};
+
+/// Orders jobs for a pool that may not have room for all of them:
+/// lasting jobs; then those that can still meet their objective, the most worth for the remaining work first; then those
+/// that can still complete before they count for nothing; then the rest. A job whose time runs out soonest goes first
+/// among equals, and work that has begun is finished before more is begun.
+std::vector<uint64_t> orderJobs(std::span<const OrderedJob> jobs, TimePoint now);
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/jobs/wave_plan_p.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <vanillalift/clock.h>
+#include <vanillalift/job.h>
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace vanillalift::jobs {
+
+/// A machine of a maintenance wave.
+struct WaveMachine {
+    std::string name;
+    /// Its maintenance has begun, or is ordered and may have begun.
+    bool isBegun = false;
+    /// It is down, or may be.
+    bool isDown = false;
+    /// It is being emptied.
+    bool isDraining = false;
+    /// The platform does not take it down now, for example because it is moving.
+    bool isBlocked = false;
+    /// Live runs there, and how long the longest of those that are not lasting is expected to take, in milliseconds.
+    size_t runs = 0;
+    size_t lastingRuns = 0;
+    double busyMs = 0;
+    /// Share of its capacity that is in use.
+    double load = 0;
+    /// Since when it has been draining.
+    TimePoint drainingSince;
+};
+
+struct WaveTimes {
+    TimePoint dueAt;
+    Duration maintenance {};
+    uint32_t maxAtOnce = 1;
+};
+
+/// What to do next for a wave, as indices into its machines.
+struct WaveSteps {
+    std::vector<size_t> drain;
+    std::vector<size_t> maintain;
+    /// Machines whose tasks are stopped rather than waited for: the wave would end late.
+    std::vector<size_t> force;
+};
+
+/// Plans a wave so that it ends in time with the least work lost: machines that are idle or nearly so go first, machines
+/// are emptied while others are down, and running tasks are stopped only if the wave would end late otherwise.
+WaveSteps planWave(std::span<const WaveMachine> machines, const WaveTimes& times, TimePoint now);
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/net/frame_link.cpp
@@ -0,0 +1,86 @@
+#include "frame_link_p.h"
+
+#include <vanillalift/config.h>
+
+#include <glog/logging.h>
+
+namespace vanillalift::net {
+
+namespace {
+
+    constexpr size_t lengthSize = sizeof(uint32_t);
+
+    uint32_t readLength(std::string_view bytes)
+    {
+        uint32_t value = 0;
+        for (unsigned n = 0; n < lengthSize; n++)
+            value |= static_cast<uint32_t>(static_cast<unsigned char>(bytes[n])) << (8 * n);
+        return value;
+    }
+
+} // namespace
+
+FrameLink::FrameLink(EventLoop& loop, const Address& address, Handlers handlers)
+    : m_handlers(std::move(handlers))
+    , m_stream(std::make_unique<Stream>(loop, address, streamHandlers()))
+{
+}
+
+FrameLink::FrameLink(EventLoop& loop, evutil_socket_t fd, Handlers handlers)
+    : m_handlers(std::move(handlers))
+    , m_stream(std::make_unique<Stream>(loop, fd, streamHandlers()))
+{
+}
+
+FrameLink::~FrameLink() { *m_isAlive = false; }
+
+Stream::Handlers FrameLink::streamHandlers()
+{
+    auto onEnd = [this](StreamEnd) {
+        auto handler = std::move(m_handlers.onEnd);
+        if (handler)
+            handler();
+    };
+    return { m_handlers.onConnected, [this](std::string_view bytes) { return receive(bytes); }, onEnd };
+}
+
+bool FrameLink::send(std::string_view frame)
+{
+    if (!m_stream->isConnected() || m_stream->unsentBytes() > config::maxLinkBacklogBytes)
+        return false;
+    std::string bytes;
+    bytes.reserve(lengthSize + frame.size());
+    for (unsigned n = 0; n < lengthSize; n++)
+        bytes.push_back(static_cast<char>(frame.size() >> (8 * n) & 0xFFU));
+    bytes.append(frame);
+    m_sentBytes += bytes.size();
+    m_stream->write(bytes);
+    return true;
+}
+
+size_t FrameLink::receive(std::string_view bytes)
+{
+    size_t used = 0;
+    auto isAlive = m_isAlive;
+    while (bytes.size() - used >= lengthSize) {
+        auto rest = bytes.substr(used);
+        auto length = readLength(rest);
+        if (length > config::maxFrameBytes) {
+            LOG(ERROR) << "frame of " << length << " bytes exceeds the limit; link closed";
+            m_stream->abandon();
+            auto handler = std::move(m_handlers.onEnd);
+            if (handler)
+                handler();
+            return 0;
+        }
+        if (rest.size() - lengthSize < length)
+            break;
+        used += lengthSize + length;
+        m_handlers.onFrame(rest.substr(lengthSize, length));
+        if (!*isAlive)
+            return used;
+    }
+    return used;
+}
+
+} // namespace vanillalift::net
--- /dev/null
+++ b/src/net/frame_link_p.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "stream_p.h"
+
+#include <string>
+#include <string_view>
+
+namespace vanillalift::net {
+
+/// A connection between two of the system's processes that carries frames: a 32-bit length, low byte first, and that
+/// many bytes.
+class FrameLink {
+public:
+    struct Handlers {
+        std::function<void()> onConnected;
+        std::function<void(std::string_view)> onFrame;
+        /// Called once. The link may be destroyed in it.
+        std::function<void()> onEnd;
+    };
+
+    FrameLink(EventLoop& loop, const Address& address, Handlers handlers);
+    FrameLink(EventLoop& loop, evutil_socket_t fd, Handlers handlers);
+    ~FrameLink();
+
+    /// @returns false if the link's backlog is full or it is not connected; nothing was written then.
+    bool send(std::string_view frame);
+    /// Ends the link at once and without a call of onEnd.
+    void abandon() { m_stream->abandon(); }
+    [[nodiscard]] bool isConnected() const { return m_stream->isConnected(); }
+    [[nodiscard]] uint64_t sentBytes() const { return m_sentBytes; }
+
+private:
+    Stream::Handlers streamHandlers();
+    size_t receive(std::string_view bytes);
+
+    Handlers m_handlers;
+    uint64_t m_sentBytes = 0;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    std::unique_ptr<Stream> m_stream;
+};
+
+} // namespace vanillalift::net
--- /dev/null
+++ b/src/net/http_channel.cpp
@@ -0,0 +1,153 @@
+#include "http_p.h"
+
+#include <vanillalift/config.h>
+
+#include <utility>
+
+namespace vanillalift::net {
+
+HttpChannel::HttpChannel(EventLoop& loop, const Clock& clock, const Address& address)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_address(address)
+    , m_parser(HttpParser::Kind::Response, { config::maxHttpHeadBytes, config::maxHttpBodyBytes })
+    , m_timer(loop, [this] { handleTimer(); })
+{
+}
+
+HttpChannel::~HttpChannel() { *m_isAlive = false; }
+
+void HttpChannel::send(HttpRequest request, TimePoint deadline, Handler handler)
+{
+    std::string head = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    for (const auto& it : request.headers)
+        head += it.name + ": " + it.value + "\r\n";
+    head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n";
+    m_queue.push_back({ std::move(head), std::move(request.body), deadline, std::move(handler) });
+    armTimer();
+    startNext();
+}
+
+void HttpChannel::retire()
+{
+    if (m_stream)
+        m_stream->abandon();
+    m_retired = std::move(m_stream);
+}
+
+void HttpChannel::armTimer()
+{
+    if (m_queue.empty())
+        return m_timer.disarm();
+    auto first = m_queue.front().deadline;
+    for (const auto& it : m_queue)
+        first = std::min(first, it.deadline);
+    m_timer.armAt(first, m_clock.now());
+}
+
+void HttpChannel::startNext()
+{
+    if (m_queue.empty() || m_isInFlight)
+        return;
+    if (m_stream) {
+        if (m_stream->isConnected())
+            writeFirst();
+        return;
+    }
+    m_connects++;
+    m_parser = HttpParser(HttpParser::Kind::Response, { config::maxHttpHeadBytes, config::maxHttpBodyBytes });
+    m_stream = std::make_unique<Stream>(m_loop, m_address,
+        Stream::Handlers { [this] { startNext(); }, [this](std::string_view bytes) { return receive(bytes); }, [this](StreamEnd end) { handleEnd(end); } });
+}
+
+void HttpChannel::writeFirst()
+{
+    m_isInFlight = true;
+    auto& item = m_queue.front();
+    m_stream->write(item.head + item.body);
+    item.head.clear();
+    item.body.clear();
+}
+
+size_t HttpChannel::receive(std::string_view bytes)
+{
+    if (!m_isInFlight) {
+        // Nothing was asked: the peer does not follow the protocol.
+        retire();
+        return 0;
+    }
+    auto used = m_parser.feed(bytes);
+    if (m_parser.hasFailed()) {
+        retire();
+        fail(HttpFailure::Unknown);
+        return 0;
+    }
+    if (!m_parser.hasMessage())
+        return used;
+    if (!m_parser.shouldKeepAlive())
+        retire();
+    finish(m_parser.takeResponse());
+    return used;
+}
+
+void HttpChannel::finish(HttpResult result)
+{
+    m_isInFlight = false;
+    auto item = std::move(m_queue.front());
+    m_queue.pop_front();
+    auto isAlive = m_isAlive;
+    item.handler(std::move(result));
+    if (!*isAlive)
+        return;
+    armTimer();
+    startNext();
+}
+
+void HttpChannel::fail(HttpFailure failure) { finish(failure); }
+
+void HttpChannel::handleEnd(StreamEnd end)
+{
+    retire();
+    if (m_isInFlight)
+        return fail(HttpFailure::Unknown);
+    if (m_queue.empty() || end == StreamEnd::Closed)
+        return startNext();
+    // Without a connection, all that waits has not been sent.
+    auto failure = end == StreamEnd::Refused ? HttpFailure::Refused : HttpFailure::NotSent;
+    auto waiting = std::exchange(m_queue, {});
+    m_timer.disarm();
+    auto isAlive = m_isAlive;
+    for (auto& it : waiting) {
+        it.handler(failure);
+        if (!*isAlive)
+            return;
+    }
+}
+
+void HttpChannel::handleTimer()
+{
+    auto now = m_clock.now();
+    auto isAlive = m_isAlive;
+    if (m_isInFlight && m_queue.front().deadline <= now) {
+        retire();
+        fail(HttpFailure::Unknown);
+        if (!*isAlive)
+            return;
+    }
+    for (size_t n = m_isInFlight ? 1 : 0; n < m_queue.size();) {
+        if (m_queue[n].deadline > now) {
+            n++;
+            continue;
+        }
+        auto handler = std::move(m_queue[n].handler);
+        m_queue.erase(m_queue.begin() + static_cast<std::ptrdiff_t>(n));
+        handler(HttpFailure::NotSent);
+        if (!*isAlive)
+            return;
+    }
+    if (m_queue.empty() && m_stream && !m_stream->isConnected())
+        retire();
+    armTimer();
+}
+
+} // namespace vanillalift::net
--- /dev/null
+++ b/src/net/http_p.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "stream_p.h"
+
+#include <http_parser.h>
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace vanillalift::net {
+
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+using HttpHeaders = std::vector<HttpHeader>;
+
+/// @returns the value of the first header of that name, compared without case, or an empty view.
+std::string_view headerValue(const HttpHeaders& headers, std::string_view name);
+
+struct HttpRequest {
+    std::string method;
+    std::string target;
+    HttpHeaders headers;
+    std::string body;
+};
+
+struct HttpResponse {
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// What is known of a request without a response.
+enum class HttpFailure : uint8_t {
+    /// No byte of the request was written: it has not run.
+    NotSent,
+    /// The host answered that no process listens at the address. Nothing was written.
+    Refused,
+    /// At least one byte was written: it may have run, or may still run.
+    Unknown,
+    HttpFailureCount,
+};
+
+/// Incremental parser of one direction of an HTTP/1.1 connection.
+class HttpParser {
+public:
+    enum class Kind : uint8_t { Request, Response, KindCount };
+    struct Limits {
+        size_t headBytes = 0;
+        size_t bodyBytes = 0;
+    };
+
+    HttpParser(Kind kind, Limits limits);
+
+    /// Parses up to the end of one message.
+    /// @returns bytes used.
+    size_t feed(std::string_view bytes);
+    [[nodiscard]] bool hasMessage() const { return m_isComplete; }
+    [[nodiscard]] bool hasFailed() const { return m_hasFailed; }
+    /// Set with hasFailed(): the message is larger than the limits allow.
+    [[nodiscard]] bool isTooLarge() const { return m_isTooLarge; }
+    [[nodiscard]] bool shouldKeepAlive() const { return m_shouldKeepAlive; }
+    HttpRequest takeRequest();
+    HttpResponse takeResponse();
+
+private:
+    static const http_parser_settings& settings();
+    void reset();
+
+    Limits m_limits;
+    http_parser m_parser {};
+    bool m_isComplete = false;
+    bool m_hasFailed = false;
+    bool m_isTooLarge = false;
+    bool m_shouldKeepAlive = true;
+    bool m_isInValue = false;
+    size_t m_headBytes = 0;
+    std::string m_method;
+    std::string m_target;
+    HttpHeaders m_headers;
+    std::string m_body;
+};
+
+/// Serves HTTP/1.1 with connections kept open. Requests of one connection are answered one after the other.
+class HttpServer {
+public:
+    /// Sends the response of one request; does nothing if the connection has ended. Called at most once.
+    using Respond = std::function<void(HttpResponse)>;
+    using Handler = std::function<void(HttpRequest, Respond)>;
+
+    HttpServer(EventLoop& loop, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
+    ~HttpServer();
+
+    [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
+    /// Takes no further connections.
+    void stopAccepting() { m_listener.close(); }
+    /// Answers further requests with "Connection: close".
+    void startDraining() { m_isDraining = true; }
+    /// Requests that have no response yet.
+    [[nodiscard]] size_t openRequests() const { return m_openRequests; }
+
+private:
+    struct Connection;
+    void accept(evutil_socket_t fd);
+    size_t receive(uint64_t id, std::string_view bytes);
+    void respond(uint64_t id, uint64_t request, const HttpResponse& response);
+    void drop(uint64_t id);
+
+    EventLoop& m_loop;
+    size_t m_maxBodyBytes;
+    size_t m_maxConnections;
+    Handler m_handler;
+    std::unordered_map<uint64_t, std::unique_ptr<Connection>> m_connections;
+    uint64_t m_lastId = 0;
+    size_t m_openRequests = 0;
+    bool m_isDraining = false;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    Listener m_listener;
+};
+
+using HttpResult = std::variant<HttpResponse, HttpFailure>;
+
+/// Sends requests to one address over one kept connection, one at a time, in order.
+class HttpChannel {
+public:
+    using Handler = std::function<void(HttpResult)>;
+
+    HttpChannel(EventLoop& loop, const Clock& clock, const Address& address);
+    ~HttpChannel();
+
+    /// @param deadline the request fails if no response is there by then; the connection is closed with it.
+    void send(HttpRequest request, TimePoint deadline, Handler handler);
+    /// Requests that wait or are in flight.
+    [[nodiscard]] size_t pending() const { return m_queue.size(); }
+    /// Connections made so far.
+    [[nodiscard]] uint64_t connections() const { return m_connects; }
+
+private:
+    struct Item {
+        std::string head;
+        std::string body;
+        TimePoint deadline;
+        Handler handler;
+    };
+
+    void startNext();
+    void retire();
+    void writeFirst();
+    size_t receive(std::string_view bytes);
+    void fail(HttpFailure failure);
+    void handleEnd(StreamEnd end);
+    void handleTimer();
+    void armTimer();
+    void finish(HttpResult result);
+
+    EventLoop& m_loop;
+    const Clock& m_clock;
+    Address m_address;
+    std::deque<Item> m_queue;
+    bool m_isInFlight = false;
+    uint64_t m_connects = 0;
+    HttpParser m_parser;
+    std::unique_ptr<Stream> m_stream;
+    /// The ended stream: freed after its callback has returned.
+    std::unique_ptr<Stream> m_retired;
+    Timer m_timer;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace vanillalift::net
--- /dev/null
+++ b/src/net/http_parser.cpp
@@ -0,0 +1,120 @@
+#include "http_p.h"
+
+#include <strings.h>
+
+namespace vanillalift::net {
+
+std::string_view headerValue(const HttpHeaders& headers, std::string_view name)
+{
+    for (const auto& it : headers) {
+        if (it.name.size() == name.size() && strncasecmp(it.name.data(), name.data(), name.size()) == 0)
+            return it.value;
+    }
+    return {};
+}
+
+HttpParser::HttpParser(Kind kind, Limits limits)
+    : m_limits(limits)
+{
+    http_parser_init(&m_parser, kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+}
+
+const http_parser_settings& HttpParser::settings()
+{
+    static const auto self = [](http_parser* parser) -> HttpParser& { return *static_cast<HttpParser*>(parser->data); };
+    static const auto addHead = [](HttpParser& it, size_t n) {
+        it.m_headBytes += n;
+        it.m_isTooLarge = it.m_isTooLarge || it.m_headBytes > it.m_limits.headBytes;
+        return it.m_isTooLarge ? 1 : 0;
+    };
+    static const auto made = [] {
+        http_parser_settings it;
+        http_parser_settings_init(&it);
+        it.on_url = [](http_parser* parser, const char* at, size_t n) {
+            self(parser).m_target.append(at, n);
+            return addHead(self(parser), n);
+        };
+        it.on_header_field = [](http_parser* parser, const char* at, size_t n) {
+            auto& it = self(parser);
+            if (it.m_headers.empty() || it.m_isInValue)
+                it.m_headers.emplace_back();
+            it.m_isInValue = false;
+            it.m_headers.back().name.append(at, n);
+            return addHead(it, n);
+        };
+        it.on_header_value = [](http_parser* parser, const char* at, size_t n) {
+            auto& it = self(parser);
+            it.m_isInValue = true;
+            it.m_headers.back().value.append(at, n);
+            return addHead(it, n);
+        };
+        it.on_headers_complete = [](http_parser* parser) {
+            auto& it = self(parser);
+            bool isLengthKnown = parser->content_length != UINT64_MAX;
+            it.m_isTooLarge = it.m_isTooLarge || (isLengthKnown && parser->content_length > it.m_limits.bodyBytes);
+            return it.m_isTooLarge ? -1 : 0;
+        };
+        it.on_body = [](http_parser* parser, const char* at, size_t n) {
+            auto& it = self(parser);
+            it.m_isTooLarge = it.m_isTooLarge || it.m_body.size() + n > it.m_limits.bodyBytes;
+            if (it.m_isTooLarge)
+                return 1;
+            it.m_body.append(at, n);
+            return 0;
+        };
+        it.on_message_complete = [](http_parser* parser) {
+            auto& it = self(parser);
+            it.m_isComplete = true;
+            it.m_shouldKeepAlive = http_should_keep_alive(parser) != 0;
+            if (parser->type == HTTP_REQUEST)
+                it.m_method = http_method_str(static_cast<http_method>(parser->method));
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return it;
+    }();
+    return made;
+}
+
+size_t HttpParser::feed(std::string_view bytes)
+{
+    if (m_isComplete || m_hasFailed)
+        return 0;
+    m_parser.data = this;
+    auto used = http_parser_execute(&m_parser, &settings(), bytes.data(), bytes.size());
+    auto error = HTTP_PARSER_ERRNO(&m_parser);
+    if (error == HPE_PAUSED) {
+        http_parser_pause(&m_parser, 0);
+        return used;
+    }
+    if (error != HPE_OK || m_parser.upgrade)
+        m_hasFailed = true;
+    return used;
+}
+
+void HttpParser::reset()
+{
+    m_isComplete = false;
+    m_isInValue = false;
+    m_headBytes = 0;
+    m_method.clear();
+    m_target.clear();
+    m_headers.clear();
+    m_body.clear();
+}
+
+HttpRequest HttpParser::takeRequest()
+{
+    HttpRequest request { std::move(m_method), std::move(m_target), std::move(m_headers), std::move(m_body) };
+    reset();
+    return request;
+}
+
+HttpResponse HttpParser::takeResponse()
+{
+    HttpResponse response { static_cast<int>(m_parser.status_code), std::move(m_headers), std::move(m_body) };
+    reset();
+    return response;
+}
+
+} // namespace vanillalift::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,159 @@
+#include "stream_p.h"
+
+#include <vanillalift/config.h>
+
+#include <event2/buffer.h>
+#include <glog/logging.h>
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace vanillalift::net {
+
+namespace {
+
+    sockaddr_in socketAddress(const Address& address)
+    {
+        sockaddr_in sin {};
+        sin.sin_family = AF_INET;
+        sin.sin_addr.s_addr = htonl(address.ip);
+        sin.sin_port = htons(address.port);
+        return sin;
+    }
+
+} // namespace
+
+std::optional<Address> parseAddress(std::string_view text)
+{
+    auto colon = text.find(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    in_addr ip {};
+    if (inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &ip) != 1)
+        return std::nullopt;
+    auto port = text.substr(colon + 1);
+    Address address { ntohl(ip.s_addr), 0 };
+    auto [end, ec] = std::from_chars(port.data(), port.data() + port.size(), address.port);
+    if (ec != std::errc() || end != port.data() + port.size() || address.port == 0)
+        return std::nullopt;
+    return address;
+}
+
+Stream::Stream(EventLoop& loop, const Address& address, Handlers handlers)
+    : m_handlers(std::move(handlers))
+    , m_buffer(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+{
+    enable();
+    auto sin = socketAddress(address);
+    if (bufferevent_socket_connect(m_buffer.get(), reinterpret_cast<sockaddr*>(&sin), sizeof(sin)) == 0)
+        configure(bufferevent_getfd(m_buffer.get()));
+}
+
+Stream::Stream(EventLoop& loop, evutil_socket_t fd, Handlers handlers)
+    : m_handlers(std::move(handlers))
+    , m_buffer(bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+    , m_isConnected(true)
+{
+    configure(fd);
+    enable();
+}
+
+Stream::~Stream() { *m_isAlive = false; }
+
+void Stream::configure(evutil_socket_t fd) const
+{
+    int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    unsigned silenceMs = config::silentConnectionMs;
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silenceMs, sizeof(silenceMs));
+}
+
+void Stream::enable()
+{
+    auto read = [](bufferevent*, void* self) { static_cast<Stream*>(self)->handleRead(); };
+    auto write = [](bufferevent*, void* self) {
+        auto* stream = static_cast<Stream*>(self);
+        if (stream->m_isClosing)
+            stream->handleEvent(BEV_EVENT_EOF);
+    };
+    auto event = [](bufferevent*, short what, void* self) { static_cast<Stream*>(self)->handleEvent(what); };
+    bufferevent_setcb(m_buffer.get(), read, write, event, this);
+    bufferevent_enable(m_buffer.get(), EV_READ | EV_WRITE);
+}
+
+void Stream::handleRead()
+{
+    auto* input = bufferevent_get_input(m_buffer.get());
+    auto isAlive = m_isAlive;
+    while (*isAlive && evbuffer_get_length(input) > 0) {
+        auto n = evbuffer_get_length(input);
+        std::string_view bytes(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), n);
+        auto used = m_handlers.onBytes(bytes);
+        if (!*isAlive || m_isAbandoned || used == 0)
+            return;
+        evbuffer_drain(input, used);
+    }
+}
+
+void Stream::handleEvent(short what)
+{
+    if (what & BEV_EVENT_CONNECTED) {
+        m_isConnected = true;
+        if (m_handlers.onConnected)
+            m_handlers.onConnected();
+        return;
+    }
+    auto end = m_isConnected ? StreamEnd::Closed : StreamEnd::NotConnected;
+    if (!m_isConnected && (what & BEV_EVENT_ERROR) && EVUTIL_SOCKET_ERROR() == ECONNREFUSED)
+        end = StreamEnd::Refused;
+    bufferevent_disable(m_buffer.get(), EV_READ | EV_WRITE);
+    // The handler may destroy this stream together with the function object.
+    auto onEnd = std::move(m_handlers.onEnd);
+    if (onEnd)
+        onEnd(end);
+}
+
+void Stream::write(std::string_view bytes) { bufferevent_write(m_buffer.get(), bytes.data(), bytes.size()); }
+
+void Stream::setReading(bool isReading)
+{
+    if (isReading) {
+        bufferevent_enable(m_buffer.get(), EV_READ);
+        bufferevent_trigger(m_buffer.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
+    } else {
+        bufferevent_disable(m_buffer.get(), EV_READ);
+    }
+}
+
+void Stream::abandon()
+{
+    m_isAbandoned = true;
+    bufferevent_setcb(m_buffer.get(), nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(m_buffer.get(), EV_READ | EV_WRITE);
+    auto fd = bufferevent_getfd(m_buffer.get());
+    if (fd >= 0)
+        shutdown(fd, SHUT_RDWR);
+}
+
+size_t Stream::unsentBytes() const { return evbuffer_get_length(bufferevent_get_output(m_buffer.get())); }
+
+void Stream::closeAfterWrite()
+{
+    m_isClosing = true;
+    if (unsentBytes() == 0)
+        bufferevent_trigger(m_buffer.get(), EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS);
+}
+
+Listener::Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept)
+    : m_onAccept(std::move(onAccept))
+{
+    auto sin = socketAddress(address);
+    auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) { static_cast<Listener*>(self)->m_onAccept(fd); };
+    m_listener.reset(evconnlistener_new_bind(loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, config::acceptBacklog, reinterpret_cast<sockaddr*>(&sin), sizeof(sin)));
+    if (!m_listener)
+        LOG(ERROR) << "cannot listen on port " << address.port << ": " << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
+}
+
+} // namespace vanillalift::net
--- /dev/null
+++ b/src/node/job_service_p.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "command_batcher_p.h"
+#include "jobs/dispatcher_p.h"
+#include "messages_p.h"
+
+#include <vanillalift/clock.h>
+
+#include <functional>
+#include <map>
+
+namespace vanillalift::node {
+
+/// Answers requests on the leader. Exists for one term.
+class JobService {
+public:
+    using Respond = std::function<void(Reply)>;
+
+    struct Desc {
+        /// Whether this instance is certainly the leader.
+        std::function<bool()> mayLead;
+        std::function<void(const JoinRequest&)> join;
+    };
+
+    JobService(Desc desc, jobs::JobStore& store, jobs::Dispatcher& dispatcher, CommandBatcher& batcher, const Clock& clock, EventLog& log);
+    ~JobService();
+
+    void handle(Request request, Respond respond);
+
+private:
+    void handle(ClientRequest& request, const Respond& respond);
+    void handle(BeatRequest& request, const Respond& respond);
+    void handle(LeaveRequest& request, const Respond& respond);
+    void handle(PutCatalogRequest& request, const Respond& respond);
+    void handle(ReadCatalogRequest& request, const Respond& respond);
+    void handle(PutWaveRequest& request, const Respond& respond);
+    void handle(ReadWaveRequest& request, const Respond& respond);
+    void handle(JoinRequest& request, const Respond& respond);
+
+    void submit(ClientRequest& request, const jobs::Queue& queue, const std::string& id, const std::string& workspace, const Respond& respond);
+    void read(const jobs::Queue& queue, const std::string& id, const Respond& respond);
+    void cancel(const std::string& id, const Respond& respond);
+    void propose(const jobs::Command& command, const Respond& respond);
+
+    Desc m_desc;
+    jobs::JobStore& m_store;
+    jobs::Dispatcher& m_dispatcher;
+    CommandBatcher& m_batcher;
+    const Clock& m_clock;
+    EventLog& m_log;
+    /// Jobs whose acceptance waits for its commit, with all that ask for it.
+    std::map<std::string, std::vector<Respond>> m_accepting;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace vanillalift::node
--- /dev/null
+++ b/src/node/leader_client.cpp
@@ -0,0 +1,234 @@
+#include "leader_client_p.h"
+
+#include "core/event_log_p.h"
+
+#include <vanillalift/config.h>
+
+namespace vanillalift::node {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 25 };
+
+} // namespace
+
+LeaderClient::LeaderClient(net::EventLoop& loop, const Clock& clock, EventLog& log, Desc desc)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_log(log)
+    , m_desc(std::move(desc))
+    , m_timer(loop, [this] { tick(); })
+{
+    addSeeds(m_desc.seeds);
+    m_timer.armAt(clock.now(), clock.now());
+}
+
+LeaderClient::~LeaderClient() { *m_isAlive = false; }
+
+void LeaderClient::addSeeds(const std::vector<std::string>& seeds)
+{
+    for (const auto& it : seeds)
+        keepLink(it);
+}
+
+void LeaderClient::keepLink(const std::string& name)
+{
+    if (!name.empty() && name != m_desc.hello.name)
+        m_peers[name].isWanted = true;
+}
+
+void LeaderClient::setLocalLeader(bool isLeader, uint64_t term)
+{
+    m_isLocalLeader = isLeader;
+    if (isLeader) {
+        m_leader = m_desc.hello.name;
+        m_leaderTerm = term;
+        sendWaiting();
+    } else if (m_leader == m_desc.hello.name) {
+        m_leader.clear();
+        findLeader();
+    }
+}
+
+void LeaderClient::call(Request request, TimePoint unsentDeadline, TimePoint deadline, Handler handler)
+{
+    auto id = ++m_lastCall;
+    auto& added = m_calls[id] = { std::move(request), unsentDeadline, deadline, std::move(handler), "", false, false };
+    if (hasLeader())
+        sendCall(id, added);
+}
+
+bool LeaderClient::send(const std::string& name, const Message& message)
+{
+    auto it = m_peers.find(name);
+    if (it == m_peers.end() || !it->second.link || !it->second.link->isConnected())
+        return false;
+    return it->second.link->send(encode(message));
+}
+
+void LeaderClient::tick()
+{
+    auto now = m_clock.now();
+    m_retired.clear();
+    std::vector<std::string> silent;
+    for (auto& [name, peer] : m_peers) {
+        if (!peer.link && peer.isWanted && now >= peer.retryAt)
+            connect(name, peer);
+        else if (peer.link && now - peer.heardAt > config::linkSilence)
+            silent.push_back(name);
+    }
+    for (const auto& it : silent)
+        closeLink(it, "silent");
+    std::vector<std::pair<uint64_t, bool>> expired;
+    for (const auto& [id, call] : m_calls) {
+        if (now >= call.deadline || (!call.wasSent && now >= call.unsentDeadline))
+            expired.emplace_back(id, call.wasSent);
+    }
+    for (const auto& [id, wasSent] : expired)
+        finish(id, { std::nullopt, wasSent });
+    m_timer.armAt(now + tickInterval, now);
+}
+
+void LeaderClient::connect(const std::string& name, Peer& peer)
+{
+    auto now = m_clock.now();
+    peer.heardAt = now;
+    peer.retryAt = now + config::linkRetry;
+    auto address = net::parseAddress(name);
+    if (!address)
+        return;
+    net::FrameLink::Handlers handlers;
+    handlers.onConnected = [this, name] {
+        m_peers[name].heardAt = m_clock.now();
+        send(name, m_desc.hello);
+    };
+    handlers.onFrame = [this, name](std::string_view frame) { receive(name, frame); };
+    handlers.onEnd = [this, name] { closeLink(name, "closed"); };
+    peer.link = std::make_unique<net::FrameLink>(m_loop, *address, std::move(handlers));
+}
+
+void LeaderClient::closeLink(const std::string& name, const char* reason)
+{
+    auto it = m_peers.find(name);
+    if (it == m_peers.end() || !it->second.link)
+        return;
+    auto& peer = it->second;
+    if (peer.link->isConnected() && peer.status.term != 0)
+        m_log.stateLine("link-lost").field("peer", name).field("reason", std::string_view(reason));
+    m_retired.push_back(std::move(peer.link));
+    m_retired.back()->abandon();
+    peer.status = {};
+    peer.retryAt = m_clock.now() + config::linkRetry;
+    for (auto& [id, call] : m_calls) {
+        if (call.sentTo == name)
+            call.sentTo.clear();
+    }
+    if (m_leader == name) {
+        m_leader.clear();
+        findLeader();
+    }
+}
+
+void LeaderClient::receive(const std::string& name, std::string_view frame)
+{
+    auto message = decode(frame);
+    if (!message)
+        return;
+    m_peers[name].heardAt = m_clock.now();
+    if (const auto* status = std::get_if<Status>(&*message))
+        receiveStatus(name, *status);
+    else if (const auto* answer = std::get_if<Answer>(&*message))
+        receiveAnswer(name, *answer);
+}
+
+void LeaderClient::receiveStatus(const std::string& name, const Status& status)
+{
+    if (m_peers[name].status.term == 0)
+        m_log.stateLine("link-up").field("peer", name).field("term", status.term).field("leader", status.leader);
+    m_peers[name].status = status;
+    for (const auto& it : status.members)
+        keepLink(it);
+    findLeader();
+}
+
+void LeaderClient::findLeader()
+{
+    if (m_isLocalLeader)
+        return;
+    std::string best;
+    uint64_t term = 0;
+    for (const auto& [name, peer] : m_peers) {
+        if (peer.link && peer.status.isLeader && peer.status.term > term) {
+            best = name;
+            term = peer.status.term;
+        }
+    }
+    if (best == m_leader && (best.empty() || term == m_leaderTerm)) {
+        if (!best.empty())
+            sendWaiting();
+        return;
+    }
+    m_log.stateLine("leader").field("leader", best).field("term", term).field("was", m_leader);
+    m_leader = best;
+    m_leaderTerm = term;
+    if (!best.empty())
+        sendWaiting();
+}
+
+void LeaderClient::sendWaiting()
+{
+    std::vector<uint64_t> waiting;
+    for (const auto& [id, call] : m_calls) {
+        // What an older leader has may never be answered: all requests may be sent twice.
+        if (call.sentTo != m_leader && !(call.isLocal && m_isLocalLeader))
+            waiting.push_back(id);
+    }
+    for (auto id : waiting) {
+        auto it = m_calls.find(id);
+        if (it != m_calls.end())
+            sendCall(id, it->second);
+    }
+}
+
+void LeaderClient::sendCall(uint64_t id, PendingCall& call)
+{
+    if (m_isLocalLeader) {
+        call.isLocal = true;
+        call.wasSent = true;
+        call.sentTo = m_leader;
+        m_desc.local(call.request, [this, id, isAlive = m_isAlive](const Reply& reply) {
+            if (*isAlive)
+                receiveAnswer(m_desc.hello.name, { id, reply });
+        });
+        return;
+    }
+    if (send(m_leader, Call { id, call.request })) {
+        call.sentTo = m_leader;
+        call.wasSent = true;
+        call.isLocal = false;
+    }
+}
+
+void LeaderClient::receiveAnswer(const std::string& name, const Answer& answer)
+{
+    auto it = m_calls.find(answer.id);
+    if (it == m_calls.end())
+        return;
+    if (answer.reply.status == ReplyStatus::NotLeader) {
+        // Sent again as soon as a controller says that it leads.
+        if (it->second.sentTo == name)
+            it->second.sentTo.clear();
+        it->second.isLocal = false;
+        return;
+    }
+    finish(answer.id, { answer.reply, true });
+}
+
+void LeaderClient::finish(uint64_t id, Outcome outcome)
+{
+    auto call = m_calls.extract(id);
+    if (!call.empty())
+        call.mapped().handler(std::move(outcome));
+}
+
+} // namespace vanillalift::node
--- /dev/null
+++ b/src/node/leader_client_p.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "messages_p.h"
+#include "net/frame_link_p.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace vanillalift {
+class EventLog;
+}
+
+namespace vanillalift::node {
+
+/// Keeps links to all known controllers, knows which of them leads, and brings requests to it. A request is sent again
+/// after a change of leader, so all requests are idempotent.
+class LeaderClient {
+public:
+    struct Outcome {
+        /// Nothing if there was no answer in time.
+        std::optional<Reply> reply;
+        /// Whether a controller may have carried it out.
+        bool wasSent = false;
+    };
+    using Handler = std::function<void(Outcome)>;
+
+    struct Desc {
+        Hello hello;
+        /// Addresses of controllers to begin with.
+        std::vector<std::string> seeds;
+        /// Handles requests on this process while it leads; nullptr for a gateway.
+        std::function<void(Request, std::function<void(Reply)>)> local;
+    };
+
+    LeaderClient(net::EventLoop& loop, const Clock& clock, EventLog& log, Desc desc);
+    ~LeaderClient();
+
+    /// @param unsentDeadline by then the request is given up if no controller has received it.
+    void call(Request request, TimePoint unsentDeadline, TimePoint deadline, Handler handler);
+    /// Adds addresses to connect to.
+    void addSeeds(const std::vector<std::string>& seeds);
+    /// Tells that this process leads, or no longer does.
+    void setLocalLeader(bool isLeader, uint64_t term);
+    /// Sends a message to a controller.
+    /// @returns false if there is no connection to it.
+    bool send(const std::string& name, const Message& message);
+    /// Connects to a controller and keeps the link.
+    void keepLink(const std::string& name);
+    [[nodiscard]] bool hasLeader() const { return m_isLocalLeader || !m_leader.empty(); }
+    [[nodiscard]] const std::string& leader() const { return m_leader; }
+    [[nodiscard]] size_t pendingCalls() const { return m_calls.size(); }
+
+private:
+    struct Peer {
+        std::unique_ptr<net::FrameLink> link;
+        TimePoint heardAt;
+        TimePoint retryAt;
+        Status status;
+        bool isWanted = false;
+    };
+    struct PendingCall {
+        Request request;
+        TimePoint unsentDeadline;
+        TimePoint deadline;
+        Handler handler;
+        /// Controller that has the request now; empty if none has.
+        std::string sentTo;
+        bool wasSent = false;
+        bool isLocal = false;
+    };
+
+    void tick();
+    void connect(const std::string& name, Peer& peer);
+    void closeLink(const std::string& name, const char* reason);
+    void receive(const std::string& name, std::string_view frame);
+    void receiveStatus(const std::string& name, const Status& status);
+    void receiveAnswer(const std::string& name, const Answer& answer);
+    void findLeader();
+    void sendWaiting();
+    void sendCall(uint64_t id, PendingCall& call);
+    void finish(uint64_t id, Outcome outcome);
+
+    net::EventLoop& m_loop;
+    const Clock& m_clock;
+    EventLog& m_log;
+    Desc m_desc;
+    std::map<std::string, Peer> m_peers;
+    std::vector<std::unique_ptr<net::FrameLink>> m_retired;
+    std::map<uint64_t, PendingCall> m_calls;
+    uint64_t m_lastCall = 0;
+    std::string m_leader;
+    uint64_t m_leaderTerm = 0;
+    bool m_isLocalLeader = false;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    net::Timer m_timer;
+};
+
+} // namespace vanillalift::node
--- /dev/null
+++ b/src/node/messages.cpp
@@ -0,0 +1,110 @@
+#include "messages_p.h"
+
+#include <glog/logging.h>
+
+namespace vanillalift::node {
+
+namespace {
+
+    template <typename Variant, size_t n = 0>
+    std::optional<Variant> unpackAlternative(size_t index, const msgpack::object& object)
+    {
+        if constexpr (n < std::variant_size_v<Variant>) {
+            if (index != n)
+                return unpackAlternative<Variant, n + 1>(index, object);
+            return object.as<std::variant_alternative_t<n, Variant>>();
+        } else {
+            return std::nullopt;
+        }
+    }
+
+    struct Packer {
+        msgpack::sbuffer& buf;
+
+        template <typename T>
+        void operator()(const T& it) const { msgpack::pack(buf, it); }
+        void operator()(const Call& it) const
+        {
+            msgpack::pack(buf, it.id);
+            msgpack::pack(buf, static_cast<uint32_t>(it.request.index()));
+            std::visit(Packer { buf }, it.request);
+        }
+        void operator()(const Answer& it) const
+        {
+            msgpack::pack(buf, it.id);
+            msgpack::pack(buf, it.reply);
+        }
+    };
+
+    class Reader {
+    public:
+        explicit Reader(std::string_view bytes)
+            : m_bytes(bytes)
+        {
+        }
+
+        template <typename T>
+        T next()
+        {
+            m_object = msgpack::unpack(m_bytes.data(), m_bytes.size(), m_offset);
+            return m_object.get().as<T>();
+        }
+        template <typename Variant>
+        std::optional<Variant> nextAlternative(size_t index)
+        {
+            m_object = msgpack::unpack(m_bytes.data(), m_bytes.size(), m_offset);
+            return unpackAlternative<Variant>(index, m_object.get());
+        }
+
+    private:
+        std::string_view m_bytes;
+        size_t m_offset = 0;
+        msgpack::object_handle m_object;
+    };
+
+} // namespace
+
+std::string encode(const Message& message)
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, static_cast<uint32_t>(message.index()));
+    std::visit(Packer { buf }, message);
+    return { buf.data(), buf.size() };
+}
+
+std::optional<Message> decode(std::string_view bytes)
+{
+    try {
+        Reader reader(bytes);
+        auto kind = reader.next<uint32_t>();
+        switch (kind) {
+        case 0:
+            return reader.next<Hello>();
+        case 1:
+            return reader.next<Status>();
+        case 2:
+            return reader.next<LogMessages>();
+        case 3: {
+            auto id = reader.next<uint64_t>();
+            auto index = reader.next<uint32_t>();
+            auto request = reader.nextAlternative<Request>(index);
+            if (!request)
+                return std::nullopt;
+            return Call { id, std::move(*request) };
+        }
+        case 4: {
+            auto id = reader.next<uint64_t>();
+            return Answer { id, reader.next<Reply>() };
+        }
+        default:
+            return std::nullopt;
+        }
+    } catch (const msgpack::type_error& error) {
+        LOG_EVERY_N(ERROR, 100) << "malformed message on a link: " << error.what();
+    } catch (const msgpack::unpack_error& error) {
+        LOG_EVERY_N(ERROR, 100) << "malformed message on a link: " << error.what();
+    }
+    return std::nullopt;
+}
+
+} // namespace vanillalift::node
--- /dev/null
+++ b/src/replica/log_driver.cpp
@@ -0,0 +1,213 @@
+#include "log_driver_p.h"
+
+#include <glog/logging.h>
+
+#include <csignal>
+
+namespace vanillalift {
+
+using namespace raft;
+
+StorageWriter::StorageWriter(net::EventLoop& loop, RaftStorage storage, std::function<void(StorageResult<void>)> onDone)
+    : m_storage(std::move(storage))
+    , m_onDone(std::move(onDone))
+    , m_waker(loop, [this] {
+        std::optional<StorageResult<void>> result;
+        {
+            std::lock_guard lock(m_mutex);
+            result = std::exchange(m_result, std::nullopt);
+        }
+        if (result)
+            m_onDone(*result);
+    })
+{
+    // Signals are handled on the loop's thread only.
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_BLOCK, &all, &before);
+    m_thread = std::thread([this] { run(); });
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+}
+
+StorageWriter::~StorageWriter()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+        m_wakeThread.notify_one();
+    }
+    m_thread.join();
+}
+
+void StorageWriter::write(std::vector<Persist> group)
+{
+    std::lock_guard lock(m_mutex);
+    m_group = std::move(group);
+    m_wakeThread.notify_one();
+}
+
+void StorageWriter::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_wakeThread.wait(lock, [this] { return m_isStopping || m_group; });
+        if (!m_group)
+            return;
+        auto group = *std::exchange(m_group, std::nullopt);
+        lock.unlock();
+        for (const auto& it : group) {
+            // sync() returns the error of a failed write as well.
+            if (!m_storage.write(it))
+                break;
+        }
+        auto result = m_storage.sync();
+        lock.lock();
+        m_result = result;
+        m_waker.wake();
+    }
+}
+
+LogDriver::LogDriver(net::EventLoop& loop, const Clock& clock, Desc desc, RaftStorage storage, Handlers handlers)
+    : m_clock(clock)
+    , m_desc(std::move(desc))
+    , m_handlers(std::move(handlers))
+    , m_core(m_desc.core, storage.takeRecovered(), clock.now())
+    , m_timer(loop, [this] { step(Tick {}); })
+    , m_inputTimer(loop, [this] { runPending(); })
+    , m_writer(loop, std::move(storage), [this](const StorageResult<void>& result) { finishWrite(result); })
+{
+    if (m_core.snapshot().index != 0) {
+        m_handlers.restore(*m_core.snapshot().data);
+        m_applied = m_core.snapshot().index;
+    }
+    m_timer.armAt(m_core.nextDeadline(), m_clock.now());
+}
+
+uint64_t LogDriver::propose(std::string command)
+{
+    auto id = ++m_lastProposal;
+    m_inputs.emplace_back(Propose { id, std::move(command) });
+    m_inputTimer.armAt(m_clock.now(), m_clock.now());
+    return id;
+}
+
+void LogDriver::receive(Message message) { step(std::move(message)); }
+
+void LogDriver::replaceMember(const std::string& name, const std::string& storageId) { step(ReplaceMember { 0, name, storageId }); }
+
+void LogDriver::removeMember(const std::string& name) { step(RemoveMember { 0, name }); }
+
+void LogDriver::transfer() { step(Transfer {}); }
+
+bool LogDriver::isReadyLeader() const { return isLeader() && m_applied >= m_termStart; }
+
+void LogDriver::runPending()
+{
+    if (m_isStepping || m_inputs.empty())
+        return;
+    step(Tick {});
+}
+
+void LogDriver::step(Input input)
+{
+    m_inputs.push_back(std::move(input));
+    // A handler of an action may lead to another input: it waits for its turn.
+    if (m_isStepping)
+        return;
+    m_isStepping = true;
+    while (!m_inputs.empty()) {
+        auto next = std::move(m_inputs.front());
+        m_inputs.pop_front();
+        auto actions = m_core.step(std::move(next), m_clock.now());
+        // A new leader's first entry closes the terms before it.
+        publishRole();
+        for (auto& it : actions)
+            perform(it);
+    }
+    m_isStepping = false;
+    startWrite();
+    compactIfDue();
+    m_timer.armAt(m_core.nextDeadline(), m_clock.now());
+}
+
+void LogDriver::perform(Action& action)
+{
+    if (auto* persist = std::get_if<Persist>(&action)) {
+        m_unwritten.push_back(std::move(*persist));
+    } else if (auto* send = std::get_if<Send>(&action)) {
+        if (send->afterPersist && hasUnwritten())
+            m_unsent.push_back(std::move(send->message));
+        else
+            m_handlers.send(std::move(send->message));
+    } else if (auto* apply = std::get_if<Apply>(&action)) {
+        m_applied = apply->entry.index;
+        if (apply->entry.kind == EntryKind::Command) {
+            m_appliedBytes += apply->entry.data.size();
+            m_handlers.apply(apply->entry.index, apply->entry.data);
+        }
+        if (apply->proposalId != 0)
+            m_handlers.resolve(apply->proposalId, apply->entry.index);
+        // The first entry of the term may be the one that makes this leader ready.
+        if (isLeader() && m_applied == m_termStart)
+            m_handlers.roleChanged(m_core.status());
+    } else if (auto* restore = std::get_if<Restore>(&action)) {
+        m_applied = restore->snapshot.index;
+        m_appliedBytes = 0;
+        m_handlers.restore(*restore->snapshot.data);
+    } else if (auto* respond = std::get_if<Respond>(&action)) {
+        if (const auto* error = std::get_if<ProposeError>(&respond->response))
+            m_handlers.resolve(respond->id, tl::unexpected(error->code));
+    }
+}
+
+void LogDriver::startWrite()
+{
+    if (m_isWriting || m_unwritten.empty())
+        return;
+    m_isWriting = true;
+    m_unsentOfWrite = std::exchange(m_unsent, {});
+    m_writeIndex = m_core.lastIndex();
+    const auto* last = m_core.entry(m_writeIndex);
+    m_writeTerm = last ? last->term : 0;
+    m_writer.write(std::exchange(m_unwritten, {}));
+}
+
+void LogDriver::finishWrite(const StorageResult<void>& result)
+{
+    if (!result)
+        return m_handlers.failed(result.error());
+    m_isWriting = false;
+    for (auto& it : std::exchange(m_unsentOfWrite, {}))
+        m_handlers.send(std::move(it));
+    // The entries may have been replaced while they were written.
+    const auto* last = m_core.entry(m_writeIndex);
+    bool isSame = last ? last->term == m_writeTerm : m_writeIndex == m_core.snapshot().index;
+    if (isSame)
+        step(Persisted { m_writeIndex });
+    startWrite();
+}
+
+void LogDriver::publishRole()
+{
+    auto status = m_core.status();
+    if (status.role == m_role && status.term == m_term && status.leader == m_leader)
+        return;
+    bool isNewLeader = status.role == ReplicaRole::Leader && (m_role != ReplicaRole::Leader || status.term != m_term);
+    if (isNewLeader)
+        m_termStart = m_core.lastIndex();
+    m_role = status.role;
+    m_term = status.term;
+    m_leader = status.leader;
+    m_handlers.roleChanged(status);
+}
+
+void LogDriver::compactIfDue()
+{
+    if (m_appliedBytes < m_desc.snapshotEveryBytes || m_isStepping)
+        return;
+    m_appliedBytes = 0;
+    step(Compact { m_applied, m_handlers.snapshot() });
+}
+
+} // namespace vanillalift
--- /dev/null
+++ b/src/replica/log_driver_p.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "net/event_loop_p.h"
+#include "raft_core_p.h"
+#include "raft_storage_p.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <variant>
+
+namespace vanillalift {
+
+/// Writes to a replica's files on a thread of its own, so that a slow disk does not stop the event loop.
+/// @remarks m_mutex guards the queue and the result, and is held across no I/O.
+class StorageWriter {
+public:
+    /// @param onDone called on the loop's thread after each group of writes.
+    StorageWriter(net::EventLoop& loop, raft::RaftStorage storage, std::function<void(raft::StorageResult<void>)> onDone);
+    ~StorageWriter();
+    StorageWriter(const StorageWriter&) = delete;
+    StorageWriter& operator=(const StorageWriter&) = delete;
+
+    /// Makes the content durable with one sync and then calls onDone. One call at a time.
+    void write(std::vector<raft::Persist> group);
+
+private:
+    void run();
+
+    raft::RaftStorage m_storage;
+    std::function<void(raft::StorageResult<void>)> m_onDone;
+    std::mutex m_mutex;
+    std::condition_variable m_wakeThread;
+    std::optional<std::vector<raft::Persist>> m_group;
+    std::optional<raft::StorageResult<void>> m_result;
+    bool m_isStopping = false;
+    net::Waker m_waker;
+    std::thread m_thread;
+};
+
+/// Runs a Raft core on the event loop.
+class LogDriver {
+public:
+    /// Outcome of a proposal: the index of its entry, or why it has none for certain.
+    using Outcome = tl::expected<uint64_t, ProposeErrorCode>;
+
+    struct Handlers {
+        std::function<void(raft::Message)> send;
+        /// Called for each committed command, before the outcome of its proposal.
+        std::function<void(uint64_t index, std::string_view command)> apply;
+        std::function<void(std::string_view snapshot)> restore;
+        std::function<std::string()> snapshot;
+        std::function<void(uint64_t proposal, Outcome outcome)> resolve;
+        std::function<void(const ReplicaStatus& status)> roleChanged;
+        /// The replica takes no further part; the process has to end.
+        std::function<void(const raft::StorageError& error)> failed;
+    };
+    struct Desc {
+        raft::CoreDesc core;
+        /// Bytes of commands applied between two snapshots.
+        size_t snapshotEveryBytes = 0;
+    };
+
+    LogDriver(net::EventLoop& loop, const Clock& clock, Desc desc, raft::RaftStorage storage, Handlers handlers);
+
+    /// @returns the number under which the outcome is reported. Reports nothing before it returns.
+    uint64_t propose(std::string command);
+    void receive(raft::Message message);
+    /// Both report no outcome; the caller looks at the members and asks again.
+    void replaceMember(const std::string& name, const std::string& storageId);
+    void removeMember(const std::string& name);
+    /// Hands leadership to another replica, if this is the leader.
+    void transfer();
+
+    [[nodiscard]] const raft::RaftCore& core() const { return m_core; }
+    [[nodiscard]] bool isLeader() const { return m_role == ReplicaRole::Leader; }
+    /// Whether this replica leads and has applied all entries of earlier terms.
+    [[nodiscard]] bool isReadyLeader() const;
+    /// Entries and snapshots that are not durable yet.
+    [[nodiscard]] bool hasUnwritten() const { return m_isWriting || !m_unwritten.empty(); }
+
+private:
+    using Deferred = std::variant<raft::Message, raft::Persist>;
+
+    void step(raft::Input input);
+    void perform(raft::Action& action);
+    void startWrite();
+    void finishWrite(const raft::StorageResult<void>& result);
+    void publishRole();
+    void compactIfDue();
+    void runPending();
+
+    const Clock& m_clock;
+    Desc m_desc;
+    Handlers m_handlers;
+    raft::RaftCore m_core;
+    ReplicaRole m_role = ReplicaRole::Follower;
+    uint64_t m_term = 0;
+    std::string m_leader;
+    uint64_t m_termStart = 0;
+    uint64_t m_applied = 0;
+    size_t m_appliedBytes = 0;
+    uint64_t m_lastProposal = 0;
+    bool m_isStepping = false;
+    std::deque<raft::Input> m_inputs;
+    std::vector<raft::Persist> m_unwritten;
+    /// Messages that wait for the writes before them.
+    std::vector<raft::Message> m_unsent;
+    std::vector<raft::Message> m_unsentOfWrite;
+    bool m_isWriting = false;
+    uint64_t m_writeIndex = 0;
+    uint64_t m_writeTerm = 0;
+    net::Timer m_timer;
+    net::Timer m_inputTimer;
+    StorageWriter m_writer;
+};
+
+} // namespace vanillalift
--- a/src/replica/raft_core_p.h
+++ b/src/replica/raft_core_p.h
@@ -31,6 +31,13 @@
 
     [[nodiscard]] ReplicaStatus status() const;
     [[nodiscard]] TimePoint nextDeadline() const;
+    /// @returns for a leader, a moment at which it was certainly the only leader: the newest by which a majority,
+    /// itself included, had been sent a message that it has acknowledged since. The epoch otherwise.
+    [[nodiscard]] TimePoint quorumContactAt() const;
+    /// @returns when the peer last answered this leader; the epoch if it is not a member or this is no leader.
+    [[nodiscard]] TimePoint heardAt(const std::string& name) const;
+    /// @returns the storage id under which the peer answers this leader, or an empty text.
+    [[nodiscard]] std::string storageIdOf(const std::string& name) const;
     [[nodiscard]] uint64_t lastIndex() const { return m_snapshot.index + m_log.size(); }
     /// @returns the entry, or nullptr if it is in the snapshot or beyond the end.
     [[nodiscard]] const LogEntry* entry(uint64_t index) const;
@@ -45,6 +52,9 @@
         uint64_t ackedRound = 0;
         /// Round of the append in flight, 0 for none: one at a time keeps a slow peer's queue short.
         uint64_t inFlight = 0;
+        TimePoint inFlightSentAt;
+        /// When the newest acknowledged round was sent.
+        TimePoint ackedSentAt;
         TimePoint resendAt;
         TimePoint heardAt;
         uint64_t chunkOffset = 0;
--- a/src/replica/raft_leader.cpp
+++ b/src/replica/raft_leader.cpp
@@ -23,6 +23,8 @@
 void RaftCore::acknowledge(Progress& progress, uint64_t round)
 {
     progress.ackedRound = std::max(progress.ackedRound, round);
+    if (round == progress.inFlight)
+        progress.ackedSentAt = std::max(progress.ackedSentAt, progress.inFlightSentAt);
     if (round >= progress.inFlight)
         progress.inFlight = 0;
 }
@@ -78,6 +80,7 @@
 void RaftCore::sendAppend(const std::string& name, Progress& progress)
 {
     progress.inFlight = ++m_round;
+    progress.inFlightSentAt = m_now;
     progress.resendAt = m_now + m_desc.electionBase / 2;
     // A silent peer gets empty probes, so that nothing large is built and queued for it.
     bool isReachable = m_now - progress.heardAt < m_desc.electionBase;
@@ -128,6 +131,34 @@
         sendAppend(message.from, it->second);
 }
 
+TimePoint RaftCore::quorumContactAt() const
+{
+    if (m_role != ReplicaRole::Leader)
+        return {};
+    std::vector<TimePoint> contacts;
+    for (const auto& it : members()) {
+        if (!it.isVoter)
+            continue;
+        auto progress = m_progress.find(it.name);
+        bool isCounted = progress != m_progress.end() && progress->second.storageId == it.storageId;
+        contacts.push_back(it.name == m_desc.name ? m_now : (isCounted ? progress->second.ackedSentAt : TimePoint {}));
+    }
+    std::sort(contacts.rbegin(), contacts.rend());
+    return contacts.empty() ? TimePoint {} : contacts[contacts.size() / 2];
+}
+
+TimePoint RaftCore::heardAt(const std::string& name) const
+{
+    auto it = m_progress.find(name);
+    return m_role == ReplicaRole::Leader && it != m_progress.end() ? it->second.heardAt : TimePoint {};
+}
+
+std::string RaftCore::storageIdOf(const std::string& name) const
+{
+    auto it = m_progress.find(name);
+    return m_role == ReplicaRole::Leader && it != m_progress.end() ? it->second.storageId : std::string();
+}
+
 void RaftCore::updateProgress()
 {
     std::erase_if(m_progress, [this](const auto& it) { return !findMember(it.first); });
--- /dev/null
+++ b/tools/controller/main.cpp
@@ -0,0 +1,83 @@
+// A controller on the target platform: keeps the state with its peers, and decides while it leads.
+#include "core/event_log_p.h"
+#include "node/controller_p.h"
+#include "node/metrics_page_p.h"
+#include "platform/incoming_p.h"
+#include "platform/outgoing_p.h"
+#include "platform/program_p.h"
+
+#include <glog/logging.h>
+
+#include <csignal>
+#include <unistd.h>
+
+using namespace vanillalift;
+
+namespace {
+
+// Descriptors kept for files, links and calls to endpoints.
+constexpr size_t reservedDescriptors = 1200;
+constexpr size_t minConnections = 64;
+
+size_t connectionLimit(size_t maxDescriptors)
+{
+    return maxDescriptors > reservedDescriptors + minConnections ? maxDescriptors - reservedDescriptors : minConnections;
+}
+
+/// The port of the control interface is the same on all instances.
+std::string controlAddressOf(const std::string& leader, uint16_t port)
+{
+    return leader.empty() ? "" : leader.substr(0, leader.find(':')) + ':' + std::to_string(port);
+}
+
+} // namespace
+
+int main(int argc, const char** argv)
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    auto settings = platform::startProgram(argc, argv, "");
+    if (!settings)
+        return settings.error();
+    if (!settings->control || settings->dataFolder.empty()) {
+        LOG(ERROR) << "a controller needs an address for control and a data folder";
+        return 2;
+    }
+    SystemClock clock;
+    net::EventLoop loop;
+    EventLog log(clock, STDOUT_FILENO, {});
+    log.stateLine("start").field("node", settings->node).field("name", settings->controller.name).field("version", std::string_view(VANILLALIFT_VERSION)).field("first", settings->isFirstStart);
+
+    auto disk = raft::openFolder(settings->dataFolder);
+    if (!disk) {
+        LOG(ERROR) << raft::describe(disk.error());
+        return 1;
+    }
+    auto storage = node::openStorage(**disk, settings->controller);
+    if (!storage) {
+        LOG(ERROR) << raft::describe(storage.error());
+        return 1;
+    }
+    platform::HttpEndpointLinks endpoints(loop, clock);
+    platform::HttpAdviceService advice(loop, clock, settings->advice);
+    platform::HttpMachineService machines(loop, clock, settings->machineService, settings->node);
+    node::Controller controller(loop, clock, log, settings->controller, { &endpoints, &advice, &machines }, std::move(*storage));
+    auto call = [&](node::Request request, TimePoint deadline, node::LeaderClient::Handler handler) { controller.call(std::move(request), deadline, std::move(handler)); };
+    platform::ControlApi control(loop, clock, *settings->control, connectionLimit(settings->maxDescriptors), call, [&] { return controlAddressOf(controller.leader(), settings->control->port); });
+    node::MetricsPage metrics(loop, { settings->control->ip, settings->metricsPort }, "vanillalift_controller_", [&](const auto& visit) { controller.visitMetrics(visit); });
+    if (!control.isOpen() || !metrics.isOpen() || !controller.isOpen())
+        return 1;
+    loop.onSignal(SIGTERM, [&] {
+        log.stateLine("stop").field("reason", std::string_view("SIGTERM"));
+        controller.stop([&] { loop.stop(); });
+    });
+    loop.onSignal(SIGHUP, [&] {
+        auto changed = platform::loadPlatformSettings(platform::settingsPath());
+        log.stateLine("reload").field("valid", changed.has_value());
+        if (changed)
+            controller.addSeeds(changed->seeds);
+    });
+    loop.run();
+    log.flush();
+    return 0;
+}
--- /dev/null
+++ b/tools/gateway/main.cpp
@@ -0,0 +1,87 @@
+// A gateway on the target platform: takes clients' requests and brings them to the leading controller.
+#include "core/event_log_p.h"
+#include "node/leader_client_p.h"
+#include "node/metrics_page_p.h"
+#include "platform/incoming_p.h"
+#include "platform/program_p.h"
+
+#include <glog/logging.h>
+
+#include <csignal>
+#include <unistd.h>
+
+using namespace vanillalift;
+
+namespace {
+
+constexpr size_t reservedDescriptors = 400;
+/// The balancer takes the instance out of rotation after two missed readiness requests, one a second.
+constexpr std::chrono::milliseconds rotationWait { 2500 };
+/// Open requests are waited for no longer, counted from the signal.
+constexpr std::chrono::milliseconds drainWait { 5400 };
+constexpr std::chrono::milliseconds tickInterval { 50 };
+
+} // namespace
+
+int main(int argc, const char** argv)
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    auto settings = platform::startProgram(argc, argv, "");
+    if (!settings)
+        return settings.error();
+    if (!settings->clients || !settings->readiness) {
+        LOG(ERROR) << "a gateway needs addresses for clients and for readiness";
+        return 2;
+    }
+    SystemClock clock;
+    net::EventLoop loop;
+    EventLog log(clock, STDOUT_FILENO, {});
+    log.stateLine("start").field("node", settings->node).field("version", std::string_view(VANILLALIFT_VERSION));
+    node::LeaderClient leaders(loop, clock, log, { { "", settings->availabilityZone, "" }, settings->seeds, nullptr });
+    bool isStopping = false;
+    TimePoint stoppedAt;
+    bool isDraining = false;
+    platform::ClientApi::Desc desc { *settings->clients, *settings->readiness, settings->maxDescriptors - std::min(settings->maxDescriptors / 2, reservedDescriptors) };
+    auto call = [&](node::Request request, TimePoint unsentDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaders.call(std::move(request), unsentDeadline, deadline, std::move(handler)); };
+    platform::ClientApi clients(loop, clock, log, desc, call, [&] { return leaders.hasLeader() && !isStopping; });
+    node::MetricsPage metrics(loop, { settings->clients->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
+        visit("requests_accepted_total", "Requests answered with success.", static_cast<double>(clients.counters().accepted));
+        visit("requests_refused_total", "Requests refused as not run.", static_cast<double>(clients.counters().refused));
+        visit("requests_unanswered_total", "Requests whose outcome is unknown.", static_cast<double>(clients.counters().unanswered));
+        visit("requests_other_total", "Requests with any other answer.", static_cast<double>(clients.counters().others));
+        visit("has_leader", "1 while a leading controller is known.", leaders.hasLeader() ? 1 : 0);
+        visit("pending_calls", "Requests that wait for the leader.", static_cast<double>(leaders.pendingCalls()));
+        visit("log_lines_dropped_total", "Log lines dropped because of their rate or a slow reader.", static_cast<double>(log.dropped()));
+    });
+    if (!clients.isOpen() || !metrics.isOpen())
+        return 1;
+    net::Timer* next = nullptr;
+    net::Timer timer(loop, [&] {
+        auto now = clock.now();
+        log.flush();
+        if (isStopping && !isDraining && now - stoppedAt >= rotationWait) {
+            isDraining = true;
+            clients.drain();
+        }
+        if (isStopping && ((isDraining && clients.openRequests() == 0) || now - stoppedAt >= drainWait))
+            return loop.stop();
+        next->armAt(now + tickInterval, now);
+    });
+    next = &timer;
+    timer.armAt(clock.now(), clock.now());
+    loop.onSignal(SIGTERM, [&] {
+        log.stateLine("stop").field("reason", std::string_view("SIGTERM"));
+        isStopping = true;
+        stoppedAt = clock.now();
+    });
+    loop.onSignal(SIGHUP, [&] {
+        auto changed = platform::loadPlatformSettings(platform::settingsPath());
+        log.stateLine("reload").field("valid", changed.has_value());
+        if (changed)
+            leaders.addSeeds(changed->seeds);
+    });
+    loop.run();
+    log.flush();
+    return 0;
+}
