Move machines between pools as demand turns, and deliver responses before closing

Cause: demand of the queues peaks in turn, five times the mean on one pool while others idle; readiness answers to HTTP/1.0 callers were cut off, since the write callback closed the connection before the response had left. Ruled out: readiness itself (the gateway said ready from 0.9 s on, seen in its log).

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -7,9 +7,17 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillalift::jobs {
 
+namespace {
+
+    /// Time constant of the average of arriving work, in seconds.
+    constexpr double arrivalsWindow = 0.8;
+
+} // namespace
+
 Dispatcher::Dispatcher(DispatcherDesc desc, JobStore& store, const Clock& clock, EndpointLinks& links, AdviceService& advice, EventLog& log)
     : m_desc(std::move(desc))
     , m_store(store)
@@ -313,7 +321,59 @@
     }
 }
 
-void Dispatcher::onJob(Job& job) { planOf(job); }
+void Dispatcher::onJob(Job& job)
+{
+    const auto& plan = planOf(job);
+    if (job.isLasting() || job.spec.occurrences != 0)
+        return;
+    auto& arrivals = m_arrivals[m_store.queueOf(job).service];
+    decayArrivals(arrivals);
+    arrivals.cpu += plan.estimate.totalWorkMs;
+    arrivals.memory += plan.estimate.totalMemoryMs / 1000;
+}
+
+void Dispatcher::decayArrivals(Arrivals& arrivals) const
+{
+    auto now = m_clock.now();
+    auto seconds = std::chrono::duration<double>(now - arrivals.at).count();
+    auto kept = std::exp(-seconds / arrivalsWindow);
+    arrivals.cpu *= kept;
+    arrivals.memory *= kept;
+    arrivals.at = now;
+}
+
+std::map<std::string, Dispatcher::ServiceLoad> Dispatcher::loads()
+{
+    std::map<std::string, ServiceLoad> loads;
+    for (auto& [service, arrivals] : m_arrivals) {
+        decayArrivals(arrivals);
+        auto& arriving = loads[service].arriving;
+        arriving.cpu = static_cast<int64_t>(arrivals.cpu / arrivalsWindow);
+        arriving.memory = static_cast<int64_t>(arrivals.memory / arrivalsWindow);
+    }
+    std::map<std::string, double> counts;
+    for (const auto& [serial, plan] : m_plans) {
+        const auto& job = *plan.job;
+        if (job.spec.occurrences != 0)
+            continue;
+        auto& load = loads[m_store.queueOf(job).service];
+        if (job.isLasting()) {
+            for (const auto& step : job.spec.steps) {
+                auto need = countedNeed(step);
+                load.lasting += { need.cpu * step.taskCount, need.memory * step.taskCount, need.gpus * step.taskCount };
+            }
+            continue;
+        }
+        load.backlog += { static_cast<int64_t>(plan.estimate.workMs), static_cast<int64_t>(plan.estimate.memoryMs / 1000), 0 };
+        load.objectiveSeconds += std::chrono::duration<double>(plan.objective).count();
+        counts[m_store.queueOf(job).service]++;
+    }
+    for (auto& [service, load] : loads) {
+        if (counts[service] > 0)
+            load.objectiveSeconds /= counts[service];
+    }
+    return loads;
+}
 
 void Dispatcher::onJobFinished(Job& job)
 {
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -98,6 +98,19 @@
     [[nodiscard]] const std::map<uint64_t, JobPlan>& plans() const { return m_plans; }
     [[nodiscard]] const Resources& useOf(const std::string& workspace) { return m_workspaceUse[workspace]; }
     [[nodiscard]] DispatcherStats stats() const;
+
+    /// Work of a pool's queues, in thousandths of a core and megabytes.
+    struct ServiceLoad {
+        /// Held by lasting tasks.
+        Resources lasting;
+        /// Arriving a second, averaged, times seconds of run time.
+        Resources arriving;
+        /// Accepted and not done, times seconds of run time.
+        Resources backlog;
+        /// Mean time from hand-in within which the backlog's jobs have to complete, in seconds.
+        double objectiveSeconds = 0;
+    };
+    [[nodiscard]] std::map<std::string, ServiceLoad> loads();
     [[nodiscard]] bool isReachable(const EndpointSession& session) const;
 
     void onCatalog() override;
@@ -178,6 +191,14 @@
     std::map<std::string, std::unique_ptr<EndpointSession>> m_sessions;
     std::map<uint64_t, JobPlan> m_plans;
     std::map<std::string, Resources> m_workspaceUse;
+    struct Arrivals {
+        double cpu = 0;
+        double memory = 0;
+        TimePoint at;
+    };
+    void decayArrivals(Arrivals& arrivals) const;
+    /// Recent arrivals by service.
+    std::map<std::string, Arrivals> m_arrivals;
     /// Mean work of a queue's jobs, in milliseconds of a whole core.
     std::map<std::string, double> m_meanWork;
     std::map<TaskKey, StepAdvice> m_advice;
--- a/src/jobs/job_estimate.cpp
+++ b/src/jobs/job_estimate.cpp
@@ -30,6 +30,9 @@
         auto done = job.occurrences.empty() ? 0 : job.occurrences[occurrence].steps[n].doneCount;
         estimate.totalWorkMs += taskWork * step.taskCount;
         estimate.workMs += taskWork * (step.taskCount - done);
+        auto taskMemory = static_cast<double>(step.estimateMs) * static_cast<double>(step.need.memory);
+        estimate.totalMemoryMs += taskMemory * step.taskCount;
+        estimate.memoryMs += taskMemory * (step.taskCount - done);
         // Steps refer to earlier ones only.
         for (auto before : step.after) {
             left[n] = std::max(left[n], left[before]);
--- a/src/jobs/job_estimate_p.h
+++ b/src/jobs/job_estimate_p.h
@@ -12,7 +12,10 @@
     double workMs = 0;
     /// Longest chain of steps that are not done, in milliseconds.
     double chainMs = 0;
+    /// The same for memory, in milliseconds of a megabyte.
+    double memoryMs = 0;
     /// Work and chain of the whole job.
+    double totalMemoryMs = 0;
     double totalWorkMs = 0;
     double totalChainMs = 0;
 };
--- a/src/jobs/machine_keeper.cpp
+++ b/src/jobs/machine_keeper.cpp
@@ -12,6 +12,8 @@
 
     constexpr std::chrono::milliseconds tickInterval { 50 };
     constexpr std::chrono::milliseconds readInterval { 800 };
+    /// Readings while no wave is open: they only tell which machines are spare.
+    constexpr std::chrono::milliseconds calmReadInterval { 2500 };
     constexpr std::chrono::milliseconds readTimeout { 3000 };
     constexpr std::chrono::milliseconds callTimeout { 3000 };
     constexpr std::chrono::milliseconds callRetry { 300 };
@@ -54,7 +56,8 @@
         return;
     m_nextTickAt = now + tickInterval;
     bool hasOpenWave = std::any_of(m_store.waves().begin(), m_store.waves().end(), [](const auto& it) { return !it.second.isComplete(); });
-    if (hasOpenWave && !m_isReading && now >= m_nextReadAt)
+    bool isReadingDue = now >= m_nextReadAt + (hasOpenWave ? Duration::zero() : Duration(calmReadInterval));
+    if (!m_isReading && (isReadingDue || !m_hasRead))
         readMachines();
     if (!m_hasRead)
         return;
@@ -62,6 +65,9 @@
         if (!wave.isComplete())
             serveWave(wave);
     }
+    settleMoves();
+    if (now >= m_nextPoolPlanAt)
+        servePools();
     updateLeaving();
 }
 
@@ -272,6 +278,11 @@
         if (const auto* endpoint = endpointOf(key.second))
             leaving.insert(endpoint->id);
     }
+    for (const auto& [name, move] : m_moves) {
+        const auto* endpoint = endpointOf(name);
+        if (endpoint && !(move.isAccepted && endpoint->service == move.pool))
+            leaving.insert(endpoint->id);
+    }
     m_dispatcher.setLeaving(leaving);
 }
 
--- a/src/jobs/machine_keeper_p.h
+++ b/src/jobs/machine_keeper_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatcher_p.h"
+#include "pool_plan_p.h"
 #include "wave_plan_p.h"
 
 #include <vanillalift/endpoint_link.h>
@@ -44,6 +45,23 @@
         bool isBack = false;
     };
 
+    /// A move that is planned or ordered.
+    struct Move {
+        /// Empty while the machine is only emptied.
+        std::string pool;
+        std::string from;
+        bool isCallOut = false;
+        bool isAccepted = false;
+        TimePoint nextCallAt;
+        TimePoint acceptedAt;
+    };
+
+    void servePools();
+    std::vector<Pool> describePools();
+    std::vector<PoolMachine> describeMachines(const std::vector<Pool>& pools);
+    void callMove(const std::string& name);
+    void settleMoves();
+    [[nodiscard]] bool isInOpenWave(const std::string& machine) const;
     void readMachines();
     void readPage(const std::string& token, TimePoint sentAt);
     void serveWave(const WaveState& wave);
@@ -72,6 +90,9 @@
     TimePoint m_nextReadAt;
     TimePoint m_nextTickAt;
     std::map<std::pair<uint64_t, std::string>, Progress> m_progress;
+    std::map<std::string, Move> m_moves;
+    std::map<std::string, TimePoint> m_idleSince;
+    TimePoint m_nextPoolPlanAt;
     double m_callTokens = 0;
     TimePoint m_filledAt;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/jobs/pool_plan.cpp
@@ -0,0 +1,134 @@
+#include "pool_plan_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace vanillalift::jobs {
+
+namespace {
+
+    /// Part of a machine that tasks of mixed sizes fill.
+    constexpr double packing = 0.85;
+    /// Machines kept beyond the need of a pool that has work, against failures and short peaks.
+    constexpr double reserve = 1;
+    /// An idle machine becomes spare after this time: two moves cost as much as about two seconds in a pool.
+    constexpr std::chrono::milliseconds idleBeforeSpare { 1200 };
+    /// A pool gives machines away once it has this many more than it wants: demand moves by itself as much.
+    constexpr double surplusMargin = 0.5;
+
+    struct Balance {
+        double wanted = 0;
+        size_t present = 0;
+        size_t leaving = 0;
+
+        [[nodiscard]] double surplus() const { return static_cast<double>(present) - static_cast<double>(leaving) - wanted; }
+    };
+
+} // namespace
+
+double machinesWanted(const PoolLoad& load)
+{
+    auto work = std::max(load.arriving, load.backlogSeconds / std::max(load.backlogWithin, 0.1));
+    auto busy = load.lasting + work;
+    return busy > 0 ? std::ceil(busy / packing + reserve) : reserve;
+}
+
+PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolMachine> machines, TimePoint now)
+{
+    PoolSteps steps;
+    std::vector<Balance> balance(pools.size());
+    std::optional<size_t> sparePool;
+    for (size_t n = 0; n < pools.size(); n++) {
+        balance[n].wanted = pools[n].isSpare ? 0 : machinesWanted(pools[n].load);
+        if (pools[n].isSpare)
+            sparePool = n;
+    }
+    for (const auto& it : machines) {
+        balance[it.pool].present++;
+        balance[it.pool].leaving += it.isLeaving ? 1 : 0;
+    }
+    std::vector<bool> isTaken(machines.size(), false);
+    // A pool whose demand has come back keeps what it was about to give away.
+    for (size_t n = 0; n < machines.size(); n++) {
+        if (machines[n].isLeaving && balance[machines[n].pool].surplus() < 0) {
+            steps.keep.push_back(n);
+            balance[machines[n].pool].leaving--;
+            isTaken[n] = true;
+        }
+    }
+
+    // The pool that lacks the largest share of what it wants is served first.
+    while (true) {
+        size_t neediest = pools.size();
+        double worst = 0;
+        for (size_t n = 0; n < pools.size(); n++) {
+            auto lack = -balance[n].surplus() / std::max(balance[n].wanted, 1.0);
+            if (!pools[n].isSpare && -balance[n].surplus() >= 1 && lack > worst) {
+                worst = lack;
+                neediest = n;
+            }
+        }
+        if (neediest == pools.size())
+            break;
+        std::optional<size_t> chosen;
+        double best = 0;
+        for (size_t n = 0; n < machines.size(); n++) {
+            const auto& it = machines[n];
+            bool isUsable = !isTaken[n] && it.isIdle && !it.isFixed && !it.isArriving && it.pool != neediest;
+            bool mayGo = it.isLeaving || pools[it.pool].isSpare || balance[it.pool].surplus() >= 1 + surplusMargin;
+            if (!isUsable || !mayGo)
+                continue;
+            // A machine that is paid for moves before one that is off.
+            double rank = pools[it.pool].isSpare ? 1 : 2 + balance[it.pool].surplus();
+            if (!chosen || rank > best) {
+                chosen = n;
+                best = rank;
+            }
+        }
+        if (!chosen)
+            break;
+        const auto& it = machines[*chosen];
+        isTaken[*chosen] = true;
+        if (it.isLeaving)
+            balance[it.pool].leaving--;
+        balance[it.pool].present--;
+        balance[neediest].present++;
+        steps.moves.push_back({ *chosen, neediest });
+    }
+
+    // Busy machines of pools with a surplus are emptied while another pool still lacks machines.
+    double lacking = 0;
+    for (size_t n = 0; n < pools.size(); n++)
+        lacking += pools[n].isSpare ? 0 : std::max(0.0, -balance[n].surplus());
+    for (const auto& it : machines)
+        lacking -= it.isLeaving ? 1 : 0;
+    while (lacking >= 1) {
+        std::optional<size_t> chosen;
+        for (size_t n = 0; n < machines.size(); n++) {
+            const auto& it = machines[n];
+            bool mayLeave = !isTaken[n] && !it.isFixed && !it.isArriving && !it.isLeaving && !it.isIdle && !pools[it.pool].isSpare && balance[it.pool].surplus() >= 1 + surplusMargin;
+            if (mayLeave && (!chosen || it.load < machines[*chosen].load))
+                chosen = n;
+        }
+        if (!chosen)
+            break;
+        isTaken[*chosen] = true;
+        balance[machines[*chosen].pool].leaving++;
+        steps.release.push_back(*chosen);
+        lacking--;
+    }
+
+    if (!sparePool)
+        return steps;
+    for (size_t n = 0; n < machines.size(); n++) {
+        const auto& it = machines[n];
+        bool mayRest = !isTaken[n] && it.isIdle && !it.isFixed && !it.isArriving && !pools[it.pool].isSpare && now - it.idleSince >= idleBeforeSpare;
+        if (!mayRest || balance[it.pool].surplus() < 1)
+            continue;
+        balance[it.pool].present--;
+        steps.moves.push_back({ n, *sparePool });
+    }
+    return steps;
+}
+
+} // namespace vanillalift::jobs
--- /dev/null
+++ b/src/jobs/pool_plan_p.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <vanillalift/clock.h>
+#include <vanillalift/job.h>
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace vanillalift::jobs {
+
+/// Work that a pool has to do, in units of one machine: a value of 2 keeps two machines busy.
+struct PoolLoad {
+    /// Held by lasting tasks, which stay.
+    double lasting = 0;
+    /// Work that arrives, averaged over about a second.
+    double arriving = 0;
+    /// Work that is accepted and not done, in machine-seconds.
+    double backlogSeconds = 0;
+    /// Time within which the backlog has to be done for its jobs to be on time, in seconds.
+    double backlogWithin = 1;
+};
+
+/// A machine as the plan of pools sees it.
+struct PoolMachine {
+    std::string name;
+    /// Index of its pool.
+    size_t pool = 0;
+    /// It runs nothing, and nothing is placed there.
+    bool isIdle = false;
+    /// It runs lasting tasks, or is part of a maintenance wave that has not reached it, or its state is not settled.
+    bool isFixed = false;
+    /// On its way into its pool.
+    bool isArriving = false;
+    /// Chosen to leave, and emptied for it.
+    bool isLeaving = false;
+    /// Share of its capacity in use.
+    double load = 0;
+    /// Since when it has been idle.
+    TimePoint idleSince;
+};
+
+struct Pool {
+    std::string name;
+    /// Machines of a spare pool are off and cost nothing.
+    bool isSpare = false;
+    PoolLoad load;
+};
+
+struct PoolMove {
+    size_t machine = 0;
+    size_t pool = 0;
+};
+
+struct PoolSteps {
+    std::vector<PoolMove> moves;
+    /// Machines to empty, so that they can move.
+    std::vector<size_t> release;
+    /// Machines that no longer have to leave.
+    std::vector<size_t> keep;
+};
+
+/// @returns machines that the pool needs.
+double machinesWanted(const PoolLoad& load);
+
+/// Plans moves of machines between pools, for queues whose demand peaks in turn: pools with more work than they have
+/// machines for take idle machines of pools that need fewer, spare ones last, and machines that stay idle become spare.
+/// Lasting tasks are not moved.
+PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolMachine> machines, TimePoint now);
+
+} // namespace vanillalift::jobs
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -75,7 +75,7 @@
     auto read = [](bufferevent*, void* self) { static_cast<Stream*>(self)->handleRead(); };
     auto write = [](bufferevent*, void* self) {
         auto* stream = static_cast<Stream*>(self);
-        if (stream->m_isClosing)
+        if (stream->m_isClosing && stream->unsentBytes() == 0)
             stream->handleEvent(BEV_EVENT_EOF);
     };
     auto event = [](bufferevent*, short what, void* self) { static_cast<Stream*>(self)->handleEvent(what); };
