--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -368,6 +368,13 @@
         load.objectiveSeconds += std::chrono::duration<double>(plan.objective).count();
         counts[m_store.queueOf(job).service]++;
     }
+    for (const auto& [id, session] : m_sessions) {
+        for (const auto& [key, run] : session->runs) {
+            if (!run.isLasting && run.phase != RunPhase::Ended)
+                loads[session->endpoint.service].running += run.need;
+        }
+    }
+    addReadyNeeds(loads);
     for (auto& [service, load] : loads) {
         if (counts[service] > 0)
             load.objectiveSeconds /= counts[service];
@@ -426,6 +433,34 @@
         evacuate(it.endpoint, { run.run.task, it.run });
 }
 
+void Dispatcher::addReadyNeeds(std::map<std::string, ServiceLoad>& loads)
+{
+    std::map<std::pair<std::string, std::string>, Resources> needs;
+    for (const auto& [serial, plan] : m_plans) {
+        auto& need = needs[{ m_store.queueOf(*plan.job).service, plan.job->workspace }];
+        for (const auto& key : plan.ready) {
+            const auto& step = plan.job->spec.steps[key.step];
+            if (step.isLasting)
+                loads[m_store.queueOf(*plan.job).service].lastingWaiting++;
+            else
+                need += countedNeed(step);
+        }
+    }
+    for (auto& [place, need] : needs) {
+        const auto& [service, name] = place;
+        if (const auto* workspace = m_store.catalog().workspaceNamed(name)) {
+            const auto& used = m_workspaceUse[name];
+            auto cap = [](int64_t& wanted, int64_t limit, int64_t inUse) {
+                if (limit != 0)
+                    wanted = std::clamp<int64_t>(limit - inUse, 0, wanted);
+            };
+            cap(need.cpu, workspace->limit.cpu, used.cpu);
+            cap(need.memory, workspace->limit.memory, used.memory);
+        }
+        loads[service].ready += need;
+    }
+}
+
 bool Dispatcher::isReachable(const EndpointSession& session) const
 {
     auto now = m_clock.now();
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -103,8 +103,13 @@
     struct ServiceLoad {
         /// Held by lasting tasks.
         Resources lasting;
+        /// Lasting tasks that wait for a place.
+        size_t lastingWaiting = 0;
         /// Arriving a second, averaged, times seconds of run time.
         Resources arriving;
+        /// Held by other runs, and needed by tasks that could run now within their workspaces' limits.
+        Resources running;
+        Resources ready;
         /// Accepted and not done, times seconds of run time.
         Resources backlog;
         /// Mean time from hand-in within which the backlog's jobs have to complete, in seconds.
@@ -197,6 +202,7 @@
         TimePoint at;
     };
     void decayArrivals(Arrivals& arrivals) const;
+    void addReadyNeeds(std::map<std::string, ServiceLoad>& loads);
     /// Recent arrivals by service.
     std::map<std::string, Arrivals> m_arrivals;
     /// Mean work of a queue's jobs, in milliseconds of a whole core.
--- a/src/jobs/machine_keeper.cpp
+++ b/src/jobs/machine_keeper.cpp
@@ -223,7 +223,8 @@
 bool MachineKeeper::mayStop(const Run& run) const
 {
     const auto* job = m_store.findJob(run.jobId);
-    if (!job || !job->isActive() || !run.isLasting || !run.isAtWork())
+    // Whether it is at work is known with a lag only, so each lasting run counts as being so.
+    if (!job || !job->isActive() || !run.isLasting)
         return true;
     const auto& step = job->spec.steps[run.key.task.step];
     if (!step.hasMaxUnavailable)
--- a/src/jobs/machine_keeper_p.h
+++ b/src/jobs/machine_keeper_p.h
@@ -93,6 +93,7 @@
     std::map<std::string, Move> m_moves;
     std::map<std::string, TimePoint> m_idleSince;
     TimePoint m_nextPoolPlanAt;
+    TimePoint m_nextPoolLogAt;
     double m_callTokens = 0;
     TimePoint m_filledAt;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/jobs/machine_keeper_pools.cpp
+++ b/src/jobs/machine_keeper_pools.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds poolPlanInterval { 100 };
+    constexpr std::chrono::milliseconds poolLogInterval { 1000 };
     constexpr std::chrono::milliseconds callTimeout { 3000 };
     constexpr std::chrono::milliseconds callRetry { 300 };
     /// Part of a job's objective within which the work that waits before it has to be done.
@@ -54,6 +55,9 @@
         Pool pool { it.name, it.isSpare, {} };
         const auto& load = loads[it.name];
         pool.load.lasting = inMachines(load.lasting, machine);
+        pool.load.lastingWaiting = load.lastingWaiting;
+        pool.load.running = inMachines(load.running, machine);
+        pool.load.runnable = inMachines(load.running + load.ready, machine);
         pool.load.arriving = inMachines(load.arriving, machine);
         pool.load.backlogSeconds = inMachines(load.backlog, machine);
         pool.load.backlogWithin = std::max(load.objectiveSeconds * backlogShare, 0.5);
@@ -84,6 +88,7 @@
         described.isLeaving = move != m_moves.end() && move->second.pool.empty();
         bool isUp = known.machine.state == MachineState::Up || (pool->isSpare && known.machine.state == MachineState::Down);
         described.isIdle = pool->isSpare || (session && session->runs.empty() && session->isConfirmed);
+        described.isAway = (!pool->isSpare && !isUp && !described.isArriving) || isInOpenWave(name);
         described.isFixed = !isUp || isInOpenWave(name) || (session && session->endpoint.isDraining) || (!session && !pool->isSpare);
         if (session) {
             for (const auto& [key, run] : session->runs)
@@ -106,6 +111,13 @@
     auto pools = describePools();
     auto machines = describeMachines(pools);
     auto steps = planPools(pools, machines, now);
+    if (now >= m_nextPoolLogAt) {
+        m_nextPoolLogAt = now + poolLogInterval;
+        for (size_t n = 0; n < pools.size(); n++) {
+            auto count = [&](auto test) { return std::count_if(machines.begin(), machines.end(), [&](const PoolMachine& it) { return it.pool == n && test(it); }); };
+            m_log.line("pool").field("pool", pools[n].name).field("wanted", machinesWanted(pools[n].load)).field("machines", count([](const auto&) { return true; })).field("idle", count([](const auto& it) { return it.isIdle; })).field("fixed", count([](const auto& it) { return it.isFixed; })).field("arriving", pools[n].load.arriving).field("runnable", pools[n].load.runnable).field("backlog", pools[n].load.backlogSeconds).field("lasting", pools[n].load.lasting);
+        }
+    }
     for (auto n : steps.keep)
         m_moves.erase(machines[n].name);
     for (auto n : steps.release)
--- a/src/jobs/pool_plan.cpp
+++ b/src/jobs/pool_plan.cpp
@@ -9,6 +9,8 @@
 
     /// Part of a machine that tasks of mixed sizes fill.
     constexpr double packing = 0.85;
+    /// Arrivals of this many seconds are counted as runnable: a machine takes as long to move.
+    constexpr double arrivalsAhead = 1.5;
     /// Machines kept beyond the need of a pool that has work, against failures and short peaks.
     constexpr double reserve = 1;
     /// An idle machine becomes spare after this time: two moves cost as much as about two seconds in a pool.
@@ -29,8 +31,11 @@
 double machinesWanted(const PoolLoad& load)
 {
     auto work = std::max(load.arriving, load.backlogSeconds / std::max(load.backlogWithin, 0.1));
+    // Steps that wait for others, and workspaces at their limits, use no further machines.
+    work = std::min(work, load.runnable + load.arriving * arrivalsAhead);
     auto busy = load.lasting + work;
-    return busy > 0 ? std::ceil(busy / packing + reserve) : reserve;
+    auto wanted = busy > 0 ? std::ceil(busy / packing + reserve) : reserve;
+    return wanted + (load.lastingWaiting > 0 ? reserve : 0);
 }
 
 PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolMachine> machines, TimePoint now)
@@ -44,8 +49,8 @@
             sparePool = n;
     }
     for (const auto& it : machines) {
-        balance[it.pool].present++;
-        balance[it.pool].leaving += it.isLeaving ? 1 : 0;
+        balance[it.pool].present += it.isAway ? 0 : 1;
+        balance[it.pool].leaving += it.isLeaving && !it.isAway ? 1 : 0;
     }
     std::vector<bool> isTaken(machines.size(), false);
     // A pool whose demand has come back keeps what it was about to give away.
--- a/src/jobs/pool_plan_p.h
+++ b/src/jobs/pool_plan_p.h
@@ -15,6 +15,11 @@
 struct PoolLoad {
     /// Held by lasting tasks, which stay.
     double lasting = 0;
+    /// Lasting tasks that wait for a place: the pool's machines do not suit them.
+    size_t lastingWaiting = 0;
+    /// Used by other tasks now, and by all that could run now.
+    double running = 0;
+    double runnable = 0;
     /// Work that arrives, averaged over about a second.
     double arriving = 0;
     /// Work that is accepted and not done, in machine-seconds.
@@ -32,6 +37,8 @@
     bool isIdle = false;
     /// It runs lasting tasks, or is part of a maintenance wave that has not reached it, or its state is not settled.
     bool isFixed = false;
+    /// Down for maintenance or being emptied for it: of no use to its pool for now.
+    bool isAway = false;
     /// On its way into its pool.
     bool isArriving = false;
     /// Chosen to leave, and emptied for it.
