--- a/src/jobs/dispatcher_orders.cpp
+++ b/src/jobs/dispatcher_orders.cpp
@@ -76,7 +76,8 @@
     HoldOrder order;
     order.fencingToken = m_desc.term;
     order.ackedThrough = session.endsRecorded;
-    if (session.isConfirmed) {
+    // An endpoint that does not answer gets no longer lease: its tasks have to end before they run elsewhere.
+    if (session.isConfirmed && session.unansweredHolds == 0) {
         order.leaseUntilMs = grantLease(session);
         order.waitMs = static_cast<uint32_t>(config::holdWait.count());
     }
