--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -83,6 +83,13 @@
     }
     session->endpoint = endpoint;
     session->link = m_links.open(endpoint);
+    // What the link before had under way is not answered any more.
+    session->isHoldOut = false;
+    for (auto& [key, run] : session->runs) {
+        run.hasUnansweredStart = run.hasUnansweredStart || (run.isOrderOut && run.phase == RunPhase::Starting);
+        run.isOrderOut = false;
+        run.isPaceOut = false;
+    }
     return *session;
 }
 
--- a/src/jobs/dispatcher_orders.cpp
+++ b/src/jobs/dispatcher_orders.cpp
@@ -197,6 +197,7 @@
         run.isInherited = false;
         run.startedAt = now;
         run.progressAt = now;
+        run.settledAt = now;
     }
     if (row.percent != run.percent) {
         run.progressAt = now;
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -100,6 +100,22 @@
     CHECK(listOf(site.world.violations).empty());
 }
 
+TEST_CASE("a run taken over from an earlier leader is known to be lost when its endpoint starts again", "[dispatcher]")
+{
+    // Found by the simulation below, seed 114: the run counted as running for good.
+    Site site(12);
+    site.submit("a", 3, true);
+    site.run(seconds(2));
+    site.leader.restart();
+    site.run(seconds(1));
+    for (auto& [key, it] : site.world.endpoints) {
+        if (it->used != Resources {})
+            it->reborn(it->described.id);
+    }
+    site.run(seconds(3));
+    CHECK(site.runningTasks() == 3);
+}
+
 TEST_CASE("another life at an address does not keep the tasks of the one before", "[dispatcher]")
 {
     Site site(7);
