--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -71,6 +71,9 @@
 constexpr milliseconds unreachableRetry { 300 };
 /// No task is placed on an endpoint that was last heard longer ago than this.
 constexpr milliseconds endpointSilence { 2600 };
+/// A lasting task that an earlier leader has started counts as at work, when another of its step is to be stopped, after
+/// having been listed so for this time: longer than that leader's order to stop it may take.
+constexpr milliseconds atWorkConfirmation { 2000 };
 /// An endpoint that sent no heartbeat for this time, and whose lease has ended, is forgotten.
 constexpr milliseconds endpointExpiry { 12000 };
 /// Commands of this time share one entry of the replicated log, and so one sync of each disk.
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -64,6 +64,7 @@
                     }
                     auto& run = addRun(*session, job, key);
                     run.isInherited = true;
+                    run.wasInherited = true;
                     run.phase = RunPhase::Running;
                     run.mustStop = !job.isActive();
                 }
--- a/src/jobs/dispatcher_orders.cpp
+++ b/src/jobs/dispatcher_orders.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher_p.h"
 
 #include "core/event_log_p.h"
+#include "pace_plan_p.h"
 
 #include <vanillalift/config.h>
 
@@ -206,6 +207,11 @@
             session.failuresInRow = 0;
     }
     run.percent = row.percent;
+    constexpr uint32_t fullyAtWork = 100;
+    if (row.percent < fullyAtWork)
+        run.atWorkSince = {};
+    else if (run.atWorkSince == TimePoint {})
+        run.atWorkSince = now;
     run.figure = row.figure;
     run.figureAt = now;
     if (!row.checkpoint.empty())
@@ -375,8 +381,25 @@
 
 void Dispatcher::paceFillers(EndpointSession& session)
 {
-    // Filled in by the pacing rule.
-    (void)session;
+    std::vector<ServingTail> serving;
+    bool hasFillers = false;
+    for (const auto& [key, run] : session.runs) {
+        if (run.phase != RunPhase::Running)
+            continue;
+        hasFillers = hasFillers || run.isFiller;
+        if (run.targetMs != 0)
+            serving.push_back({ run.figure, run.targetMs });
+    }
+    if (!hasFillers)
+        return;
+    for (auto& [key, run] : session.runs) {
+        if (!run.isFiller || run.phase != RunPhase::Running || run.isPaceOut)
+            continue;
+        auto wanted = nextFillerPace(run.pacePercent, serving);
+        if (wanted != run.wantedPacePercent)
+            m_log.line("pace").field("job", run.jobId).field("task", key.task).field("endpoint", session.endpoint.id).field("percent", wanted).field("serving", serving.size());
+        run.wantedPacePercent = wanted;
+    }
 }
 
 void Dispatcher::expireSession(EndpointSession& session)
--- a/src/jobs/endpoint_session.cpp
+++ b/src/jobs/endpoint_session.cpp
@@ -23,6 +23,13 @@
     return names.at(static_cast<size_t>(status));
 }
 
+bool Run::isSurelyAtWork(TimePoint now) const
+{
+    bool isSeen = phase == RunPhase::Running && !mustStop && atWorkSince != TimePoint {};
+    Duration confirmation = wasInherited ? config::atWorkConfirmation : Duration::zero();
+    return isSeen && now - atWorkSince >= confirmation && now - figureAt <= config::endpointSilence;
+}
+
 std::optional<int64_t> EndpointSession::clockAt(TimePoint moment) const
 {
     if (!clock)
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -43,6 +43,8 @@
     bool mustStop = false;
     /// Placed by an earlier leader: what became of it is unknown until the endpoint lists its runs.
     bool isInherited = false;
+    /// Stays set: the earlier leader's order to stop it may be under way.
+    bool wasInherited = false;
     std::string ticket;
     TimePoint placedAt;
     TimePoint nextOrderAt;
@@ -60,7 +62,12 @@
     /// Since when a serving task has been over its latency bound; the epoch if it is not.
     TimePoint overTargetSince;
 
-    [[nodiscard]] bool isAtWork() const { return phase == RunPhase::Running && percent >= 100; }
+    /// Since when each list in this leader's term has shown it at work; the epoch if the newest did not.
+    TimePoint atWorkSince;
+
+    /// Whether it is certainly at work and stays so: a run that an earlier leader has ordered to stop is still listed for a
+    /// while, and one on an endpoint that no longer answers may have ended.
+    [[nodiscard]] bool isSurelyAtWork(TimePoint now) const;
 };
 
 /// A moment on an endpoint's clock.
--- a/src/jobs/machine_keeper.cpp
+++ b/src/jobs/machine_keeper.cpp
@@ -241,7 +241,7 @@
                 continue;
             RunKey key { { run.key.task.job, run.key.task.occurrence, run.key.task.step, index }, placement.run };
             auto other = session->second->runs.find(key);
-            isAtWork = isAtWork || (other != session->second->runs.end() && other->second.isAtWork() && !other->second.mustStop);
+            isAtWork = isAtWork || (other != session->second->runs.end() && other->second.isSurelyAtWork(m_clock.now()));
         }
         away += isAtWork ? 0 : 1;
     }
--- a/src/jobs/machine_keeper_p.h
+++ b/src/jobs/machine_keeper_p.h
@@ -2,6 +2,7 @@
 
 #include "dispatcher_p.h"
 #include "pool_plan_p.h"
+#include "turn_forecast_p.h"
 #include "wave_plan_p.h"
 
 #include <vanillalift/endpoint_link.h>
@@ -92,6 +93,9 @@
     std::map<std::pair<uint64_t, std::string>, Progress> m_progress;
     std::map<std::string, Move> m_moves;
     std::map<std::string, TimePoint> m_idleSince;
+    TurnForecast m_forecast;
+    /// Work has arrived in this term: until then, idle machines say nothing about demand.
+    bool m_hasDemand = false;
     TimePoint m_nextPoolPlanAt;
     TimePoint m_nextPoolLogAt;
     double m_callTokens = 0;
--- a/src/jobs/machine_keeper_pools.cpp
+++ b/src/jobs/machine_keeper_pools.cpp
@@ -58,7 +58,10 @@
         pool.load.lastingWaiting = load.lastingWaiting;
         pool.load.running = inMachines(load.running, machine);
         pool.load.runnable = inMachines(load.running + load.ready, machine);
-        pool.load.arriving = inMachines(load.arriving, machine);
+        auto arriving = inMachines(load.arriving, machine);
+        m_hasDemand = m_hasDemand || arriving > 0;
+        m_forecast.observe(it.name, arriving, m_clock.now());
+        pool.load.arriving = std::max(arriving, m_forecast.expected(it.name, m_clock.now()));
         pool.load.backlogSeconds = inMachines(load.backlog, machine);
         pool.load.backlogWithin = std::max(load.objectiveSeconds * backlogShare, 0.5);
         pools.push_back(std::move(pool));
@@ -110,7 +113,7 @@
     m_nextPoolPlanAt = now + poolPlanInterval;
     auto pools = describePools();
     auto machines = describeMachines(pools);
-    auto steps = planPools(pools, machines, now);
+    auto steps = planPools(pools, machines, m_hasDemand, now);
     if (now >= m_nextPoolLogAt) {
         m_nextPoolLogAt = now + poolLogInterval;
         for (size_t n = 0; n < pools.size(); n++) {
--- a/src/jobs/pool_plan.cpp
+++ b/src/jobs/pool_plan.cpp
@@ -38,7 +38,7 @@
     return wanted + (load.lastingWaiting > 0 ? reserve : 0);
 }
 
-PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolMachine> machines, TimePoint now)
+PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolMachine> machines, bool mayRest, TimePoint now)
 {
     PoolSteps steps;
     std::vector<Balance> balance(pools.size());
@@ -123,12 +123,12 @@
         lacking--;
     }
 
-    if (!sparePool)
+    if (!sparePool || !mayRest)
         return steps;
     for (size_t n = 0; n < machines.size(); n++) {
         const auto& it = machines[n];
-        bool mayRest = !isTaken[n] && it.isIdle && !it.isFixed && !it.isArriving && !pools[it.pool].isSpare && now - it.idleSince >= idleBeforeSpare;
-        if (!mayRest || balance[it.pool].surplus() < 1)
+        bool isResting = !isTaken[n] && it.isIdle && !it.isFixed && !it.isArriving && !pools[it.pool].isSpare && now - it.idleSince >= idleBeforeSpare;
+        if (!isResting || balance[it.pool].surplus() < 1)
             continue;
         balance[it.pool].present--;
         steps.moves.push_back({ n, *sparePool });
--- a/src/jobs/pool_plan_p.h
+++ b/src/jobs/pool_plan_p.h
@@ -75,6 +75,7 @@
 /// Plans moves of machines between pools, for queues whose demand peaks in turn: pools with more work than they have
 /// machines for take idle machines of pools that need fewer, spare ones last, and machines that stay idle become spare.
 /// Lasting tasks are not moved.
-PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolMachine> machines, TimePoint now);
+/// @param mayRest whether idle machines may become spare.
+PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolMachine> machines, bool mayRest, TimePoint now);
 
 } // namespace vanillalift::jobs
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -1,11 +1,15 @@
 #include <catch2/catch.hpp>
 
+#include "jobs/endpoint_session_p.h"
+#include "jobs/pace_plan_p.h"
 #include "jobs/placement_p.h"
 #include "jobs/pool_plan_p.h"
 #include "jobs/queue_order_p.h"
+#include "jobs/turn_forecast_p.h"
 #include "jobs/wave_plan_p.h"
 
 #include <algorithm>
+#include <set>
 
 using namespace vanillalift;
 using namespace vanillalift::jobs;
@@ -169,7 +173,7 @@
     fleet.pools[0].load.arriving = 4;
     fleet.pools[0].load.runnable = 9;
     fleet.pools[0].load.running = 3;
-    auto steps = planPools(fleet.pools, fleet.machines, now);
+    auto steps = planPools(fleet.pools, fleet.machines, true, now);
     REQUIRE(fleet.movesTo(steps, 0) == 3);
     CHECK(fleet.machines[steps.moves[0].machine].pool == 1);
 }
@@ -180,11 +184,11 @@
     fleet.add(0, 5);
     // The other pool has its reserve already.
     fleet.add(1, 1, false);
-    auto steps = planPools(fleet.pools, fleet.machines, now);
+    auto steps = planPools(fleet.pools, fleet.machines, true, now);
     CHECK(fleet.movesTo(steps, 2) == 4);
     for (auto& it : fleet.machines)
         it.idleSince = now;
-    CHECK(planPools(fleet.pools, fleet.machines, now).moves.empty());
+    CHECK(planPools(fleet.pools, fleet.machines, true, now).moves.empty());
 }
 
 TEST_CASE("machines with lasting tasks, in a wave or on their way are not moved", "[pools]")
@@ -196,7 +200,7 @@
     fleet.machines[3].isArriving = true;
     fleet.pools[0].load.arriving = 20;
     fleet.pools[0].load.runnable = 20;
-    for (const auto& it : planPools(fleet.pools, fleet.machines, now).moves)
+    for (const auto& it : planPools(fleet.pools, fleet.machines, true, now).moves)
         CHECK(it.machine > 3);
 }
 
@@ -223,7 +227,76 @@
     }
     fleet.pools[0].load.lasting = 1;
     fleet.pools[0].load.lastingWaiting = 1;
-    CHECK(fleet.movesTo(planPools(fleet.pools, fleet.machines, now), 0) == 3);
+    CHECK(fleet.movesTo(planPools(fleet.pools, fleet.machines, true, now), 0) == 3);
+}
+
+TEST_CASE("before any demand has been seen, no machine becomes spare", "[pools]")
+{
+    // The first peak of a day found 3 of 8 machines in its pool.
+    Fleet fleet;
+    fleet.add(0, 5);
+    fleet.add(1, 1, false);
+    CHECK(planPools(fleet.pools, fleet.machines, false, now).moves.empty());
+}
+
+TEST_CASE("where demand goes round in turns, the next pool's peak is expected before it comes", "[pools]")
+{
+    // Load: three pools, each in turn 4.5 s at ten machines and a twentieth of it between.
+    TurnForecast forecast;
+    constexpr auto turn = milliseconds(4500);
+    const std::string names[] = { "a", "b", "c" };
+    auto demandAt = [&](size_t pool, TimePoint at) { return static_cast<size_t>((at - now) / turn) % 3 == pool ? 10.0 : 0.5; };
+    std::set<int64_t> prepared;
+    size_t wrong = 0;
+    for (auto at = now; at < now + 9 * turn; at += milliseconds(100)) {
+        for (size_t pool = 0; pool < 3; pool++) {
+            forecast.observe(names[pool], demandAt(pool, at), at);
+            auto expected = forecast.expected(names[pool], at);
+            // A move takes 1.5 s.
+            auto nextTurn = (at + milliseconds(1500) - now) / turn;
+            bool isNext = demandAt(pool, at) < 1 && static_cast<size_t>(nextTurn) % 3 == pool;
+            if (isNext && expected > 5)
+                prepared.insert(nextTurn);
+            bool isFar = demandAt(pool, at) < 1 && demandAt(pool, at + milliseconds(2200)) < 1;
+            wrong += expected > 0 && isFar ? 1 : 0;
+        }
+    }
+    // Who follows whom is known after one round and one turn; the last one prepared begins after the load ends.
+    CHECK(prepared == std::set<int64_t> { 4, 5, 6, 7, 8, 9 });
+    CHECK(wrong == 0);
+}
+
+TEST_CASE("tasks that fill stop while a serving task is over its bound, and come back slowly", "[pace]")
+{
+    std::vector<ServingTail> serving { { 50, 100 }, { 120, 100 } };
+    CHECK(nextFillerPace(100, serving) == 0);
+    serving[1].tailMs = 90;
+    CHECK(nextFillerPace(100, serving) == 50);
+    serving[1].tailMs = 70;
+    CHECK(nextFillerPace(40, serving) == 40);
+    serving[1].tailMs = 10;
+    CHECK(nextFillerPace(0, serving) > 0);
+    CHECK(nextFillerPace(0, serving) <= 20);
+    CHECK(nextFillerPace(100, serving) == 100);
+    CHECK(nextFillerPace(0, {}) > 0);
+}
+
+TEST_CASE("an inherited lasting run that may be stopping does not count as at work at once", "[wave]")
+{
+    // Found on scale-2 of hvtw-lift: the old leader's stop was still under way when the new one stopped a second task.
+    Run run;
+    run.phase = RunPhase::Running;
+    run.atWorkSince = run.figureAt = now;
+    CHECK(run.isSurelyAtWork(now));
+    run.wasInherited = true;
+    CHECK_FALSE(run.isSurelyAtWork(now + milliseconds(1000)));
+    run.figureAt = now + seconds(3);
+    CHECK(run.isSurelyAtWork(now + seconds(3)));
+    // Its endpoint has not answered since.
+    CHECK_FALSE(run.isSurelyAtWork(now + seconds(8)));
+    run.figureAt = now + seconds(8);
+    run.mustStop = true;
+    CHECK_FALSE(run.isSurelyAtWork(now + seconds(8)));
 }
 
 TEST_CASE("a wave never takes down more machines at once than it may", "[wave]")
