Keep idle machines while a pool's demand rises, and know it early

Cause: on the grown site 48 idle machines left the pool of the first peak half a second after it had begun: they had been idle before, and the average of arriving work follows a peak only after 0.8 s. Change: ArrivalRate with a short average while demand rises; no machine becomes spare from such a pool; idle time before the first demand does not count.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -7,17 +7,9 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace vanillalift::jobs {
 
-namespace {
-
-    /// Time constant of the average of arriving work, in seconds.
-    constexpr double arrivalsWindow = 0.8;
-
-} // namespace
-
 Dispatcher::Dispatcher(DispatcherDesc desc, JobStore& store, const Clock& clock, EndpointLinks& links, AdviceService& advice, EventLog& log)
     : m_desc(std::move(desc))
     , m_store(store)
@@ -337,30 +329,16 @@
     const auto& plan = planOf(job);
     if (job.isLasting() || job.spec.occurrences != 0)
         return;
-    auto& arrivals = m_arrivals[m_store.queueOf(job).service];
-    decayArrivals(arrivals);
-    arrivals.cpu += plan.estimate.totalWorkMs;
-    arrivals.memory += plan.estimate.totalMemoryMs / 1000;
-}
-
-void Dispatcher::decayArrivals(Arrivals& arrivals) const
-{
-    auto now = m_clock.now();
-    auto seconds = std::chrono::duration<double>(now - arrivals.at).count();
-    auto kept = std::exp(-seconds / arrivalsWindow);
-    arrivals.cpu *= kept;
-    arrivals.memory *= kept;
-    arrivals.at = now;
+    m_arrivals[m_store.queueOf(job).service].add(plan.estimate.totalWorkMs, plan.estimate.totalMemoryMs / 1000, m_clock.now());
 }
 
 std::map<std::string, Dispatcher::ServiceLoad> Dispatcher::loads()
 {
     std::map<std::string, ServiceLoad> loads;
     for (auto& [service, arrivals] : m_arrivals) {
-        decayArrivals(arrivals);
-        auto& arriving = loads[service].arriving;
-        arriving.cpu = static_cast<int64_t>(arrivals.cpu / arrivalsWindow);
-        arriving.memory = static_cast<int64_t>(arrivals.memory / arrivalsWindow);
+        arrivals.advance(m_clock.now());
+        loads[service].arriving = arrivals.rate();
+        loads[service].isRising = arrivals.isRising();
     }
     std::map<std::string, double> counts;
     for (const auto& [serial, plan] : m_plans) {
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arrival_rate_p.h"
 #include "endpoint_session_p.h"
 #include "job_estimate_p.h"
 #include "job_store_p.h"
@@ -107,6 +108,8 @@
         size_t lastingWaiting = 0;
         /// Arriving a second, averaged, times seconds of run time.
         Resources arriving;
+        /// Demand has begun a short while ago and may still grow.
+        bool isRising = false;
         /// Held by other runs, and needed by tasks that could run now within their workspaces' limits.
         Resources running;
         Resources ready;
@@ -196,15 +199,9 @@
     std::map<std::string, std::unique_ptr<EndpointSession>> m_sessions;
     std::map<uint64_t, JobPlan> m_plans;
     std::map<std::string, Resources> m_workspaceUse;
-    struct Arrivals {
-        double cpu = 0;
-        double memory = 0;
-        TimePoint at;
-    };
-    void decayArrivals(Arrivals& arrivals) const;
     void addReadyNeeds(std::map<std::string, ServiceLoad>& loads);
     /// Recent arrivals by service.
-    std::map<std::string, Arrivals> m_arrivals;
+    std::map<std::string, ArrivalRate> m_arrivals;
     /// Mean work of a queue's jobs, in milliseconds of a whole core.
     std::map<std::string, double> m_meanWork;
     std::map<TaskKey, StepAdvice> m_advice;
--- a/src/jobs/machine_keeper.cpp
+++ b/src/jobs/machine_keeper.cpp
@@ -18,7 +18,7 @@
     constexpr std::chrono::milliseconds callTimeout { 3000 };
     constexpr std::chrono::milliseconds callRetry { 300 };
     /// Share of the platform's rate that this leader uses: an earlier leader's calls may still count.
-    constexpr double rateShare = 0.5;
+    constexpr double rateShare = 0.9;
 
 } // namespace
 
--- a/src/jobs/machine_keeper_pools.cpp
+++ b/src/jobs/machine_keeper_pools.cpp
@@ -59,7 +59,12 @@
         pool.load.running = inMachines(load.running, machine);
         pool.load.runnable = inMachines(load.running + load.ready, machine);
         auto arriving = inMachines(load.arriving, machine);
-        m_hasDemand = m_hasDemand || arriving > 0;
+        if (!m_hasDemand && arriving > 0) {
+            m_hasDemand = true;
+            // What was idle before says nothing about the demand that begins now.
+            m_idleSince.clear();
+        }
+        pool.load.isRising = load.isRising;
         m_forecast.observe(it.name, arriving, m_clock.now());
         pool.load.arriving = std::max(arriving, m_forecast.expected(it.name, m_clock.now()));
         pool.load.backlogSeconds = inMachines(load.backlog, machine);
--- a/src/jobs/pool_plan.cpp
+++ b/src/jobs/pool_plan.cpp
@@ -127,7 +127,7 @@
         return steps;
     for (size_t n = 0; n < machines.size(); n++) {
         const auto& it = machines[n];
-        bool isResting = !isTaken[n] && it.isIdle && !it.isFixed && !it.isArriving && !pools[it.pool].isSpare && now - it.idleSince >= idleBeforeSpare;
+        bool isResting = !isTaken[n] && it.isIdle && !it.isFixed && !it.isArriving && !pools[it.pool].isSpare && !pools[it.pool].load.isRising && now - it.idleSince >= idleBeforeSpare;
         if (!isResting || balance[it.pool].surplus() < 1)
             continue;
         balance[it.pool].present--;
--- a/src/jobs/pool_plan_p.h
+++ b/src/jobs/pool_plan_p.h
@@ -22,6 +22,8 @@
     double runnable = 0;
     /// Work that arrives, averaged over about a second.
     double arriving = 0;
+    /// Demand has begun a short while ago and may still grow: idle machines are kept.
+    bool isRising = false;
     /// Work that is accepted and not done, in machine-seconds.
     double backlogSeconds = 0;
     /// Time within which the backlog has to be done for its jobs to be on time, in seconds.
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "jobs/arrival_rate_p.h"
 #include "jobs/endpoint_session_p.h"
 #include "jobs/pace_plan_p.h"
 #include "jobs/placement_p.h"
@@ -239,6 +240,42 @@
     CHECK(planPools(fleet.pools, fleet.machines, false, now).moves.empty());
 }
 
+TEST_CASE("a pool whose demand has just begun keeps its idle machines", "[pools]")
+{
+    // On the grown site, 48 idle machines left the pool of the first peak half a second after it had begun.
+    Fleet fleet;
+    fleet.add(0, 8);
+    fleet.add(1, 1, false);
+    fleet.pools[0].load.arriving = 1;
+    fleet.pools[0].load.runnable = 1;
+    fleet.pools[0].load.isRising = true;
+    CHECK(fleet.movesTo(planPools(fleet.pools, fleet.machines, true, now), 2) == 0);
+    fleet.pools[0].load.isRising = false;
+    CHECK(fleet.movesTo(planPools(fleet.pools, fleet.machines, true, now), 2) > 0);
+}
+
+TEST_CASE("the arriving work is known early in a peak, and averaged later", "[pools]")
+{
+    // Load: nothing, then 100 cores from one moment to the next.
+    ArrivalRate arrivals;
+    arrivals.advance(now);
+    auto at = now;
+    auto play = [&](Duration time, double cores) {
+        for (auto end = at + time; at < end; at += milliseconds(20))
+            arrivals.add(cores * 20, 0, at);
+        arrivals.advance(at);
+    };
+    play(milliseconds(600), 100);
+    CHECK(arrivals.isRising());
+    CHECK(arrivals.rate().cpu > 80000);
+    play(seconds(4), 100);
+    CHECK_FALSE(arrivals.isRising());
+    CHECK(arrivals.rate().cpu > 90000);
+    CHECK(arrivals.rate().cpu < 110000);
+    play(seconds(3), 5);
+    CHECK(arrivals.rate().cpu < 10000);
+}
+
 TEST_CASE("where demand goes round in turns, the next pool's peak is expected before it comes", "[pools]")
 {
     // Load: three pools, each in turn 4.5 s at ten machines and a twentieth of it between.
