Ask endpoints more often while requests are lost, and take only as many machines for a wave as its time asks for

Waves took 104 of 349 machines at once at the beginning of the first peak, with 27 s to go. Change: orders count as unanswered after 300 ms, status requests wait 300 ms instead of 1 s while requests are lost; wave_plan spreads a wave over its time and empties machines with lasting tasks from its beginning. Ruled out: limits of workspaces (now shown in the log as limited) and processor time (0.16 of 0.35 cores at most).

--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -63,10 +63,14 @@
 constexpr milliseconds leaderContact { 1000 };
 /// An endpoint answers a status request after this time at the latest, or at once when a run ends.
 constexpr milliseconds holdWait { 1000 };
-/// Time beyond its waiting time after which a status request counts as unanswered.
-constexpr milliseconds holdTimeout { 700 };
-/// Time after which an order to start or stop counts as unanswered and is sent again.
-constexpr milliseconds orderTimeout { 600 };
+/// The same while endpoints leave requests unanswered: what ends meanwhile is not known before the next request.
+constexpr milliseconds shortHoldWait { 300 };
+/// Time after the last unanswered request during which waits are short.
+constexpr milliseconds unansweredMemory { 5000 };
+/// Time beyond its waiting time after which a status request counts as unanswered. A lost packet is sent again after 200 ms.
+constexpr milliseconds holdTimeout { 400 };
+/// Time after which an order to start or stop counts as unanswered and is sent again: orders are idempotent.
+constexpr milliseconds orderTimeout { 300 };
 /// Pause before an endpoint that did not answer is asked again.
 constexpr milliseconds unreachableRetry { 300 };
 /// No task is placed on an endpoint that was last heard longer ago than this.
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -437,6 +437,7 @@
     }
     for (auto& [place, need] : needs) {
         const auto& [service, name] = place;
+        auto whole = need;
         if (const auto* workspace = m_store.catalog().workspaceNamed(name)) {
             const auto& used = m_workspaceUse[name];
             auto cap = [](int64_t& wanted, int64_t limit, int64_t inUse) {
@@ -447,6 +448,7 @@
             cap(need.memory, workspace->limit.memory, used.memory);
         }
         loads[service].ready += need;
+        loads[service].limited += whole - need;
     }
 }
 
--- a/src/jobs/dispatcher_orders.cpp
+++ b/src/jobs/dispatcher_orders.cpp
@@ -80,7 +80,8 @@
     // An endpoint that does not answer gets no longer lease: its tasks have to end before they run elsewhere.
     if (session.isConfirmed && session.unansweredHolds == 0) {
         order.leaseUntilMs = grantLease(session);
-        order.waitMs = static_cast<uint32_t>(config::holdWait.count());
+        bool areRequestsLost = now - m_unansweredAt < config::unansweredMemory;
+        order.waitMs = static_cast<uint32_t>((areRequestsLost ? config::shortHoldWait : config::holdWait).count());
     }
     session.isHoldOut = true;
     session.holdSentAt = now;
@@ -101,6 +102,8 @@
         return removeEndpoint(session, "another life answers at the address");
     if (reply.status != OrderStatus::Accepted) {
         session.unansweredHolds++;
+        if (reply.status == OrderStatus::Unknown)
+            m_unansweredAt = now;
         m_stats.holdsUnanswered++;
         session.nextHoldAt = now + config::unreachableRetry;
         m_log.line("hold-failed").field("endpoint", session.endpoint.id).field("status", orderStatusName(reply.status)).field("failures", session.unansweredHolds);
@@ -298,6 +301,7 @@
         return;
     if (reply.status == OrderStatus::Unknown) {
         m_stats.startsUnanswered++;
+        m_unansweredAt = now;
         run->hasUnansweredStart = true;
         run->nextOrderAt = now + std::chrono::milliseconds(50);
         return;
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -113,6 +113,8 @@
         /// Held by other runs, and needed by tasks that could run now within their workspaces' limits.
         Resources running;
         Resources ready;
+        /// Needed by tasks that wait only for their workspaces' limits.
+        Resources limited;
         /// Accepted and not done, times seconds of run time.
         Resources backlog;
         /// Mean time from hand-in within which the backlog's jobs have to complete, in seconds.
@@ -196,6 +198,8 @@
     AdviceService& m_adviceService;
     EventLog& m_log;
     TimePoint m_startedAt;
+    /// When the newest request or order without an answer was given up.
+    TimePoint m_unansweredAt;
     std::map<std::string, std::unique_ptr<EndpointSession>> m_sessions;
     std::map<uint64_t, JobPlan> m_plans;
     std::map<std::string, Resources> m_workspaceUse;
--- a/src/jobs/machine_keeper_pools.cpp
+++ b/src/jobs/machine_keeper_pools.cpp
@@ -57,6 +57,7 @@
         pool.load.lasting = inMachines(load.lasting, machine);
         pool.load.lastingWaiting = load.lastingWaiting;
         pool.load.running = inMachines(load.running, machine);
+        pool.load.limited = inMachines(load.limited, machine);
         pool.load.runnable = inMachines(load.running + load.ready, machine);
         auto arriving = inMachines(load.arriving, machine);
         if (!m_hasDemand && arriving > 0) {
@@ -123,7 +124,7 @@
         m_nextPoolLogAt = now + poolLogInterval;
         for (size_t n = 0; n < pools.size(); n++) {
             auto count = [&](auto test) { return std::count_if(machines.begin(), machines.end(), [&](const PoolMachine& it) { return it.pool == n && test(it); }); };
-            m_log.line("pool").field("pool", pools[n].name).field("wanted", machinesWanted(pools[n].load)).field("machines", count([](const auto&) { return true; })).field("idle", count([](const auto& it) { return it.isIdle; })).field("fixed", count([](const auto& it) { return it.isFixed; })).field("arriving", pools[n].load.arriving).field("runnable", pools[n].load.runnable).field("backlog", pools[n].load.backlogSeconds).field("lasting", pools[n].load.lasting);
+            m_log.stateLine("pool").field("pool", pools[n].name).field("wanted", machinesWanted(pools[n].load)).field("machines", count([](const auto&) { return true; })).field("idle", count([](const auto& it) { return it.isIdle; })).field("fixed", count([](const auto& it) { return it.isFixed; })).field("arriving", pools[n].load.arriving).field("runnable", pools[n].load.runnable).field("backlog", pools[n].load.backlogSeconds).field("lasting", pools[n].load.lasting).field("limited", pools[n].load.limited);
         }
     }
     for (auto n : steps.keep)
--- a/src/jobs/pool_plan_p.h
+++ b/src/jobs/pool_plan_p.h
@@ -20,6 +20,8 @@
     /// Used by other tasks now, and by all that could run now.
     double running = 0;
     double runnable = 0;
+    /// Needed by tasks that wait for their workspaces' limits; more machines do not help them.
+    double limited = 0;
     /// Work that arrives, averaged over about a second.
     double arriving = 0;
     /// Demand has begun a short while ago and may still grow: idle machines are kept.
--- a/src/jobs/wave_plan.cpp
+++ b/src/jobs/wave_plan.cpp
@@ -1,6 +1,7 @@
 #include "wave_plan_p.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillalift::jobs {
 
@@ -12,6 +13,10 @@
     constexpr std::chrono::milliseconds reserve { 2000 };
     /// Tasks are waited for no longer than this, even if there is time: the emptied rest of the machine is idle.
     constexpr std::chrono::milliseconds maxDrain { 4000 };
+    /// Machines with lasting tasks that are emptied at the same time, beside others.
+    constexpr std::ptrdiff_t lastingAhead = 2;
+    /// Part of the time that is left within which a wave is planned to end.
+    constexpr double plannedShare = 0.45;
 
 } // namespace
 
@@ -26,11 +31,18 @@
         draining += it.isDraining && !it.isBegun ? 1 : 0;
         left += it.isBegun ? 0 : 1;
     }
-    auto atOnce = std::max<size_t>(times.maxAtOnce, 1);
+    auto allowed = std::max<size_t>(times.maxAtOnce, 1);
     // Rounds that are still needed, each as long as one maintenance.
-    auto rounds = (left + atOnce - 1) / atOnce;
-    auto needed = static_cast<int64_t>(rounds) * (times.maintenance + turnover);
-    bool isLate = now + needed + reserve >= times.dueAt;
+    auto round = times.maintenance + turnover;
+    auto rounds = (left + allowed - 1) / allowed;
+    bool isLate = now + static_cast<int64_t>(rounds) * round + reserve >= times.dueAt;
+    // Machines that are down are missed when demand peaks: no more at once than the time asks for.
+    auto atOnce = allowed;
+    if (!isLate) {
+        auto spent = std::chrono::duration<double>(times.dueAt - now).count() * plannedShare;
+        auto pace = std::ceil(static_cast<double>(left) * std::chrono::duration<double>(round).count() / spent);
+        atOnce = std::clamp<size_t>(static_cast<size_t>(pace), 1, allowed);
+    }
 
     std::vector<size_t> ready;
     for (size_t n = 0; n < machines.size(); n++) {
@@ -65,6 +77,14 @@
             return a.lastingRuns < b.lastingRuns;
         return a.load < b.load;
     });
+    // Lasting tasks leave one after the other, so their machines take longest: some are being emptied at any time.
+    auto isEmptiedOfLasting = [](const WaveMachine& it) { return it.isDraining && !it.isBegun && it.lastingRuns > 0; };
+    auto lastingDraining = std::count_if(machines.begin(), machines.end(), isEmptiedOfLasting);
+    while (lastingDraining < lastingAhead && !waiting.empty() && machines[waiting.back()].lastingRuns > 0) {
+        steps.drain.push_back(waiting.back());
+        waiting.pop_back();
+        lastingDraining++;
+    }
     for (auto n : waiting) {
         if (draining >= ahead)
             break;
--- a/src/jobs/wave_plan_p.h
+++ b/src/jobs/wave_plan_p.h
@@ -45,7 +45,7 @@
 };
 
 /// Plans a wave so that it ends in time with the least work lost: machines that are idle or nearly so go first, machines
-/// are emptied while others are down, and running tasks are stopped only if the wave would end late otherwise.
+/// are emptied while others are down, no more are away at once than the time asks for, and running tasks are stopped only if the wave would end late otherwise.
 WaveSteps planWave(std::span<const WaveMachine> machines, const WaveTimes& times, TimePoint now);
 
 } // namespace vanillalift::jobs
