--- a/include/vanillalift/endpoint_link.h
+++ b/include/vanillalift/endpoint_link.h
@@ -157,7 +157,11 @@
     virtual void ask(const TaskName& step, std::vector<std::string> endpoints, TimePoint deadline, std::function<void(AdviceReply)> handler) = 0;
 };
 
-enum class MachineState : uint8_t { Up, Moving, Maintenance, Down, MachineStateCount };
+enum class MachineState : uint8_t { Up,
+    Moving,
+    Maintenance,
+    Down,
+    MachineStateCount };
 
 struct Machine {
     std::string name;
--- a/src/core/event_log_p.h
+++ b/src/core/event_log_p.h
@@ -27,9 +27,8 @@
         Line&& field(std::string_view name, std::string_view value) &&;
         Line&& field(std::string_view name, const jobs::TaskKey& task) &&;
         template <typename T>
-            requires std::is_arithmetic_v<T>
-        Line&& field(std::string_view name, T value) &&
-        {
+        requires std::is_arithmetic_v<T>
+            Line && field(std::string_view name, T value) && {
             return std::move(*this).field(name, std::string_view(std::to_string(value)));
         }
 
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -48,7 +48,9 @@
 /// Incremental parser of one direction of an HTTP/1.1 connection.
 class HttpParser {
 public:
-    enum class Kind : uint8_t { Request, Response, KindCount };
+    enum class Kind : uint8_t { Request,
+        Response,
+        KindCount };
     struct Limits {
         size_t headBytes = 0;
         size_t bodyBytes = 0;
--- a/src/node/messages_p.h
+++ b/src/node/messages_p.h
@@ -36,7 +36,10 @@
     MSGPACK_DEFINE(bytes)
 };
 
-enum class ClientVerb : uint8_t { Submit, Read, Cancel, ClientVerbCount };
+enum class ClientVerb : uint8_t { Submit,
+    Read,
+    Cancel,
+    ClientVerbCount };
 
 /// A client's request.
 struct ClientRequest {
@@ -106,7 +109,12 @@
     ReplyStatusCount,
 };
 
-enum class JobState : uint8_t { Queued, Running, Completed, Failed, Cancelled, JobStateCount };
+enum class JobState : uint8_t { Queued,
+    Running,
+    Completed,
+    Failed,
+    Cancelled,
+    JobStateCount };
 
 struct Reply {
     ReplyStatus status = ReplyStatus::Done;
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -215,7 +215,8 @@
         for (auto& [key, it] : world.endpoints)
             it->isCut = false;
         site.run(seconds(60));
-        INFO("seed " << seed << "\n" << listOf(world.violations));
+        INFO("seed " << seed << "\n"
+                     << listOf(world.violations));
         REQUIRE(world.violations.found.empty());
         for (const auto& [serial, job] : site.leader.store.jobs()) {
             INFO("job " << job->spec.id);
--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -293,16 +293,19 @@
     {
         auto copy = order;
         copy.payload = {};
-        deliver<OrderReply>(deadline, std::move(handler), [copy](SimEndpoint& it) { return it.start(copy, ""); }, false);
+        deliver<OrderReply>(
+            deadline, std::move(handler), [copy](SimEndpoint& it) { return it.start(copy, ""); }, false);
     }
     void stop(const StopOrder& order, TimePoint deadline, std::function<void(const OrderReply&)> handler) override
     {
-        deliver<OrderReply>(deadline, std::move(handler), [order](SimEndpoint& it) { return it.stop(order); }, false);
+        deliver<OrderReply>(
+            deadline, std::move(handler), [order](SimEndpoint& it) { return it.stop(order); }, false);
     }
     void pace(const PaceOrder& /*order*/, TimePoint /*deadline*/, std::function<void(const OrderReply&)> /*handler*/) override { }
     void hold(const HoldOrder& order, TimePoint deadline, std::function<void(HoldReply)> handler) override
     {
-        deliver<HoldReply>(deadline, std::move(handler), [order](SimEndpoint& it) { return it.hold(order); }, order.waitMs != 0);
+        deliver<HoldReply>(
+            deadline, std::move(handler), [order](SimEndpoint& it) { return it.hold(order); }, order.waitMs != 0);
     }
 
 private:
