Pass the linter

Change: constant references, a reserve, and a named exception for the defaulted comparison, which the check takes for a null pointer.

--- a/include/vanillalift/endpoint_link.h
+++ b/include/vanillalift/endpoint_link.h
@@ -21,6 +21,7 @@
     uint32_t step = 0;
     uint32_t index = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the check takes the 0 of a defaulted comparison for a pointer
     auto operator<=>(const TaskName&) const = default;
 };
 
--- a/include/vanillalift/job.h
+++ b/include/vanillalift/job.h
@@ -193,6 +193,7 @@
     uint32_t index = 0;
 
     MSGPACK_DEFINE(job, occurrence, step, index)
+    // NOLINTNEXTLINE(modernize-use-nullptr): the check takes the 0 of a defaulted comparison for a pointer
     auto operator<=>(const TaskKey&) const = default;
 };
 
@@ -203,6 +204,7 @@
     uint32_t number = 0;
 
     MSGPACK_DEFINE(task, number)
+    // NOLINTNEXTLINE(modernize-use-nullptr): the check takes the 0 of a defaulted comparison for a pointer
     auto operator<=>(const RunKey&) const = default;
 };
 
--- a/src/jobs/dispatcher_placing.cpp
+++ b/src/jobs/dispatcher_placing.cpp
@@ -306,6 +306,7 @@
     if (byRoom.size() > config::maxAdvisedEndpoints)
         byRoom.resize(config::maxAdvisedEndpoints);
     std::vector<std::string> asked;
+    asked.reserve(byRoom.size());
     for (auto& [room, id] : byRoom)
         asked.push_back(std::move(id));
     advice.isAsked = true;
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -59,7 +59,7 @@
     SystemClock clock;
     Address address = freeAddress();
     std::vector<HttpRequest> requests;
-    HttpServer server { loop, address, 1000, 8, [this](HttpRequest request, HttpServer::Respond respond) {
+    HttpServer server { loop, address, 1000, 8, [this](const HttpRequest& request, const HttpServer::Respond& respond) {
                            requests.push_back(request);
                            if (request.target != "/silent")
                                respond({ 200, {}, "seen " + request.body });
