--- a/include/vanillalift/endpoint_link.h
+++ b/include/vanillalift/endpoint_link.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-/// What the leader asks of endpoints, of the service that advises placements, and of the platform that owns the machines.
+/// What the leader asks of endpoints, of the service that advises placements, and of the platform that owns the instances.
 /// Implementations translate to a platform's protocol.
 namespace vanillalift::jobs {
 
@@ -74,7 +74,7 @@
     TicketInvalid,
     /// The endpoint is unhealthy and has done nothing.
     Unhealthy,
-    /// Another life of a machine answers at the address.
+    /// Another life of an instance answers at the address.
     WrongInstance,
     /// The endpoint refused the order as malformed.
     Malformed,
@@ -158,16 +158,16 @@
     virtual void ask(const TaskName& step, std::vector<std::string> endpoints, TimePoint deadline, std::function<void(AdviceReply)> handler) = 0;
 };
 
-enum class MachineState : uint8_t { Up,
+enum class InstanceState : uint8_t { Up,
     Moving,
     Maintenance,
     Down,
-    MachineStateCount };
+    InstanceStateCount };
 
-struct Machine {
+struct Instance {
     std::string name;
     std::string pool;
-    MachineState state = MachineState::Down;
+    InstanceState state = InstanceState::Down;
     std::string availabilityZone;
     Resources capacity;
     std::vector<std::string> labels;
@@ -175,33 +175,33 @@
     std::string endpoint;
 };
 
-enum class MachineOrderStatus : uint8_t {
+enum class InstanceOrderStatus : uint8_t {
     Accepted,
     Fenced,
-    /// The machine is not up, or is leaving.
+    /// The instance is not up, or is leaving.
     Busy,
-    /// The machine is not part of the wave.
+    /// The instance is not part of the wave.
     NotOfWave,
-    /// No such machine, or the pool takes other machines.
+    /// No such instance, or the pool takes other instances.
     Impossible,
     /// Too many calls from all of the system's instances.
     RateLimited,
     NotSent,
     Unknown,
-    MachineOrderStatusCount,
+    InstanceOrderStatusCount,
 };
 
-std::string_view machineOrderStatusName(MachineOrderStatus status);
+std::string_view instanceOrderStatusName(InstanceOrderStatus status);
 
-/// The platform that owns the machines.
-class MachineService {
+/// The platform that owns the instances.
+class InstanceService {
 public:
-    virtual ~MachineService() = default;
-    /// Reads one page of the machines.
+    virtual ~InstanceService() = default;
+    /// Reads one page of the instances.
     /// @param pageToken empty for the first page.
-    virtual void list(const std::string& pageToken, TimePoint deadline, std::function<void(std::optional<std::vector<Machine>>, std::string nextPage)> handler) = 0;
-    virtual void move(const std::string& machine, const std::string& pool, uint64_t fencingToken, TimePoint deadline, std::function<void(MachineOrderStatus)> handler) = 0;
-    virtual void maintain(const std::string& machine, uint64_t wave, uint64_t fencingToken, TimePoint deadline, std::function<void(MachineOrderStatus)> handler) = 0;
+    virtual void list(const std::string& pageToken, TimePoint deadline, std::function<void(std::optional<std::vector<Instance>>, std::string nextPage)> handler) = 0;
+    virtual void move(const std::string& instance, const std::string& pool, uint64_t fencingToken, TimePoint deadline, std::function<void(InstanceOrderStatus)> handler) = 0;
+    virtual void maintain(const std::string& instance, uint64_t wave, uint64_t fencingToken, TimePoint deadline, std::function<void(InstanceOrderStatus)> handler) = 0;
 };
 
 } // namespace vanillalift::jobs
--- a/include/vanillalift/job.h
+++ b/include/vanillalift/job.h
@@ -126,7 +126,7 @@
     uint32_t maxConnections = 0;
     /// The endpoints refuse what does not fit; else their capacity is ours to keep.
     bool refusesOverload = false;
-    /// The pool's machines are off and not paid for.
+    /// The pool's instances are off and not paid for.
     bool isSpare = false;
 
     MSGPACK_DEFINE(name, healthPath, maxConnections, refusesOverload, isSpare)
@@ -163,7 +163,7 @@
     [[nodiscard]] const Workspace* workspaceOfKey(std::string_view key) const;
 };
 
-/// One life of a machine that runs tasks.
+/// One life of an instance that runs tasks.
 struct Endpoint {
     std::string id;
     /// Unix time of its start in milliseconds: tells two lives under one id apart.
@@ -172,7 +172,7 @@
     /// "ip:port".
     std::string address;
     std::string availabilityZone;
-    std::string machine;
+    std::string instance;
     std::string rack;
     std::vector<std::string> labels;
     Resources capacity;
@@ -180,7 +180,7 @@
     /// An earlier life had the same id: orders meant for it, with leases by its clock, may have reached this one.
     bool isReborn = false;
 
-    MSGPACK_DEFINE(id, bornMs, service, address, availabilityZone, machine, rack, labels, capacity, isDraining, isReborn)
+    MSGPACK_DEFINE(id, bornMs, service, address, availabilityZone, instance, rack, labels, capacity, isDraining, isReborn)
     bool operator==(const Endpoint&) const = default;
 };
 
@@ -246,15 +246,15 @@
     JobPhaseCount,
 };
 
-/// A maintenance wave: machines that each have to be taken down once.
+/// A maintenance wave: instances that each have to be taken down once.
 struct Wave {
     uint64_t number = 0;
-    std::vector<std::string> machines;
+    std::vector<std::string> instances;
     /// Unix time by which all are due, in milliseconds.
     int64_t dueAtMs = 0;
     uint32_t maxAtOnce = 1;
 
-    MSGPACK_DEFINE(number, machines, dueAtMs, maxAtOnce)
+    MSGPACK_DEFINE(number, instances, dueAtMs, maxAtOnce)
 };
 
 } // namespace vanillalift::jobs
--- a/src/jobs/dispatcher_orders.cpp
+++ b/src/jobs/dispatcher_orders.cpp
@@ -76,7 +76,8 @@
     auto now = m_clock.now();
     HoldOrder order;
     order.fencingToken = m_desc.term;
-    order.recordedThrough = session.endsRecorded;
+    // Told once: a later life under the same id counts its ends anew, and would forget ends that nobody has seen.
+    order.recordedThrough = session.endsRecorded > session.endsForgotten ? session.endsRecorded : 0;
     // An endpoint that does not answer gets no longer lease: its tasks have to end before they run elsewhere.
     if (session.isConfirmed && session.unansweredHolds == 0) {
         order.leaseUntilMs = grantLease(session);
@@ -87,11 +88,15 @@
     session.holdSentAt = now;
     m_stats.holdsSent++;
     auto deadline = now + std::chrono::milliseconds(order.waitMs) + config::holdTimeout;
-    session.link->hold(order, deadline, [this, id = session.endpoint.id, now, isAlive = m_isAlive](const HoldReply& reply) {
+    auto handle = [this, id = session.endpoint.id, born = session.endpoint.bornMs, forgotten = order.recordedThrough, now, isAlive = m_isAlive](const HoldReply& reply) {
         auto* session = *isAlive ? findSession(id) : nullptr;
-        if (session)
-            receiveHold(*session, now, reply);
-    });
+        if (!session)
+            return;
+        if (reply.status == OrderStatus::Accepted && session->endpoint.bornMs == born)
+            session->endsForgotten = std::max(session->endsForgotten, forgotten);
+        receiveHold(*session, now, reply);
+    };
+    session.link->hold(order, deadline, std::move(handle));
 }
 
 void Dispatcher::receiveHold(EndpointSession& session, TimePoint sentAt, const HoldReply& reply)
--- a/src/jobs/endpoint_session.cpp
+++ b/src/jobs/endpoint_session.cpp
@@ -15,9 +15,9 @@
     return names.at(static_cast<size_t>(status));
 }
 
-std::string_view machineOrderStatusName(MachineOrderStatus status)
+std::string_view instanceOrderStatusName(InstanceOrderStatus status)
 {
-    constexpr std::array<std::string_view, static_cast<size_t>(MachineOrderStatus::MachineOrderStatusCount)> names {
+    constexpr std::array<std::string_view, static_cast<size_t>(InstanceOrderStatus::InstanceOrderStatusCount)> names {
         "accepted", "fenced", "busy", "not-of-wave", "impossible", "rate-limited", "not-sent", "unknown"
     };
     return names.at(static_cast<size_t>(status));
@@ -57,6 +57,7 @@
     lastBeatSequence = 0;
     endsSeen = 0;
     endsRecorded = 0;
+    endsForgotten = 0;
     failuresInRow = 0;
     suspectUntil = {};
     speed = 1;
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -100,13 +100,15 @@
     /// Highest number of an end that was processed, and up to which all ends are recorded.
     uint64_t endsSeen = 0;
     uint64_t endsRecorded = 0;
+    /// Up to which an answered request has told the endpoint to forget its ends.
+    uint64_t endsForgotten = 0;
     uint32_t endsWaiting = 0;
     /// Failures in a row, and until when no task is placed because of them.
     uint32_t failuresInRow = 0;
     TimePoint suspectUntil;
     /// Ratio of declared to seen run times, 1 for as declared.
     double speed = 1;
-    /// A wave or a move will take the machine down.
+    /// A wave or a move will take the instance down.
     bool isLeaving = false;
     bool isRemovalOut = false;
 
--- a/src/jobs/machine_keeper.cpp
+++ b/src/jobs/instance_keeper.cpp
@@ -1,4 +1,4 @@
-#include "machine_keeper_p.h"
+#include "instance_keeper_p.h"
 
 #include "core/event_log_p.h"
 
@@ -12,7 +12,7 @@
 
     constexpr std::chrono::milliseconds tickInterval { 50 };
     constexpr std::chrono::milliseconds readInterval { 800 };
-    /// Readings while no wave is open: they only tell which machines are spare.
+    /// Readings while no wave is open: they only tell which instances are spare.
     constexpr std::chrono::milliseconds calmReadInterval { 2500 };
     constexpr std::chrono::milliseconds readTimeout { 3000 };
     constexpr std::chrono::milliseconds callTimeout { 3000 };
@@ -22,7 +22,7 @@
 
 } // namespace
 
-MachineKeeper::MachineKeeper(MachineKeeperDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, MachineService& service, std::function<void(Command)> propose, const Clock& clock, EventLog& log)
+InstanceKeeper::InstanceKeeper(InstanceKeeperDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, InstanceService& service, std::function<void(Command)> propose, const Clock& clock, EventLog& log)
     : m_desc(desc)
     , m_term(term)
     , m_store(store)
@@ -35,9 +35,9 @@
 {
 }
 
-MachineKeeper::~MachineKeeper() { *m_isAlive = false; }
+InstanceKeeper::~InstanceKeeper() { *m_isAlive = false; }
 
-bool MachineKeeper::takeCall()
+bool InstanceKeeper::takeCall()
 {
     auto now = m_clock.now();
     auto rate = m_desc.callsPerSecond * rateShare;
@@ -49,7 +49,7 @@
     return true;
 }
 
-void MachineKeeper::tick()
+void InstanceKeeper::tick()
 {
     auto now = m_clock.now();
     if (!m_desc.isEnabled || now < m_nextTickAt)
@@ -58,7 +58,7 @@
     bool hasOpenWave = std::any_of(m_store.waves().begin(), m_store.waves().end(), [](const auto& it) { return !it.second.isComplete(); });
     bool isReadingDue = now >= m_nextReadAt + (hasOpenWave ? Duration::zero() : Duration(calmReadInterval));
     if (!m_isReading && (isReadingDue || !m_hasRead))
-        readMachines();
+        readInstances();
     if (!m_hasRead)
         return;
     for (const auto& [number, wave] : m_store.waves()) {
@@ -71,7 +71,7 @@
     updateLeaving();
 }
 
-void MachineKeeper::readMachines()
+void InstanceKeeper::readInstances()
 {
     if (!takeCall())
         return;
@@ -80,68 +80,68 @@
     readPage("", m_clock.now());
 }
 
-void MachineKeeper::readPage(const std::string& token, TimePoint sentAt)
+void InstanceKeeper::readPage(const std::string& token, TimePoint sentAt)
 {
-    m_service.list(token, m_clock.now() + readTimeout, [this, sentAt, isAlive = m_isAlive](std::optional<std::vector<Machine>> machines, const std::string& next) {
+    m_service.list(token, m_clock.now() + readTimeout, [this, sentAt, isAlive = m_isAlive](std::optional<std::vector<Instance>> instances, const std::string& next) {
         if (!*isAlive)
             return;
         auto now = m_clock.now();
-        if (!machines) {
+        if (!instances) {
             m_isReading = false;
             m_nextReadAt = now + readInterval;
-            m_log.line("machines-unread");
+            m_log.line("instances-unread");
             return;
         }
-        for (auto& it : *machines)
+        for (auto& it : *instances)
             m_reading[it.name] = std::move(it);
         if (!next.empty())
             return readPage(next, sentAt);
         m_isReading = false;
         m_hasRead = true;
         m_nextReadAt = now + readInterval;
-        m_machines.clear();
+        m_instances.clear();
         for (auto& [name, it] : std::exchange(m_reading, {}))
-            m_machines[name] = { std::move(it), sentAt };
+            m_instances[name] = { std::move(it), sentAt };
     });
 }
 
-const Endpoint* MachineKeeper::endpointOf(const std::string& machine) const
+const Endpoint* InstanceKeeper::endpointOf(const std::string& instance) const
 {
     for (const auto& [id, it] : m_store.endpoints()) {
-        if (it.machine == machine)
+        if (it.instance == instance)
             return &it;
     }
-    auto known = m_machines.find(machine);
-    return known == m_machines.end() ? nullptr : m_store.findEndpoint(known->second.machine.endpoint);
+    auto known = m_instances.find(instance);
+    return known == m_instances.end() ? nullptr : m_store.findEndpoint(known->second.instance.endpoint);
 }
 
-const EndpointSession* MachineKeeper::sessionOf(const std::string& machine) const
+const EndpointSession* InstanceKeeper::sessionOf(const std::string& instance) const
 {
-    const auto* endpoint = endpointOf(machine);
+    const auto* endpoint = endpointOf(instance);
     if (!endpoint)
         return nullptr;
     auto it = m_dispatcher.sessions().find(endpoint->id);
     return it == m_dispatcher.sessions().end() ? nullptr : it->second.get();
 }
 
-WaveMachine MachineKeeper::describe(const WaveState& wave, const std::string& name)
+WaveInstance InstanceKeeper::describe(const WaveState& wave, const std::string& name)
 {
-    WaveMachine described;
+    WaveInstance described;
     described.name = name;
     auto& progress = m_progress[{ wave.wave.number, name }];
-    auto known = m_machines.find(name);
+    auto known = m_instances.find(name);
     bool isMaintained = wave.isMaintained(name);
     bool isOrdered = progress.isCallOut || wave.isIntended(name);
     described.isBegun = isMaintained || isOrdered;
-    if (isMaintained && !progress.isBack && known != m_machines.end()) {
+    if (isMaintained && !progress.isBack && known != m_instances.end()) {
         bool isNewer = known->second.readAt > progress.acceptedAt;
-        progress.isBack = isNewer && known->second.machine.state == MachineState::Up;
+        progress.isBack = isNewer && known->second.instance.state == InstanceState::Up;
     }
-    // A machine that is no longer listed has left for good.
-    if (known == m_machines.end() && isMaintained)
+    // An instance that is no longer listed has left for good.
+    if (known == m_instances.end() && isMaintained)
         progress.isBack = true;
     described.isDown = (isMaintained && !progress.isBack) || (isOrdered && !isMaintained);
-    described.isBlocked = known != m_machines.end() && known->second.machine.state != MachineState::Up && known->second.machine.state != MachineState::Down;
+    described.isBlocked = known != m_instances.end() && known->second.instance.state != InstanceState::Up && known->second.instance.state != InstanceState::Down;
     described.isDraining = progress.drainingSince != TimePoint {};
     described.drainingSince = progress.drainingSince;
     if (const auto* session = sessionOf(name)) {
@@ -157,46 +157,46 @@
     return described;
 }
 
-void MachineKeeper::serveWave(const WaveState& wave)
+void InstanceKeeper::serveWave(const WaveState& wave)
 {
     auto now = m_clock.now();
-    std::vector<WaveMachine> machines;
-    for (const auto& name : wave.wave.machines)
-        machines.push_back(describe(wave, name));
+    std::vector<WaveInstance> instances;
+    for (const auto& name : wave.wave.instances)
+        instances.push_back(describe(wave, name));
     WaveTimes times;
     times.dueAt = now + std::chrono::milliseconds(wave.wave.dueAtMs - wallClockMs());
     times.maintenance = m_desc.maintenance;
     times.maxAtOnce = wave.wave.maxAtOnce;
-    auto steps = planWave(machines, times, now);
+    auto steps = planWave(instances, times, now);
     for (auto n : steps.drain) {
-        m_progress[{ wave.wave.number, machines[n].name }].drainingSince = now;
-        m_log.line("wave-drain").field("wave", wave.wave.number).field("machine", machines[n].name).field("runs", machines[n].runs);
+        m_progress[{ wave.wave.number, instances[n].name }].drainingSince = now;
+        m_log.line("wave-drain").field("wave", wave.wave.number).field("instance", instances[n].name).field("runs", instances[n].runs);
     }
     for (auto n : steps.maintain)
-        beginMaintenance(wave, machines[n].name);
-    for (const auto& it : machines) {
+        beginMaintenance(wave, instances[n].name);
+    for (const auto& it : instances) {
         if (it.isDraining && !it.isBegun)
-            emptyMachine(it.name, false);
+            emptyInstance(it.name, false);
         // The answer to an earlier order is missing, or an earlier leader's is.
         if (it.isBegun && !wave.isMaintained(it.name))
             callMaintenance(wave.wave.number, it.name);
     }
     for (auto n : steps.force)
-        emptyMachine(machines[n].name, true);
+        emptyInstance(instances[n].name, true);
 }
 
-void MachineKeeper::beginMaintenance(const WaveState& wave, const std::string& name)
+void InstanceKeeper::beginMaintenance(const WaveState& wave, const std::string& name)
 {
     auto& progress = m_progress[{ wave.wave.number, name }];
     if (progress.isCallOut)
         return;
-    // On record before the call: a later leader has to count the machine as down.
+    // On record before the call: a later leader has to count the instance as down.
     progress.isCallOut = true;
-    m_log.line("wave-maintain").field("wave", wave.wave.number).field("machine", name);
+    m_log.line("wave-maintain").field("wave", wave.wave.number).field("instance", name);
     m_propose(IntendMaintenance { wave.wave.number, name });
 }
 
-void MachineKeeper::callMaintenance(uint64_t wave, const std::string& name)
+void InstanceKeeper::callMaintenance(uint64_t wave, const std::string& name)
 {
     auto now = m_clock.now();
     auto& progress = m_progress[{ wave, name }];
@@ -204,15 +204,15 @@
     if (state == m_store.waves().end() || !state->second.isIntended(name) || now < progress.nextCallAt || !takeCall())
         return;
     progress.nextCallAt = now + callTimeout + callRetry;
-    m_service.maintain(name, wave, m_term, now + callTimeout, [this, wave, name, isAlive = m_isAlive](MachineOrderStatus status) {
+    m_service.maintain(name, wave, m_term, now + callTimeout, [this, wave, name, isAlive = m_isAlive](InstanceOrderStatus status) {
         if (!*isAlive)
             return;
         auto now = m_clock.now();
         auto& progress = m_progress[{ wave, name }];
-        m_log.line("wave-order").field("wave", wave).field("machine", name).field("status", machineOrderStatusName(status));
-        if (status == MachineOrderStatus::Accepted || status == MachineOrderStatus::Impossible || status == MachineOrderStatus::NotOfWave) {
+        m_log.line("wave-order").field("wave", wave).field("instance", name).field("status", instanceOrderStatusName(status));
+        if (status == InstanceOrderStatus::Accepted || status == InstanceOrderStatus::Impossible || status == InstanceOrderStatus::NotOfWave) {
             progress.acceptedAt = now;
-            progress.isBack = status != MachineOrderStatus::Accepted;
+            progress.isBack = status != InstanceOrderStatus::Accepted;
             m_propose(MarkMaintained { wave, name });
             return;
         }
@@ -220,7 +220,7 @@
     });
 }
 
-bool MachineKeeper::mayStop(const Run& run) const
+bool InstanceKeeper::mayStop(const Run& run) const
 {
     const auto* job = m_store.findJob(run.jobId);
     // Whether it is at work is known with a lag only, so each lasting run counts as being so.
@@ -248,7 +248,7 @@
     return away < step.maxUnavailable;
 }
 
-void MachineKeeper::emptyMachine(const std::string& name, bool isForced)
+void InstanceKeeper::emptyInstance(const std::string& name, bool isForced)
 {
     const auto* session = sessionOf(name);
     if (!session)
@@ -268,7 +268,7 @@
     }
 }
 
-void MachineKeeper::updateLeaving()
+void InstanceKeeper::updateLeaving()
 {
     std::set<std::string> leaving;
     for (const auto& [key, progress] : m_progress) {
--- a/src/jobs/machine_keeper_p.h
+++ b/src/jobs/instance_keeper_p.h
@@ -12,7 +12,7 @@
 
 namespace vanillalift::jobs {
 
-struct MachineKeeperDesc {
+struct InstanceKeeperDesc {
     /// Whether there is a platform to call.
     bool isEnabled = false;
     Duration maintenance = std::chrono::seconds(2);
@@ -21,18 +21,18 @@
     double callsPerSecond = 1;
 };
 
-/// The leader's work on machines: carries maintenance waves through, and moves machines between pools. Exists for one
+/// The leader's work on instances: carries maintenance waves through, and moves instances between pools. Exists for one
 /// term.
-class MachineKeeper {
+class InstanceKeeper {
 public:
-    MachineKeeper(MachineKeeperDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, MachineService& service, std::function<void(Command)> propose, const Clock& clock, EventLog& log);
-    ~MachineKeeper();
+    InstanceKeeper(InstanceKeeperDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, InstanceService& service, std::function<void(Command)> propose, const Clock& clock, EventLog& log);
+    ~InstanceKeeper();
 
     void tick();
 
 private:
     struct Known {
-        Machine machine;
+        Instance instance;
         /// When the reading that told this was sent.
         TimePoint readAt;
     };
@@ -42,13 +42,13 @@
         TimePoint nextCallAt;
         /// When the platform accepted the order; the epoch before.
         TimePoint acceptedAt;
-        /// The machine has been seen up after the order.
+        /// The instance has been seen up after the order.
         bool isBack = false;
     };
 
     /// A move that is planned or ordered.
     struct Move {
-        /// Empty while the machine is only emptied.
+        /// Empty while the instance is only emptied.
         std::string pool;
         std::string from;
         bool isCallOut = false;
@@ -59,33 +59,33 @@
 
     void servePools();
     std::vector<Pool> describePools();
-    std::vector<PoolMachine> describeMachines(const std::vector<Pool>& pools);
+    std::vector<PoolInstance> describeInstances(const std::vector<Pool>& pools);
     void callMove(const std::string& name);
     void settleMoves();
-    [[nodiscard]] bool isInOpenWave(const std::string& machine) const;
-    void readMachines();
+    [[nodiscard]] bool isInOpenWave(const std::string& instance) const;
+    void readInstances();
     void readPage(const std::string& token, TimePoint sentAt);
     void serveWave(const WaveState& wave);
-    WaveMachine describe(const WaveState& wave, const std::string& name);
+    WaveInstance describe(const WaveState& wave, const std::string& name);
     void beginMaintenance(const WaveState& wave, const std::string& name);
     void callMaintenance(uint64_t wave, const std::string& name);
-    void emptyMachine(const std::string& name, bool isForced);
+    void emptyInstance(const std::string& name, bool isForced);
     [[nodiscard]] bool mayStop(const Run& run) const;
-    [[nodiscard]] const Endpoint* endpointOf(const std::string& machine) const;
-    [[nodiscard]] const EndpointSession* sessionOf(const std::string& machine) const;
+    [[nodiscard]] const Endpoint* endpointOf(const std::string& instance) const;
+    [[nodiscard]] const EndpointSession* sessionOf(const std::string& instance) const;
     bool takeCall();
     void updateLeaving();
 
-    MachineKeeperDesc m_desc;
+    InstanceKeeperDesc m_desc;
     uint64_t m_term;
     JobStore& m_store;
     Dispatcher& m_dispatcher;
-    MachineService& m_service;
+    InstanceService& m_service;
     std::function<void(Command)> m_propose;
     const Clock& m_clock;
     EventLog& m_log;
-    std::map<std::string, Known> m_machines;
-    std::map<std::string, Machine> m_reading;
+    std::map<std::string, Known> m_instances;
+    std::map<std::string, Instance> m_reading;
     bool m_hasRead = false;
     bool m_isReading = false;
     TimePoint m_nextReadAt;
@@ -94,7 +94,7 @@
     std::map<std::string, Move> m_moves;
     std::map<std::string, TimePoint> m_idleSince;
     TurnForecast m_forecast;
-    /// Work has arrived in this term: until then, idle machines say nothing about demand.
+    /// Work has arrived in this term: until then, idle instances say nothing about demand.
     bool m_hasDemand = false;
     TimePoint m_nextPoolPlanAt;
     TimePoint m_nextPoolLogAt;
--- a/src/jobs/machine_keeper_pools.cpp
+++ b/src/jobs/instance_keeper_pools.cpp
@@ -1,4 +1,4 @@
-#include "machine_keeper_p.h"
+#include "instance_keeper_p.h"
 
 #include "core/event_log_p.h"
 
@@ -19,47 +19,47 @@
     /// A move counts as under way for this much longer than the platform says: the new life has to report itself.
     constexpr std::chrono::milliseconds moveMargin { 2500 };
 
-    /// @returns the larger of the shares of processors and memory, in machines.
-    double inMachines(const Resources& amount, const Resources& machine)
+    /// @returns the larger of the shares of processors and memory, in instances.
+    double inInstances(const Resources& amount, const Resources& instance)
     {
         auto share = [](int64_t part, int64_t whole) { return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0; };
-        return std::max(share(amount.cpu, machine.cpu), share(amount.memory, machine.memory));
+        return std::max(share(amount.cpu, instance.cpu), share(amount.memory, instance.memory));
     }
 
 } // namespace
 
-bool MachineKeeper::isInOpenWave(const std::string& machine) const
+bool InstanceKeeper::isInOpenWave(const std::string& instance) const
 {
     return std::any_of(m_store.waves().begin(), m_store.waves().end(), [&](const auto& it) {
         const auto& wave = it.second;
-        if (std::find(wave.wave.machines.begin(), wave.wave.machines.end(), machine) == wave.wave.machines.end())
+        if (std::find(wave.wave.instances.begin(), wave.wave.instances.end(), instance) == wave.wave.instances.end())
             return false;
         // Once ordered down, until it has been seen up again.
-        auto progress = m_progress.find({ it.first, machine });
-        bool isUnderWay = wave.isIntended(machine) || (progress != m_progress.end() && progress->second.drainingSince != TimePoint {});
-        bool isBack = wave.isMaintained(machine) && progress != m_progress.end() && progress->second.isBack;
+        auto progress = m_progress.find({ it.first, instance });
+        bool isUnderWay = wave.isIntended(instance) || (progress != m_progress.end() && progress->second.drainingSince != TimePoint {});
+        bool isBack = wave.isMaintained(instance) && progress != m_progress.end() && progress->second.isBack;
         return isUnderWay && !isBack && !wave.isComplete();
     });
 }
 
-std::vector<Pool> MachineKeeper::describePools()
+std::vector<Pool> InstanceKeeper::describePools()
 {
-    Resources machine;
-    for (const auto& [name, it] : m_machines) {
-        machine.cpu = std::max(machine.cpu, it.machine.capacity.cpu);
-        machine.memory = std::max(machine.memory, it.machine.capacity.memory);
+    Resources instance;
+    for (const auto& [name, it] : m_instances) {
+        instance.cpu = std::max(instance.cpu, it.instance.capacity.cpu);
+        instance.memory = std::max(instance.memory, it.instance.capacity.memory);
     }
     auto loads = m_dispatcher.loads();
     std::vector<Pool> pools;
     for (const auto& it : m_store.catalog().services) {
         Pool pool { it.name, it.isSpare, {} };
         const auto& load = loads[it.name];
-        pool.load.lasting = inMachines(load.lasting, machine);
+        pool.load.lasting = inInstances(load.lasting, instance);
         pool.load.lastingWaiting = load.lastingWaiting;
-        pool.load.running = inMachines(load.running, machine);
-        pool.load.limited = inMachines(load.limited, machine);
-        pool.load.runnable = inMachines(load.running + load.ready, machine);
-        auto arriving = inMachines(load.arriving, machine);
+        pool.load.running = inInstances(load.running, instance);
+        pool.load.limited = inInstances(load.limited, instance);
+        pool.load.runnable = inInstances(load.running + load.ready, instance);
+        auto arriving = inInstances(load.arriving, instance);
         if (!m_hasDemand && arriving > 0) {
             m_hasDemand = true;
             // What was idle before says nothing about the demand that begins now.
@@ -68,23 +68,23 @@
         pool.load.isRising = load.isRising;
         m_forecast.observe(it.name, arriving, m_clock.now());
         pool.load.arriving = std::max(arriving, m_forecast.expected(it.name, m_clock.now()));
-        pool.load.backlogSeconds = inMachines(load.backlog, machine);
+        pool.load.backlogSeconds = inInstances(load.backlog, instance);
         pool.load.backlogWithin = std::max(load.objectiveSeconds * backlogShare, 0.5);
         pools.push_back(std::move(pool));
     }
     return pools;
 }
 
-std::vector<PoolMachine> MachineKeeper::describeMachines(const std::vector<Pool>& pools)
+std::vector<PoolInstance> InstanceKeeper::describeInstances(const std::vector<Pool>& pools)
 {
     auto now = m_clock.now();
-    std::vector<PoolMachine> machines;
-    for (const auto& [name, known] : m_machines) {
+    std::vector<PoolInstance> instances;
+    for (const auto& [name, known] : m_instances) {
         auto move = m_moves.find(name);
         const auto* session = sessionOf(name);
-        PoolMachine described;
+        PoolInstance described;
         described.name = name;
-        auto poolName = known.machine.pool;
+        auto poolName = known.instance.pool;
         if (move != m_moves.end() && !move->second.pool.empty())
             poolName = move->second.pool;
         else if (session)
@@ -95,48 +95,48 @@
         described.pool = static_cast<size_t>(pool - pools.begin());
         described.isArriving = move != m_moves.end() && !move->second.pool.empty();
         described.isLeaving = move != m_moves.end() && move->second.pool.empty();
-        bool isUp = known.machine.state == MachineState::Up || (pool->isSpare && known.machine.state == MachineState::Down);
+        bool isUp = known.instance.state == InstanceState::Up || (pool->isSpare && known.instance.state == InstanceState::Down);
         described.isIdle = pool->isSpare || (session && session->runs.empty() && session->isConfirmed);
         described.isAway = (!pool->isSpare && !isUp && !described.isArriving) || isInOpenWave(name);
         described.isFixed = !isUp || isInOpenWave(name) || (session && session->endpoint.isDraining) || (!session && !pool->isSpare);
         if (session) {
             for (const auto& [key, run] : session->runs)
                 described.isFixed = described.isFixed || run.isLasting;
-            described.load = inMachines(session->used, session->endpoint.capacity);
+            described.load = inInstances(session->used, session->endpoint.capacity);
         }
         auto [idle, isNew] = m_idleSince.try_emplace(name, now);
         if (!described.isIdle)
             idle->second = now;
         described.idleSince = idle->second;
-        machines.push_back(std::move(described));
+        instances.push_back(std::move(described));
     }
-    return machines;
+    return instances;
 }
 
-void MachineKeeper::servePools()
+void InstanceKeeper::servePools()
 {
     auto now = m_clock.now();
     m_nextPoolPlanAt = now + poolPlanInterval;
     auto pools = describePools();
-    auto machines = describeMachines(pools);
-    auto steps = planPools(pools, machines, m_hasDemand, now);
+    auto instances = describeInstances(pools);
+    auto steps = planPools(pools, instances, m_hasDemand, now);
     if (now >= m_nextPoolLogAt) {
         m_nextPoolLogAt = now + poolLogInterval;
         for (size_t n = 0; n < pools.size(); n++) {
-            auto count = [&](auto test) { return std::count_if(machines.begin(), machines.end(), [&](const PoolMachine& it) { return it.pool == n && test(it); }); };
-            m_log.stateLine("pool").field("pool", pools[n].name).field("wanted", machinesWanted(pools[n].load)).field("machines", count([](const auto&) { return true; })).field("idle", count([](const auto& it) { return it.isIdle; })).field("fixed", count([](const auto& it) { return it.isFixed; })).field("arriving", pools[n].load.arriving).field("runnable", pools[n].load.runnable).field("backlog", pools[n].load.backlogSeconds).field("lasting", pools[n].load.lasting).field("limited", pools[n].load.limited);
+            auto count = [&](auto test) { return std::count_if(instances.begin(), instances.end(), [&](const PoolInstance& it) { return it.pool == n && test(it); }); };
+            m_log.stateLine("pool").field("pool", pools[n].name).field("wanted", instancesWanted(pools[n].load)).field("instances", count([](const auto&) { return true; })).field("idle", count([](const auto& it) { return it.isIdle; })).field("fixed", count([](const auto& it) { return it.isFixed; })).field("arriving", pools[n].load.arriving).field("runnable", pools[n].load.runnable).field("backlog", pools[n].load.backlogSeconds).field("lasting", pools[n].load.lasting).field("limited", pools[n].load.limited);
         }
     }
     for (auto n : steps.keep)
-        m_moves.erase(machines[n].name);
+        m_moves.erase(instances[n].name);
     for (auto n : steps.release)
-        m_moves[machines[n].name].from = pools[machines[n].pool].name;
+        m_moves[instances[n].name].from = pools[instances[n].pool].name;
     for (const auto& it : steps.moves) {
-        const auto& machine = machines[it.machine];
-        auto& move = m_moves[machine.name];
-        move.from = pools[machine.pool].name;
+        const auto& instance = instances[it.instance];
+        auto& move = m_moves[instance.name];
+        move.from = pools[instance.pool].name;
         move.pool = pools[it.pool].name;
-        m_log.line("move").field("machine", machine.name).field("from", move.from).field("to", move.pool).field("wanted", machinesWanted(pools[it.pool].load)).field("arriving", pools[it.pool].load.arriving).field("backlog", pools[it.pool].load.backlogSeconds);
+        m_log.line("move").field("instance", instance.name).field("from", move.from).field("to", move.pool).field("wanted", instancesWanted(pools[it.pool].load)).field("arriving", pools[it.pool].load.arriving).field("backlog", pools[it.pool].load.backlogSeconds);
     }
     for (auto& [name, move] : m_moves) {
         if (!move.pool.empty() && !move.isAccepted && !move.isCallOut && now >= move.nextCallAt)
@@ -144,30 +144,30 @@
     }
 }
 
-void MachineKeeper::callMove(const std::string& name)
+void InstanceKeeper::callMove(const std::string& name)
 {
     if (!takeCall())
         return;
     auto& move = m_moves[name];
     move.isCallOut = true;
-    m_service.move(name, move.pool, m_term, m_clock.now() + callTimeout, [this, name, isAlive = m_isAlive](MachineOrderStatus status) {
+    m_service.move(name, move.pool, m_term, m_clock.now() + callTimeout, [this, name, isAlive = m_isAlive](InstanceOrderStatus status) {
         auto it = *isAlive ? m_moves.find(name) : m_moves.end();
         if (!*isAlive || it == m_moves.end())
             return;
         auto now = m_clock.now();
         auto& move = it->second;
         move.isCallOut = false;
-        m_log.line("move-order").field("machine", name).field("to", move.pool).field("status", machineOrderStatusName(status));
-        if (status == MachineOrderStatus::Accepted) {
+        m_log.line("move-order").field("instance", name).field("to", move.pool).field("status", instanceOrderStatusName(status));
+        if (status == InstanceOrderStatus::Accepted) {
             move.isAccepted = true;
             move.acceptedAt = now;
-            // The machine's earlier life has ended with the order.
+            // The instance's earlier life has ended with the order.
             const auto* endpoint = endpointOf(name);
             if (endpoint && endpoint->service == move.from)
                 m_propose(RemoveEndpoint { endpoint->id, endpoint->bornMs });
             return;
         }
-        if (status == MachineOrderStatus::Unknown || status == MachineOrderStatus::RateLimited) {
+        if (status == InstanceOrderStatus::Unknown || status == InstanceOrderStatus::RateLimited) {
             // It may have been carried out: the same order is given until it is answered.
             move.nextCallAt = now + callRetry;
             return;
@@ -176,17 +176,17 @@
     });
 }
 
-void MachineKeeper::settleMoves()
+void InstanceKeeper::settleMoves()
 {
     auto now = m_clock.now();
     for (auto it = m_moves.begin(); it != m_moves.end();) {
         const auto& [name, move] = *it;
-        auto known = m_machines.find(name);
+        auto known = m_instances.find(name);
         const auto* endpoint = endpointOf(name);
         const auto* pool = m_store.catalog().serviceNamed(move.pool);
         bool hasArrived = move.isAccepted && endpoint && endpoint->service == move.pool;
-        bool isSpareSeen = move.isAccepted && pool && pool->isSpare && known != m_machines.end() && known->second.readAt > move.acceptedAt + m_desc.move && known->second.machine.pool == move.pool;
-        bool isOverdue = move.isAccepted && now - move.acceptedAt > m_desc.move + moveMargin && known != m_machines.end() && known->second.readAt > move.acceptedAt + m_desc.move;
+        bool isSpareSeen = move.isAccepted && pool && pool->isSpare && known != m_instances.end() && known->second.readAt > move.acceptedAt + m_desc.move && known->second.instance.pool == move.pool;
+        bool isOverdue = move.isAccepted && now - move.acceptedAt > m_desc.move + moveMargin && known != m_instances.end() && known->second.readAt > move.acceptedAt + m_desc.move;
         if (hasArrived || isSpareSeen || isOverdue) {
             m_idleSince[name] = now;
             it = m_moves.erase(it);
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -46,14 +46,14 @@
 
 const Task* Job::findTask(const TaskKey& key) const { return const_cast<Job*>(this)->findTask(key); }
 
-bool WaveState::isIntended(std::string_view machine) const
+bool WaveState::isIntended(std::string_view instance) const
 {
-    return std::find(intended.begin(), intended.end(), machine) != intended.end();
+    return std::find(intended.begin(), intended.end(), instance) != intended.end();
 }
 
-bool WaveState::isMaintained(std::string_view machine) const
+bool WaveState::isMaintained(std::string_view instance) const
 {
-    return std::find(maintained.begin(), maintained.end(), machine) != maintained.end();
+    return std::find(maintained.begin(), maintained.end(), instance) != maintained.end();
 }
 
 void JobStore::apply(std::string_view entry)
@@ -83,10 +83,10 @@
     auto known = m_endpoints.find(added.id);
     if (known != m_endpoints.end() && added.bornMs < known->second.bornMs)
         return;
-    // A younger life at the address, or on the machine, proves that the older one has ended.
+    // A younger life at the address, or on the instance, proves that the older one has ended.
     std::vector<Endpoint> replaced;
     for (const auto& [id, it] : m_endpoints) {
-        bool isSamePlace = it.address == added.address || (!it.machine.empty() && it.machine == added.machine);
+        bool isSamePlace = it.address == added.address || (!it.instance.empty() && it.instance == added.instance);
         if (id == added.id || !isSamePlace)
             continue;
         if (it.bornMs > added.bornMs)
@@ -261,9 +261,9 @@
 void JobStore::apply(MarkMaintained& command)
 {
     auto it = m_waves.find(command.wave);
-    if (it == m_waves.end() || it->second.isMaintained(command.machine))
+    if (it == m_waves.end() || it->second.isMaintained(command.instance))
         return;
-    it->second.maintained.push_back(command.machine);
+    it->second.maintained.push_back(command.instance);
     if (m_observer)
         m_observer->onWave(it->second);
 }
@@ -271,8 +271,8 @@
 void JobStore::apply(IntendMaintenance& command)
 {
     auto it = m_waves.find(command.wave);
-    if (it != m_waves.end() && !it->second.isIntended(command.machine))
-        it->second.intended.push_back(command.machine);
+    if (it != m_waves.end() && !it->second.isIntended(command.instance))
+        it->second.intended.push_back(command.instance);
 }
 
 void JobStore::apply(ForgetJobs& command)
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -67,17 +67,17 @@
     Wave wave;
     MSGPACK_DEFINE(wave)
 };
-/// Written before the platform is asked to take the machine down.
+/// Written before the platform is asked to take the instance down.
 struct IntendMaintenance {
     uint64_t wave = 0;
-    std::string machine;
-    MSGPACK_DEFINE(wave, machine)
+    std::string instance;
+    MSGPACK_DEFINE(wave, instance)
 };
-/// The machine's maintenance has begun, or the machine has left for good.
+/// The instance's maintenance has begun, or the instance has left for good.
 struct MarkMaintained {
     uint64_t wave = 0;
-    std::string machine;
-    MSGPACK_DEFINE(wave, machine)
+    std::string instance;
+    MSGPACK_DEFINE(wave, instance)
 };
 /// Forgets finished jobs.
 struct ForgetJobs {
@@ -155,14 +155,14 @@
 
 struct WaveState {
     Wave wave;
-    /// Machines whose maintenance was ordered, with those whose maintenance has begun.
+    /// Instances whose maintenance was ordered, with those whose maintenance has begun.
     std::vector<std::string> intended;
     std::vector<std::string> maintained;
     MSGPACK_DEFINE(wave, intended, maintained)
 
-    [[nodiscard]] bool isIntended(std::string_view machine) const;
-    [[nodiscard]] bool isMaintained(std::string_view machine) const;
-    [[nodiscard]] bool isComplete() const { return maintained.size() >= wave.machines.size(); }
+    [[nodiscard]] bool isIntended(std::string_view instance) const;
+    [[nodiscard]] bool isMaintained(std::string_view instance) const;
+    [[nodiscard]] bool isComplete() const { return maintained.size() >= wave.instances.size(); }
 };
 
 struct ReplicaNote {
--- a/src/jobs/placement_p.h
+++ b/src/jobs/placement_p.h
@@ -20,7 +20,7 @@
     /// Lasting tasks there that serve callers with a latency bound.
     uint32_t servingRuns = 0;
     uint32_t fillerRuns = 0;
-    /// The machine will be taken down or moved soon.
+    /// The instance will be taken down or moved soon.
     bool isLeaving = false;
     /// Speed seen there compared with other endpoints, 1 for as fast.
     double speed = 1;
--- a/src/jobs/pool_plan.cpp
+++ b/src/jobs/pool_plan.cpp
@@ -7,15 +7,15 @@
 
 namespace {
 
-    /// Part of a machine that tasks of mixed sizes fill.
+    /// Part of an instance that tasks of mixed sizes fill.
     constexpr double packing = 0.85;
-    /// Arrivals of this many seconds are counted as runnable: a machine takes as long to move.
+    /// Arrivals of this many seconds are counted as runnable: an instance takes as long to move.
     constexpr double arrivalsAhead = 1.5;
-    /// Machines kept beyond the need of a pool that has work, against failures and short peaks.
+    /// Instances kept beyond the need of a pool that has work, against failures and short peaks.
     constexpr double reserve = 1;
-    /// An idle machine becomes spare after this time: two moves cost as much as about two seconds in a pool.
+    /// An idle instance becomes spare after this time: two moves cost as much as about two seconds in a pool.
     constexpr std::chrono::milliseconds idleBeforeSpare { 1200 };
-    /// A pool gives machines away once it has this many more than it wants: demand moves by itself as much.
+    /// A pool gives instances away once it has this many more than it wants: demand moves by itself as much.
     constexpr double surplusMargin = 0.5;
 
     struct Balance {
@@ -28,36 +28,36 @@
 
 } // namespace
 
-double machinesWanted(const PoolLoad& load)
+double instancesWanted(const PoolLoad& load)
 {
     auto work = std::max(load.arriving, load.backlogSeconds / std::max(load.backlogWithin, 0.1));
-    // Steps that wait for others, and workspaces at their limits, use no further machines.
+    // Steps that wait for others, and workspaces at their limits, use no further instances.
     work = std::min(work, load.runnable + load.arriving * arrivalsAhead);
     auto busy = load.lasting + work;
     auto wanted = busy > 0 ? std::ceil(busy / packing + reserve) : reserve;
     return wanted + (load.lastingWaiting > 0 ? reserve : 0);
 }
 
-PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolMachine> machines, bool mayRest, TimePoint now)
+PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolInstance> instances, bool mayRest, TimePoint now)
 {
     PoolSteps steps;
     std::vector<Balance> balance(pools.size());
     std::optional<size_t> sparePool;
     for (size_t n = 0; n < pools.size(); n++) {
-        balance[n].wanted = pools[n].isSpare ? 0 : machinesWanted(pools[n].load);
+        balance[n].wanted = pools[n].isSpare ? 0 : instancesWanted(pools[n].load);
         if (pools[n].isSpare)
             sparePool = n;
     }
-    for (const auto& it : machines) {
+    for (const auto& it : instances) {
         balance[it.pool].present += it.isAway ? 0 : 1;
         balance[it.pool].leaving += it.isLeaving && !it.isAway ? 1 : 0;
     }
-    std::vector<bool> isTaken(machines.size(), false);
+    std::vector<bool> isTaken(instances.size(), false);
     // A pool whose demand has come back keeps what it was about to give away.
-    for (size_t n = 0; n < machines.size(); n++) {
-        if (machines[n].isLeaving && balance[machines[n].pool].surplus() < 0) {
+    for (size_t n = 0; n < instances.size(); n++) {
+        if (instances[n].isLeaving && balance[instances[n].pool].surplus() < 0) {
             steps.keep.push_back(n);
-            balance[machines[n].pool].leaving--;
+            balance[instances[n].pool].leaving--;
             isTaken[n] = true;
         }
     }
@@ -77,13 +77,13 @@
             break;
         std::optional<size_t> chosen;
         double best = 0;
-        for (size_t n = 0; n < machines.size(); n++) {
-            const auto& it = machines[n];
+        for (size_t n = 0; n < instances.size(); n++) {
+            const auto& it = instances[n];
             bool isUsable = !isTaken[n] && it.isIdle && !it.isFixed && !it.isArriving && it.pool != neediest;
             bool mayGo = it.isLeaving || pools[it.pool].isSpare || balance[it.pool].surplus() >= 1 + surplusMargin;
             if (!isUsable || !mayGo)
                 continue;
-            // A machine that is paid for moves before one that is off.
+            // An instance that is paid for moves before one that is off.
             double rank = pools[it.pool].isSpare ? 1 : 2 + balance[it.pool].surplus();
             if (!chosen || rank > best) {
                 chosen = n;
@@ -92,7 +92,7 @@
         }
         if (!chosen)
             break;
-        const auto& it = machines[*chosen];
+        const auto& it = instances[*chosen];
         isTaken[*chosen] = true;
         if (it.isLeaving)
             balance[it.pool].leaving--;
@@ -101,32 +101,32 @@
         steps.moves.push_back({ *chosen, neediest });
     }
 
-    // Busy machines of pools with a surplus are emptied while another pool still lacks machines.
+    // Busy instances of pools with a surplus are emptied while another pool still lacks instances.
     double lacking = 0;
     for (size_t n = 0; n < pools.size(); n++)
         lacking += pools[n].isSpare ? 0 : std::max(0.0, -balance[n].surplus());
-    for (const auto& it : machines)
+    for (const auto& it : instances)
         lacking -= it.isLeaving ? 1 : 0;
     while (lacking >= 1) {
         std::optional<size_t> chosen;
-        for (size_t n = 0; n < machines.size(); n++) {
-            const auto& it = machines[n];
+        for (size_t n = 0; n < instances.size(); n++) {
+            const auto& it = instances[n];
             bool mayLeave = !isTaken[n] && !it.isFixed && !it.isArriving && !it.isLeaving && !it.isIdle && !pools[it.pool].isSpare && balance[it.pool].surplus() >= 1 + surplusMargin;
-            if (mayLeave && (!chosen || it.load < machines[*chosen].load))
+            if (mayLeave && (!chosen || it.load < instances[*chosen].load))
                 chosen = n;
         }
         if (!chosen)
             break;
         isTaken[*chosen] = true;
-        balance[machines[*chosen].pool].leaving++;
+        balance[instances[*chosen].pool].leaving++;
         steps.release.push_back(*chosen);
         lacking--;
     }
 
     if (!sparePool || !mayRest)
         return steps;
-    for (size_t n = 0; n < machines.size(); n++) {
-        const auto& it = machines[n];
+    for (size_t n = 0; n < instances.size(); n++) {
+        const auto& it = instances[n];
         bool isResting = !isTaken[n] && it.isIdle && !it.isFixed && !it.isArriving && !pools[it.pool].isSpare && !pools[it.pool].load.isRising && now - it.idleSince >= idleBeforeSpare;
         if (!isResting || balance[it.pool].surplus() < 1)
             continue;
--- a/src/jobs/pool_plan_p.h
+++ b/src/jobs/pool_plan_p.h
@@ -11,29 +11,29 @@
 
 namespace vanillalift::jobs {
 
-/// Work that a pool has to do, in units of one machine: a value of 2 keeps two machines busy.
+/// Work that a pool has to do, in units of one instance: a value of 2 keeps two instances busy.
 struct PoolLoad {
     /// Held by lasting tasks, which stay.
     double lasting = 0;
-    /// Lasting tasks that wait for a place: the pool's machines do not suit them.
+    /// Lasting tasks that wait for a place: the pool's instances do not suit them.
     size_t lastingWaiting = 0;
     /// Used by other tasks now, and by all that could run now.
     double running = 0;
     double runnable = 0;
-    /// Needed by tasks that wait for their workspaces' limits; more machines do not help them.
+    /// Needed by tasks that wait for their workspaces' limits; more instances do not help them.
     double limited = 0;
     /// Work that arrives, averaged over about a second.
     double arriving = 0;
-    /// Demand has begun a short while ago and may still grow: idle machines are kept.
+    /// Demand has begun a short while ago and may still grow: idle instances are kept.
     bool isRising = false;
-    /// Work that is accepted and not done, in machine-seconds.
+    /// Work that is accepted and not done, in instance-seconds.
     double backlogSeconds = 0;
     /// Time within which the backlog has to be done for its jobs to be on time, in seconds.
     double backlogWithin = 1;
 };
 
-/// A machine as the plan of pools sees it.
-struct PoolMachine {
+/// An instance as the plan of pools sees it.
+struct PoolInstance {
     std::string name;
     /// Index of its pool.
     size_t pool = 0;
@@ -55,31 +55,31 @@
 
 struct Pool {
     std::string name;
-    /// Machines of a spare pool are off and cost nothing.
+    /// Instances of a spare pool are off and cost nothing.
     bool isSpare = false;
     PoolLoad load;
 };
 
 struct PoolMove {
-    size_t machine = 0;
+    size_t instance = 0;
     size_t pool = 0;
 };
 
 struct PoolSteps {
     std::vector<PoolMove> moves;
-    /// Machines to empty, so that they can move.
+    /// Instances to empty, so that they can move.
     std::vector<size_t> release;
-    /// Machines that no longer have to leave.
+    /// Instances that no longer have to leave.
     std::vector<size_t> keep;
 };
 
-/// @returns machines that the pool needs.
-double machinesWanted(const PoolLoad& load);
+/// @returns instances that the pool needs.
+double instancesWanted(const PoolLoad& load);
 
-/// Plans moves of machines between pools, for queues whose demand peaks in turn: pools with more work than they have
-/// machines for take idle machines of pools that need fewer, spare ones last, and machines that stay idle become spare.
+/// Plans moves of instances between pools, for queues whose demand peaks in turn: pools with more work than they have
+/// instances for take idle instances of pools that need fewer, spare ones last, and instances that stay idle become spare.
 /// Lasting tasks are not moved.
-/// @param mayRest whether idle machines may become spare.
-PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolMachine> machines, bool mayRest, TimePoint now);
+/// @param mayRest whether idle instances may become spare.
+PoolSteps planPools(std::span<const Pool> pools, std::span<const PoolInstance> instances, bool mayRest, TimePoint now);
 
 } // namespace vanillalift::jobs
--- a/src/jobs/turn_forecast.cpp
+++ b/src/jobs/turn_forecast.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /// Arriving work of this many machines begins a turn, and this share of the last peak if that is more.
-    constexpr double onsetMachines = 2;
+    /// Arriving work of this many instances begins a turn, and this share of the last peak if that is more.
+    constexpr double onsetInstances = 2;
     constexpr double onsetShare = 0.3;
     /// A turn has ended once the arriving work is below this share of its peak.
     constexpr double endShare = 0.2;
@@ -25,7 +25,7 @@
 {
     auto& demand = m_demand[pool];
     if (!demand.isInTurn) {
-        if (arriving < std::max(onsetMachines, demand.peak * onsetShare))
+        if (arriving < std::max(onsetInstances, demand.peak * onsetShare))
             return;
         demand.isInTurn = true;
         demand.rising = arriving;
--- a/src/jobs/turn_forecast_p.h
+++ b/src/jobs/turn_forecast_p.h
@@ -7,14 +7,14 @@
 
 namespace vanillalift::jobs {
 
-/// Learns which pool's demand peaks after which, and how long after, where demand goes round in turns. A machine takes as
+/// Learns which pool's demand peaks after which, and how long after, where demand goes round in turns. An instance takes as
 /// long to move as a third of a peak lasts, so one that is moved when the peak shows comes late.
 class TurnForecast {
 public:
-    /// @param arriving work that arrives for the pool now, in machines.
+    /// @param arriving work that arrives for the pool now, in instances.
     void observe(const std::string& pool, double arriving, TimePoint now);
 
-    /// @returns the work expected for the pool shortly, in machines; 0 if no turn of it is due.
+    /// @returns the work expected for the pool shortly, in instances; 0 if no turn of it is due.
     [[nodiscard]] double expected(const std::string& pool, TimePoint now) const;
 
 private:
--- a/src/jobs/wave_plan.cpp
+++ b/src/jobs/wave_plan.cpp
@@ -7,26 +7,26 @@
 
 namespace {
 
-    /// Time that a machine takes beside its maintenance: the order, and until its next life takes work.
+    /// Time that an instance takes beside its maintenance: the order, and until its next life takes work.
     constexpr std::chrono::milliseconds turnover { 700 };
     /// A wave is planned to end this much before it is due.
     constexpr std::chrono::milliseconds reserve { 2000 };
-    /// Tasks are waited for no longer than this, even if there is time: the emptied rest of the machine is idle.
+    /// Tasks are waited for no longer than this, even if there is time: the emptied rest of the instance is idle.
     constexpr std::chrono::milliseconds maxDrain { 4000 };
-    /// Machines with lasting tasks that are emptied at the same time, beside others.
+    /// Instances with lasting tasks that are emptied at the same time, beside others.
     constexpr std::ptrdiff_t lastingAhead = 2;
     /// Part of the time that is left within which a wave is planned to end.
     constexpr double plannedShare = 0.45;
 
 } // namespace
 
-WaveSteps planWave(std::span<const WaveMachine> machines, const WaveTimes& times, TimePoint now)
+WaveSteps planWave(std::span<const WaveInstance> instances, const WaveTimes& times, TimePoint now)
 {
     WaveSteps steps;
     size_t down = 0;
     size_t draining = 0;
     size_t left = 0;
-    for (const auto& it : machines) {
+    for (const auto& it : instances) {
         down += it.isDown ? 1 : 0;
         draining += it.isDraining && !it.isBegun ? 1 : 0;
         left += it.isBegun ? 0 : 1;
@@ -36,7 +36,7 @@
     auto round = times.maintenance + turnover;
     auto rounds = (left + allowed - 1) / allowed;
     bool isLate = now + static_cast<int64_t>(rounds) * round + reserve >= times.dueAt;
-    // Machines that are down are missed when demand peaks: no more at once than the time asks for.
+    // Instances that are down are missed when demand peaks: no more at once than the time asks for.
     auto atOnce = allowed;
     if (!isLate) {
         auto spent = std::chrono::duration<double>(times.dueAt - now).count() * plannedShare;
@@ -45,8 +45,8 @@
     }
 
     std::vector<size_t> ready;
-    for (size_t n = 0; n < machines.size(); n++) {
-        const auto& it = machines[n];
+    for (size_t n = 0; n < instances.size(); n++) {
+        const auto& it = instances[n];
         if (it.isBegun || it.isBlocked || !it.isDraining)
             continue;
         if (it.runs == 0)
@@ -64,23 +64,23 @@
     // As many are emptied as can go down next; twice as many when time is short.
     auto ahead = isLate ? 2 * atOnce : atOnce;
     std::vector<size_t> waiting;
-    for (size_t n = 0; n < machines.size(); n++) {
-        if (!machines[n].isBegun && !machines[n].isDraining && !machines[n].isBlocked)
+    for (size_t n = 0; n < instances.size(); n++) {
+        if (!instances[n].isBegun && !instances[n].isDraining && !instances[n].isBlocked)
             waiting.push_back(n);
     }
     std::stable_sort(waiting.begin(), waiting.end(), [&](size_t left, size_t right) {
-        const auto& a = machines[left];
-        const auto& b = machines[right];
+        const auto& a = instances[left];
+        const auto& b = instances[right];
         if ((a.runs == 0) != (b.runs == 0))
             return a.runs == 0;
         if (a.lastingRuns != b.lastingRuns)
             return a.lastingRuns < b.lastingRuns;
         return a.load < b.load;
     });
-    // Lasting tasks leave one after the other, so their machines take longest: some are being emptied at any time.
-    auto isEmptiedOfLasting = [](const WaveMachine& it) { return it.isDraining && !it.isBegun && it.lastingRuns > 0; };
-    auto lastingDraining = std::count_if(machines.begin(), machines.end(), isEmptiedOfLasting);
-    while (lastingDraining < lastingAhead && !waiting.empty() && machines[waiting.back()].lastingRuns > 0) {
+    // Lasting tasks leave one after the other, so their instances take longest: some are being emptied at any time.
+    auto isEmptiedOfLasting = [](const WaveInstance& it) { return it.isDraining && !it.isBegun && it.lastingRuns > 0; };
+    auto lastingDraining = std::count_if(instances.begin(), instances.end(), isEmptiedOfLasting);
+    while (lastingDraining < lastingAhead && !waiting.empty() && instances[waiting.back()].lastingRuns > 0) {
         steps.drain.push_back(waiting.back());
         waiting.pop_back();
         lastingDraining++;
--- a/src/jobs/wave_plan_p.h
+++ b/src/jobs/wave_plan_p.h
@@ -9,8 +9,8 @@
 
 namespace vanillalift::jobs {
 
-/// A machine of a maintenance wave.
-struct WaveMachine {
+/// An instance of a maintenance wave.
+struct WaveInstance {
     std::string name;
     /// Its maintenance has begun, or is ordered and may have begun.
     bool isBegun = false;
@@ -36,16 +36,16 @@
     uint32_t maxAtOnce = 1;
 };
 
-/// What to do next for a wave, as indices into its machines.
+/// What to do next for a wave, as indices into its instances.
 struct WaveSteps {
     std::vector<size_t> drain;
     std::vector<size_t> maintain;
-    /// Machines whose tasks are stopped rather than waited for: the wave would end late.
+    /// Instances whose tasks are stopped rather than waited for: the wave would end late.
     std::vector<size_t> force;
 };
 
-/// Plans a wave so that it ends in time with the least work lost: machines that are idle or nearly so go first, machines
+/// Plans a wave so that it ends in time with the least work lost: instances that are idle or nearly so go first, instances
 /// are emptied while others are down, no more are away at once than the time asks for, and running tasks are stopped only if the wave would end late otherwise.
-WaveSteps planWave(std::span<const WaveMachine> machines, const WaveTimes& times, TimePoint now);
+WaveSteps planWave(std::span<const WaveInstance> instances, const WaveTimes& times, TimePoint now);
 
 } // namespace vanillalift::jobs
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -2,7 +2,7 @@
 
 #include "command_batcher_p.h"
 #include "job_service_p.h"
-#include "jobs/machine_keeper_p.h"
+#include "jobs/instance_keeper_p.h"
 #include "leader_client_p.h"
 #include "net/frame_link_p.h"
 #include "replica/log_driver_p.h"
@@ -26,14 +26,14 @@
     Duration retention = std::chrono::seconds(120);
     Duration maxLease = std::chrono::seconds(10);
     Duration stopTimeout = std::chrono::seconds(1);
-    jobs::MachineKeeperDesc machines;
+    jobs::InstanceKeeperDesc instances;
 };
 
 /// Outside systems that a controller calls; translated by an adapter.
 struct ControllerPeers {
     jobs::EndpointLinks* endpoints = nullptr;
     jobs::AdviceService* advice = nullptr;
-    jobs::MachineService* machines = nullptr;
+    jobs::InstanceService* instances = nullptr;
 };
 
 /// A controller: a replica of the state, and while it leads, the one that decides.
@@ -90,7 +90,7 @@
     CommandBatcher m_batcher;
     std::unique_ptr<LogDriver> m_driver;
     std::unique_ptr<jobs::Dispatcher> m_dispatcher;
-    std::unique_ptr<jobs::MachineKeeper> m_keeper;
+    std::unique_ptr<jobs::InstanceKeeper> m_keeper;
     std::unique_ptr<JobService> m_service;
     uint64_t m_leadTerm = 0;
     TimePoint m_nextStatusAt;
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -157,7 +157,7 @@
 
 void JobService::handle(PutWaveRequest& request, const Respond& respond)
 {
-    m_log.stateLine("wave").field("wave", request.wave.number).field("machines", request.wave.machines.size()).field("at-once", request.wave.maxAtOnce).field("due", request.wave.dueAtMs);
+    m_log.stateLine("wave").field("wave", request.wave.number).field("instances", request.wave.instances.size()).field("at-once", request.wave.maxAtOnce).field("due", request.wave.dueAtMs);
     if (m_store.waves().contains(request.wave.number))
         return respond(plain(ReplyStatus::Done));
     propose(PutWave { std::move(request.wave) }, respond);
--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -63,6 +63,13 @@
         if (found.size() < 20)
             found.push_back(what);
     }
+    [[nodiscard]] std::string text() const
+    {
+        std::string lines;
+        for (const auto& it : found)
+            lines += it + '\n';
+        return lines;
+    }
 };
 
 class SimEndpoint;
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -60,8 +60,8 @@
     }
     platform::HttpEndpointLinks endpoints(loop, clock);
     platform::HttpAdviceService advice(loop, clock, settings->advice);
-    platform::HttpMachineService machines(loop, clock, settings->machineService, settings->node);
-    node::Controller controller(loop, clock, log, settings->controller, { &endpoints, &advice, &machines }, std::move(*storage));
+    platform::HttpInstanceService instances(loop, clock, settings->instanceService, settings->node);
+    node::Controller controller(loop, clock, log, settings->controller, { &endpoints, &advice, &instances }, std::move(*storage));
     auto call = [&](node::Request request, TimePoint deadline, node::LeaderClient::Handler handler) { controller.call(std::move(request), deadline, std::move(handler)); };
     platform::ControlApi control(loop, clock, *settings->control, connectionLimit(settings->maxDescriptors), call, [&] { return controlAddressOf(controller.leader(), settings->control->port); });
     node::MetricsPage metrics(loop, { settings->control->ip, settings->metricsPort }, "vanillalift_controller_", [&](const auto& visit) { controller.visitMetrics(visit); });
