--- a/src/jobs/dispatcher_placing.cpp
+++ b/src/jobs/dispatcher_placing.cpp
@@ -22,9 +22,6 @@
     /// Time that the advice service may take beyond what the queue's terms tell.
     constexpr std::chrono::milliseconds adviceMargin { 1500 };
 
-    /// Share of the time before an occurrence is due within which it is placed: the placement is committed first.
-    constexpr int64_t occurrenceLeadMs = 0;
-
     struct FailedNeeds {
         std::vector<Resources> needs;
 
@@ -55,7 +52,7 @@
         if (job.spec.occurrences != 0) {
             auto dueAtMs = job.spec.firstAtMs + static_cast<int64_t>(occurrence) * job.spec.periodMs;
             // Looked at again until it is due.
-            if (wallClockMs() + occurrenceLeadMs < dueAtMs) {
+            if (wallClockMs() < dueAtMs) {
                 plan.isDirty = true;
                 break;
             }
--- a/src/jobs/instance_keeper.cpp
+++ b/src/jobs/instance_keeper.cpp
@@ -10,14 +10,18 @@
 
 namespace {
 
+    /// A plan for waves takes longer than a tick of the controller, and nothing in it is more urgent.
     constexpr std::chrono::milliseconds tickInterval { 50 };
+    /// Readings while a wave is open: they tell when an instance is back, and each one is paid for.
     constexpr std::chrono::milliseconds readInterval { 800 };
     /// Readings while no wave is open: they only tell which instances are spare.
     constexpr std::chrono::milliseconds calmReadInterval { 2500 };
+    /// The platform may be slow without being unavailable.
     constexpr std::chrono::milliseconds readTimeout { 3000 };
     constexpr std::chrono::milliseconds callTimeout { 3000 };
+    /// Pause before an order that was not accepted is given again.
     constexpr std::chrono::milliseconds callRetry { 300 };
-    /// Share of the platform's rate that this leader uses: an earlier leader's calls may still count.
+    /// Part of the platform's rate that this leader uses: an earlier leader's last calls may still count.
     constexpr double rateShare = 0.9;
 
 } // namespace
