Publish a replica's status before the outcomes it shows

Cause: the replica's thread resolved proposals while it carried out a step and published its status after it, so for a moment an outcome was known whose entry the status did not show as applied. Outcomes are now collected and resolved after the status is out. Ruled out: waiting in the test for a committed index, which would hide the same from other readers.

--- a/src/replica/replica_impl.cpp
+++ b/src/replica/replica_impl.cpp
@@ -82,6 +82,7 @@
             break;
         isHealthy = process(std::move(inputs));
         publishStatus();
+        resolveOutcomes();
     }
     std::lock_guard lock(m_mutex);
     m_isRunning = false;
@@ -186,7 +187,7 @@
         result = m_machine.apply(apply.entry.index, apply.entry.data);
     m_applied = apply.entry.index;
     if (apply.proposalId != 0)
-        completeProposal(apply.proposalId, Committed { apply.entry.index, std::move(result) });
+        m_outcomes.emplace_back(Completed { apply.proposalId, Committed { apply.entry.index, std::move(result) } });
 }
 
 void Replica::Impl::perform(const Restore& restore)
@@ -195,25 +196,29 @@
     m_applied = restore.snapshot.index;
 }
 
-void Replica::Impl::perform(const Respond& respond)
+void Replica::Impl::perform(const Respond& respond) { m_outcomes.push_back(respond); }
+
+void Replica::Impl::resolveOutcomes()
 {
-    const auto* error = std::get_if<ProposeError>(&respond.response);
-    {
-        std::lock_guard lock(m_mutex);
-        if (auto read = m_reads.extract(respond.id); !read.empty()) {
-            read.mapped().set_value(error ? ReadResult(tl::unexpected(*error)) : ReadResult(std::get<ReadReady>(respond.response).index));
-            return;
-        }
-    }
-    if (error)
-        completeProposal(respond.id, tl::unexpected(*error));
+    std::lock_guard lock(m_mutex);
+    for (auto& it : std::exchange(m_outcomes, {}))
+        std::visit([this](auto& outcome) { resolve(outcome); }, it);
 }
 
-void Replica::Impl::completeProposal(uint64_t id, ProposeResult result)
+void Replica::Impl::resolve(Completed& completed)
 {
-    std::lock_guard lock(m_mutex);
-    if (auto proposal = m_proposals.extract(id); !proposal.empty())
-        proposal.mapped().set_value(std::move(result));
+    if (auto proposal = m_proposals.extract(completed.id); !proposal.empty())
+        proposal.mapped().set_value(std::move(completed.result));
+}
+
+void Replica::Impl::resolve(const Respond& respond)
+{
+    const auto* error = std::get_if<ProposeError>(&respond.response);
+    if (auto read = m_reads.extract(respond.id); !read.empty())
+        return read.mapped().set_value(error ? ReadResult(tl::unexpected(*error)) : ReadResult(std::get<ReadReady>(respond.response).index));
+    auto proposal = error ? m_proposals.extract(respond.id) : decltype(m_proposals)::node_type();
+    if (!proposal.empty())
+        proposal.mapped().set_value(tl::unexpected(*error));
 }
 
 bool Replica::Impl::compact()
--- a/src/replica/replica_impl_p.h
+++ b/src/replica/replica_impl_p.h
@@ -47,6 +47,10 @@
 
 private:
     using Inputs = std::deque<raft::Input>;
+    struct Completed {
+        uint64_t id = 0;
+        ProposeResult result;
+    };
 
     void run();
     Inputs waitForInputs();
@@ -62,7 +66,9 @@
     void perform(const raft::Restore& restore);
     void perform(const raft::Respond& respond);
     void perform(const raft::Persist&) { }
-    void completeProposal(uint64_t id, ProposeResult result);
+    void resolveOutcomes();
+    void resolve(Completed& completed);
+    void resolve(const raft::Respond& respond);
     void publishStatus();
     void fail(const raft::StorageError& error);
 
@@ -74,6 +80,8 @@
     raft::RaftCore m_core;
     std::map<std::string, std::unique_ptr<raft::PeerSender>> m_senders;
     uint64_t m_applied = 0;
+    /// Reported after the status that shows them: whoever has an outcome finds its entry applied.
+    std::vector<std::variant<Completed, raft::Respond>> m_outcomes;
 
     mutable std::mutex m_mutex;
     std::condition_variable m_wake;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -181,6 +181,19 @@
 
 } // namespace
 
+// Guards against a status that is older than an outcome: a reader that compares applied entries stopped too early.
+TEST_CASE("the status shows an entry as applied once its proposal has an outcome", "[replica]")
+{
+    Group group;
+    auto* node = group.leader();
+    REQUIRE(node);
+    for (int n = 0; n < 400; n++) {
+        auto outcome = node->replica->propose("x").get();
+        REQUIRE(outcome);
+        CHECK(node->replica->status().appliedIndex >= outcome->index);
+    }
+}
+
 // Guards against the loss of committed changes, or different states, when the leader stops and when all restart.
 TEST_CASE("a group goes on without its leader and comes back from disk", "[replica]")
 {
