Write the entries of one sync as one record, and resume after a full disk

Two faults of the replica's storage: - Each entry was a record of its own. A power loss within a sync of several may keep a later one and lose an earlier one; recovery took that for damage and the replica did not start. The entries of a sync now share one record: all or none. - A full disk ended the storage for good. resumeAfterFullDisk() cuts what the failed write left, and the caller writes the same again.

The case of the full disk needs the new call and was not seen failing. Log files of earlier builds are not read; none are in service.

--- a/src/replica/raft_storage.cpp
+++ b/src/replica/raft_storage.cpp
@@ -17,7 +17,8 @@
     constexpr const char* segmentPrefix = "log-";
     /// Starts each record, so that records after a damaged one can be found.
     constexpr std::string_view mark = "\xF7VLR";
-    constexpr size_t headerSize = mark.size() + 2 * sizeof(uint32_t);
+    constexpr size_t lengthSize = sizeof(uint32_t);
+    constexpr size_t headerSize = mark.size() + 2 * lengthSize;
 
     std::string fileName(const char* prefix, uint64_t number, const char* suffix)
     {
@@ -69,6 +70,35 @@
         return payload;
     }
 
+    /// The entries of one sync share a record: a power loss leaves all of them or none, in whichever order the disk wrote.
+    std::string batchRecord(const std::vector<LogEntry>& entries)
+    {
+        std::string payload;
+        for (const auto& it : entries) {
+            auto bytes = encodeEntry(it);
+            putNumber(payload, static_cast<uint32_t>(bytes.size()));
+            payload += bytes;
+        }
+        return record(payload);
+    }
+
+    std::optional<std::vector<LogEntry>> decodeBatch(std::string_view payload)
+    {
+        std::vector<LogEntry> entries;
+        while (!payload.empty()) {
+            if (payload.size() < lengthSize)
+                return std::nullopt;
+            auto length = getNumber(payload);
+            payload.remove_prefix(lengthSize);
+            auto entry = length <= payload.size() ? decodeEntry(payload.substr(0, length)) : std::nullopt;
+            if (!entry)
+                return std::nullopt;
+            entries.push_back(std::move(*entry));
+            payload.remove_prefix(length);
+        }
+        return entries;
+    }
+
     bool hasRecordAfter(std::string_view bytes)
     {
         for (auto at = bytes.find(mark, 1); at != std::string_view::npos; at = bytes.find(mark, at + 1)) {
@@ -185,14 +215,20 @@
     std::string_view rest(*bytes);
     std::vector<LogEntry> log;
     while (auto payload = payloadAt(rest)) {
-        auto entry = decodeEntry(*payload);
-        bool isNext = entry && (log.empty() || (entry->index > log.front().index && entry->index <= log.back().index + 1));
-        if (!isNext)
+        auto batch = decodeBatch(*payload);
+        bool isSequence = batch.has_value();
+        for (size_t n = 0; isSequence && n < batch->size(); n++) {
+            auto& entry = (*batch)[n];
+            isSequence = log.empty() || (entry.index > log.front().index && entry.index <= log.back().index + 1);
+            if (!isSequence)
+                break;
+            // An entry replaces those from its index on, as the log was when it was written.
+            if (!log.empty())
+                log.resize(entry.index - log.front().index);
+            log.push_back(std::move(entry));
+        }
+        if (!isSequence)
             return damaged(name, "content at byte " + std::to_string(bytes->size() - rest.size()));
-        // A record replaces the entries from its index on, as the log was when it was written.
-        if (!log.empty())
-            log.resize(entry->index - log.front().index);
-        log.push_back(std::move(*entry));
         rest.remove_prefix(headerSize + payload->size());
     }
     auto valid = bytes->size() - rest.size();
@@ -202,6 +238,7 @@
         if (auto result = m_disk->truncate(name, valid); !result)
             return result;
     }
+    m_segmentSize = valid;
     const auto& snapshot = m_recovered.snapshot;
     const auto& start = log.front();
     if (start.index > snapshot.index || (start.index == snapshot.index && start.term != snapshot.term))
@@ -217,12 +254,13 @@
 
 StorageResult<void> RaftStorage::startSegment(const Snapshot& snapshot, const std::vector<LogEntry>& entries)
 {
-    auto bytes = record(encodeEntry(segmentStart(snapshot)));
-    for (const auto& it : entries)
-        bytes += record(encodeEntry(it));
+    auto bytes = batchRecord({ segmentStart(snapshot) });
+    if (!entries.empty())
+        bytes += batchRecord(entries);
     if (auto result = m_disk->replace(segmentName(m_segment + 1), bytes); !result)
         return result;
     m_segment++;
+    m_segmentSize = bytes.size();
     return {};
 }
 
@@ -273,8 +311,7 @@
         keep(writeHardState(*persist.hardState));
     if (m_state && persist.snapshot)
         keep(writeSnapshot(persist));
-    for (const auto& it : persist.entries)
-        m_buffer += record(encodeEntry(it));
+    m_buffer.insert(m_buffer.end(), persist.entries.begin(), persist.entries.end());
     return m_state;
 }
 
@@ -282,10 +319,27 @@
 {
     if (!m_state || m_buffer.empty())
         return m_state;
-    if (!keep(m_disk->append(segmentName(m_segment), m_buffer)))
+    auto bytes = batchRecord(m_buffer);
+    if (!keep(m_disk->append(segmentName(m_segment), bytes)) || !keep(m_disk->sync(segmentName(m_segment))))
         return m_state;
     m_buffer.clear();
-    return keep(m_disk->sync(segmentName(m_segment)));
+    m_segmentSize += bytes.size();
+    return m_state;
+}
+
+StorageResult<void> RaftStorage::resumeAfterFullDisk()
+{
+    if (m_state || m_state.error().code != StorageErrorCode::DiskFull)
+        return m_state;
+    // What the failed write left is not covered by a sync, and the next one appends after it.
+    if (auto result = m_disk->truncate(segmentName(m_segment), m_segmentSize); !result) {
+        if (result.error().code != StorageErrorCode::DiskFull)
+            m_state = result;
+        return result;
+    }
+    m_buffer.clear();
+    m_state = {};
+    return m_state;
 }
 
 } // namespace vanillalift::raft
--- a/src/replica/raft_storage_p.h
+++ b/src/replica/raft_storage_p.h
@@ -9,7 +9,8 @@
 /// - `hard-state`: term, vote and storage id. It is written last when a folder is first used.
 /// - `snapshot-{index}.cbor`: the newest snapshot.
 /// - `log-{number}.seg`: the newest one starts with a record of the snapshot's place and holds the log after it.
-/// A record is a mark, length, CRC-32, payload (CBOR). After an error, every later call returns that error.
+/// A record is a mark, length, CRC-32, payload (CBOR). The entries of one sync share a record, each with its length before
+/// it. After an error, every later call returns that error.
 class RaftStorage {
 public:
     /// Reads the folder, and cuts a torn tail.
@@ -25,6 +26,9 @@
     StorageResult<void> write(const Persist& persist);
     /// Makes all written entries durable with one sync of the file.
     StorageResult<void> sync();
+    /// After DiskFull: cuts what the failed write left. All that was written since the last sync has to be written again.
+    /// @returns DiskFull if there is still no room; other errors stay.
+    StorageResult<void> resumeAfterFullDisk();
 
 private:
     explicit RaftStorage(Disk& disk)
@@ -47,7 +51,10 @@
     std::string m_storageId;
     Recovered m_recovered;
     uint64_t m_segment = 0;
-    std::string m_buffer;
+    /// Bytes of the newest segment that are durable.
+    uint64_t m_segmentSize = 0;
+    /// Entries that wait for the next sync.
+    std::vector<LogEntry> m_buffer;
     StorageResult<void> m_state;
 };
 
