Wait for room instead of ending the process when a controller's disk is full

The writer thread now tries the same write every 100 ms; nothing is acknowledged meanwhile, the group goes on without this disk, and one line is logged at the beginning and the end. Ruled out: stepping down as a full leader, which commits by the other disks.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -89,6 +89,7 @@
     handlers.snapshot = [this] { return m_store.snapshot(); };
     handlers.resolve = [this](uint64_t number, LogDriver::Outcome outcome) { m_batcher.resolve(number, outcome.has_value()); };
     handlers.roleChanged = [this](const ReplicaStatus& status) { changeRole(status); };
+    handlers.diskFull = [this](bool isFull) { m_log.stateLine(isFull ? "disk-full" : "disk-has-room"); };
     handlers.failed = [this](const StorageError& error) {
         m_log.stateLine("storage-failed").field("error", describe(error));
         m_log.flush();
--- a/src/replica/log_driver.cpp
+++ b/src/replica/log_driver.cpp
@@ -8,17 +8,24 @@
 
 using namespace raft;
 
+namespace {
+
+    /// Time after which a write that a full disk refused is tried again.
+    constexpr std::chrono::milliseconds fullDiskRetry { 100 };
+
+} // namespace
+
 StorageWriter::StorageWriter(net::EventLoop& loop, RaftStorage storage, std::function<void(StorageResult<void>)> onDone)
     : m_storage(std::move(storage))
     , m_onDone(std::move(onDone))
     , m_waker(loop, [this] {
-        std::optional<StorageResult<void>> result;
+        std::vector<StorageResult<void>> results;
         {
             std::lock_guard lock(m_mutex);
-            result = std::exchange(m_result, std::nullopt);
+            results = std::exchange(m_results, {});
         }
-        if (result)
-            m_onDone(*result);
+        for (const auto& it : results)
+            m_onDone(it);
     })
 {
     // Signals are handled on the loop's thread only.
@@ -56,18 +63,41 @@
             return;
         auto group = *std::exchange(m_group, std::nullopt);
         lock.unlock();
-        for (const auto& it : group) {
-            // sync() returns the error of a failed write as well.
-            if (!m_storage.write(it))
-                break;
+        auto result = writeGroup(group);
+        bool isReported = false;
+        while (!result && result.error().code == StorageErrorCode::DiskFull) {
+            if (!std::exchange(isReported, true))
+                report(result);
+            lock.lock();
+            if (m_wakeThread.wait_for(lock, fullDiskRetry, [this] { return m_isStopping; }))
+                return;
+            lock.unlock();
+            result = m_storage.resumeAfterFullDisk();
+            if (result)
+                result = writeGroup(group);
         }
-        auto result = m_storage.sync();
+        report(result);
         lock.lock();
-        m_result = result;
-        m_waker.wake();
     }
 }
 
+StorageResult<void> StorageWriter::writeGroup(const std::vector<Persist>& group)
+{
+    for (const auto& it : group) {
+        // sync() returns the error of a failed write as well.
+        if (!m_storage.write(it))
+            break;
+    }
+    return m_storage.sync();
+}
+
+void StorageWriter::report(const StorageResult<void>& result)
+{
+    std::lock_guard lock(m_mutex);
+    m_results.push_back(result);
+    m_waker.wake();
+}
+
 LogDriver::LogDriver(net::EventLoop& loop, const Clock& clock, Desc desc, RaftStorage storage, Handlers handlers)
     : m_clock(clock)
     , m_desc(std::move(desc))
@@ -175,6 +205,11 @@
 
 void LogDriver::finishWrite(const StorageResult<void>& result)
 {
+    bool isFull = !result && result.error().code == StorageErrorCode::DiskFull;
+    if (isFull != std::exchange(m_isDiskFull, isFull))
+        m_handlers.diskFull(isFull);
+    if (isFull)
+        return;
     if (!result)
         return m_handlers.failed(result.error());
     m_isWriting = false;
--- a/src/replica/log_driver_p.h
+++ b/src/replica/log_driver_p.h
@@ -12,11 +12,13 @@
 
 namespace vanillalift {
 
-/// Writes to a replica's files on a thread of its own, so that a slow disk does not stop the event loop.
+/// Writes to a replica's files on a thread of its own, so that a slow disk does not stop the event loop. While the disk is
+/// full it tries the same write again and again: nothing is acknowledged meanwhile, and the group goes on without it.
 /// @remarks m_mutex guards the queue and the result, and is held across no I/O.
 class StorageWriter {
 public:
-    /// @param onDone called on the loop's thread after each group of writes.
+    /// @param onDone called on the loop's thread after each group of writes, and before that with DiskFull once it is known
+    /// that the group has to wait for room.
     StorageWriter(net::EventLoop& loop, raft::RaftStorage storage, std::function<void(raft::StorageResult<void>)> onDone);
     ~StorageWriter();
     StorageWriter(const StorageWriter&) = delete;
@@ -27,13 +29,15 @@
 
 private:
     void run();
+    raft::StorageResult<void> writeGroup(const std::vector<raft::Persist>& group);
+    void report(const raft::StorageResult<void>& result);
 
     raft::RaftStorage m_storage;
     std::function<void(raft::StorageResult<void>)> m_onDone;
     std::mutex m_mutex;
     std::condition_variable m_wakeThread;
     std::optional<std::vector<raft::Persist>> m_group;
-    std::optional<raft::StorageResult<void>> m_result;
+    std::vector<raft::StorageResult<void>> m_results;
     bool m_isStopping = false;
     net::Waker m_waker;
     std::thread m_thread;
@@ -53,6 +57,8 @@
         std::function<std::string()> snapshot;
         std::function<void(uint64_t proposal, Outcome outcome)> resolve;
         std::function<void(const ReplicaStatus& status)> roleChanged;
+        /// Nothing more becomes durable here until there is room on the disk.
+        std::function<void(bool isFull)> diskFull;
         /// The replica takes no further part; the process has to end.
         std::function<void(const raft::StorageError& error)> failed;
     };
@@ -109,6 +115,7 @@
     std::vector<raft::Message> m_unsent;
     std::vector<raft::Message> m_unsentOfWrite;
     bool m_isWriting = false;
+    bool m_isDiskFull = false;
     uint64_t m_writeIndex = 0;
     uint64_t m_writeTerm = 0;
     net::Timer m_timer;
