Count instances that report themselves as up, and forget turns that did not come

An instance whose new life answers now counts as up, and a successor that does not come within its time is forgotten.

--- a/src/jobs/instance_keeper_pools.cpp
+++ b/src/jobs/instance_keeper_pools.cpp
@@ -99,7 +99,9 @@
         described.pool = static_cast<size_t>(pool - pools.begin());
         described.isArriving = move != m_moves.end() && !move->second.pool.empty();
         described.isLeaving = move != m_moves.end() && move->second.pool.empty();
-        bool isUp = known.instance.state == InstanceState::Up || (pool->isSpare && known.instance.state == InstanceState::Down);
+        // A life that reports itself is newer than the reading that shows the instance on its way.
+        bool isHeard = session && m_dispatcher.isReachable(*session) && session->endpoint.service == poolName;
+        bool isUp = isHeard || known.instance.state == InstanceState::Up || (pool->isSpare && known.instance.state == InstanceState::Down);
         described.isIdle = pool->isSpare || (session && session->runs.empty() && session->isConfirmed);
         described.isAway = (!pool->isSpare && !isUp && !described.isArriving) || isInOpenWave(name);
         described.isFixed = !isUp || isInOpenWave(name) || (session && session->endpoint.isDraining) || (!session && !pool->isSpare);
--- a/src/jobs/turn_forecast.cpp
+++ b/src/jobs/turn_forecast.cpp
@@ -23,6 +23,7 @@
 
 void TurnForecast::observe(const std::string& pool, double arriving, TimePoint now)
 {
+    dropMissed(now);
     auto& demand = m_demand[pool];
     if (!demand.isInTurn) {
         if (arriving < std::max(onsetInstances, demand.peak * onsetShare))
@@ -43,6 +44,13 @@
     demand.peak = demand.rising;
 }
 
+void TurnForecast::dropMissed(TimePoint now)
+{
+    auto successor = m_successors.find(m_lastPool);
+    if (successor != m_successors.end() && now > m_lastOnset + successor->second.gap + patience)
+        m_successors.erase(successor);
+}
+
 double TurnForecast::expected(const std::string& pool, TimePoint now) const
 {
     auto successor = m_successors.find(m_lastPool);
--- a/src/jobs/turn_forecast_p.h
+++ b/src/jobs/turn_forecast_p.h
@@ -24,6 +24,9 @@
         double peak = 0;
         double rising = 0;
     };
+    /// Forgets the successor of the newest turn if that one did not come.
+    void dropMissed(TimePoint now);
+
     struct Successor {
         std::string pool;
         Duration gap {};
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -1,15 +1,18 @@
 #include <catch2/catch.hpp>
 
 #include "jobs/arrival_rate_p.h"
+#include "jobs/copy_plan_p.h"
 #include "jobs/endpoint_session_p.h"
 #include "jobs/pace_plan_p.h"
 #include "jobs/placement_p.h"
 #include "jobs/pool_plan_p.h"
 #include "jobs/queue_order_p.h"
+#include "jobs/speed_estimate_p.h"
 #include "jobs/turn_forecast_p.h"
 #include "jobs/wave_plan_p.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 using namespace vanillalift;
@@ -303,6 +306,30 @@
     CHECK(wrong == 0);
 }
 
+// Guards against preparing for a turn again and again that no longer comes: ten idle instances for three seconds each time.
+TEST_CASE("a turn that was expected and did not come is not expected again", "[pools]")
+{
+    TurnForecast forecast;
+    auto at = [](int tenths) { return now + milliseconds(100 * tenths); };
+    auto demandOf = [](const std::string& pool, int tenths) {
+        // "b" follows "a" in the first two rounds of 10 s, and is gone afterwards.
+        int inRound = tenths % 100;
+        if (pool == "a")
+            return inRound < 30 ? 10.0 : 0.0;
+        return inRound >= 50 && inRound < 80 && tenths < 200 ? 10.0 : 0.0;
+    };
+    std::map<int, int> expectedInRound;
+    for (int tenths = 0; tenths < 600; tenths++) {
+        for (const auto* pool : { "a", "b" })
+            forecast.observe(pool, demandOf(pool, tenths), at(tenths));
+        expectedInRound[tenths / 100] += forecast.expected("b", at(tenths)) > 0 ? 1 : 0;
+    }
+    CHECK(expectedInRound[1] > 0);
+    CHECK(expectedInRound[2] > 0);
+    CHECK(expectedInRound[3] == 0);
+    CHECK(expectedInRound[5] == 0);
+}
+
 TEST_CASE("tasks that fill stop while a serving task is over its bound, and come back slowly", "[pace]")
 {
     std::vector<ServingTail> serving { { 50, 100 }, { 120, 100 } };
@@ -318,6 +345,23 @@
     CHECK(nextFillerPace(0, {}) > 0);
 }
 
+TEST_CASE("a lasting run on an endpoint that has not just listed it does not count as at work", "[wave]")
+{
+    // Found by a hunt on hvtw-lift (2b36275e, day 15): two tasks were on endpoints that had just gone when a third was stopped.
+    Run run;
+    run.phase = RunPhase::Running;
+    run.atWorkSince = run.figureAt = now;
+    CHECK(run.isSurelyAtWork(now + milliseconds(100)));
+    CHECK_FALSE(run.isSurelyAtWork(now + milliseconds(300)));
+    // The connection was reset 0.1 s after a list, and no new one can be made.
+    EndpointSession session;
+    session.runs[run.key] = run;
+    CHECK(session.isSurelyAtWork(run.key, now + milliseconds(100)));
+    session.unansweredHolds = 1;
+    CHECK_FALSE(session.isSurelyAtWork(run.key, now + milliseconds(100)));
+    CHECK_FALSE(session.isSurelyAtWork({ { 7, 0, 0, 0 }, 1 }, now));
+}
+
 TEST_CASE("an inherited lasting run that may be stopping does not count as at work at once", "[wave]")
 {
     // Found on scale-2 of hvtw-lift: the old leader's stop was still under way when the new one stopped a second task.
@@ -390,3 +434,59 @@
     times.dueAt = now + seconds(5);
     CHECK(planWave(instances, times, now).force.size() == 2);
 }
+
+namespace {
+
+RunView makeRun(Duration sinceStart, uint32_t percent)
+{
+    RunView run;
+    run.sinceStart = sinceStart;
+    run.expected = seconds(1);
+    run.percent = percent;
+    run.sinceReport = milliseconds(100);
+    return run;
+}
+
+} // namespace
+
+// Guards against tasks that wait for a silent endpoint's lease although they may be copied, and against copies that only
+// waste work.
+TEST_CASE("a copy is worthwhile where a run is in doubt or slow", "[copies]")
+{
+    CHECK_FALSE(isCopyWorthwhile(makeRun(milliseconds(500), 20)));
+    CHECK_FALSE(isCopyWorthwhile(makeRun(milliseconds(1500), 90)));
+    // A long task that is nearly done.
+    CHECK_FALSE(isCopyWorthwhile(makeRun(milliseconds(3000), 80)));
+    // Four times as slow as elsewhere.
+    CHECK(isCopyWorthwhile(makeRun(milliseconds(2000), 45)));
+    auto stuck = makeRun(milliseconds(2500), 80);
+    stuck.sinceReport = milliseconds(2000);
+    CHECK(isCopyWorthwhile(stuck));
+    auto silent = makeRun(milliseconds(500), 20);
+    silent.silence = milliseconds(2500);
+    CHECK(isCopyWorthwhile(silent));
+    auto unanswered = makeRun(Duration::zero(), 0);
+    unanswered.sinceUnanswered = milliseconds(300);
+    CHECK_FALSE(isCopyWorthwhile(unanswered));
+    unanswered.sinceUnanswered = milliseconds(1000);
+    CHECK(isCopyWorthwhile(unanswered));
+    auto stopping = makeRun(milliseconds(100), 0);
+    stopping.isStopping = true;
+    CHECK(isCopyWorthwhile(stopping));
+}
+
+// Guards against endpoints that are slow being chosen as if they were not, and against never trying them again.
+TEST_CASE("the speed of an endpoint follows its run times and is forgotten", "[speed]")
+{
+    SpeedEstimate speed;
+    CHECK(speed.at(now) == Approx(1));
+    for (int n = 0; n < 6; n++)
+        speed.add(0.25, now + milliseconds(100 * n));
+    CHECK(speed.at(now + milliseconds(500)) < 0.5);
+    CHECK(speed.at(now + seconds(40)) > 0.95);
+    auto endpoints = makeEndpoints(2);
+    auto candidates = makeCandidates(endpoints);
+    candidates[0].speed = speed.at(now + milliseconds(500));
+    candidates[1].free.cpu = 7000;
+    CHECK(choosePlacement(makeStep(1000), {}, candidates) == 1U);
+}
