Add a soak of real processes under faults, and the other side of the platform's protocol

platform/standin/ plays endpoints, the platform's service for instances, clients and operators over sockets. tests/soak/ starts controllers and gateways as processes on loopback addresses of its own behind proxies, hands in jobs, and harms them from outside by seed: paused, killed, stopped and restarted processes, connections that are silenced both ways or one way, reset or delayed, endpoints that crash under the same or another id, a lost disk, torn logs, configurations and a wave meanwhile. It checks what clients, operators and endpoints see: accepted jobs complete within 14 s of the last fault, refused ones never run, no task runs twice or after its end was noted, payloads, cancels, versions, the wave's bounds, processes that end by themselves. Clocks are not harmed: processes share the machine's.

--listen lets a controller take links on another address than the one in its name (a proxy before it).

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -77,7 +77,7 @@
     , m_leaderClient(loop, clock, log, { { m_desc.name, m_desc.availabilityZone, m_storageId }, m_desc.seeds, [this](Request request, std::function<void(Reply)> respond) { handleLocal(std::move(request), std::move(respond)); } })
     , m_batcher(loop, clock, [this](std::string entry) { return m_driver->propose(std::move(entry)); })
     , m_timer(loop, [this] { tick(); })
-    , m_listener(loop, net::parseAddress(m_desc.name).value_or(net::Address {}), [this](evutil_socket_t fd) { accept(fd); })
+    , m_listener(loop, m_desc.listen.value_or(net::parseAddress(m_desc.name).value_or(net::Address {})), [this](evutil_socket_t fd) { accept(fd); })
 {
     LogDriver::Handlers handlers;
     handlers.send = [this](raft::Message message) { sendRaft(std::move(message)); };
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -17,6 +17,8 @@
     /// "ip:port" of the link listener: the controller's name in the group.
     std::string name;
     std::string availabilityZone;
+    /// Where to listen for links, if that is not the address in the name: behind a proxy or an address translation.
+    std::optional<net::Address> listen;
     /// Link listeners of controllers to ask first.
     std::vector<std::string> seeds;
     /// The seeds form a new group.
--- /dev/null
+++ b/tests/soak/clients.cpp
@@ -0,0 +1,153 @@
+#include "clients.h"
+
+namespace vanillalift::soak {
+
+using namespace jobs;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr milliseconds callTimeout { 3000 };
+    constexpr milliseconds askInterval { 700 };
+    constexpr milliseconds retryInterval { 250 };
+    constexpr uint32_t maxAttempts = 4;
+    /// A cancelled job starts nothing later than this after its ack (cancel_ms), and a part of a second for the way here.
+    constexpr milliseconds cancelBound { 3300 };
+    /// Connections to each gateway, so that a call without an answer does not hold up the others.
+    constexpr size_t channelsPerGateway = 8;
+    constexpr int noAnswer = 0;
+
+} // namespace
+
+Clients::Clients(net::EventLoop& loop, const Clock& clock, sim::World& world, std::vector<net::Address> gateways, Queue queue, std::string key)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_world(world)
+    , m_gateways(std::move(gateways))
+    , m_queue(std::move(queue))
+    , m_key(std::move(key))
+{
+    for (size_t n = 0; n < channelsPerGateway * m_gateways.size(); n++)
+        m_channels.push_back(std::make_unique<net::HttpChannel>(m_loop, m_clock, m_gateways[n % m_gateways.size()]));
+}
+
+net::HttpChannel& Clients::anyGateway()
+{
+    auto n = std::uniform_int_distribution<size_t>(0, m_channels.size() - 1)(m_world.random);
+    for (size_t tried = 0; tried < m_channels.size() && m_channels[n]->pending() != 0; tried++)
+        n = (n + 1) % m_channels.size();
+    return *m_channels[n];
+}
+
+void Clients::send(const std::string& id, net::HttpRequest request, std::function<void(ClientJob&, int, const std::string&)> handler)
+{
+    m_calls++;
+    m_jobs.at(id).isCallOut = true;
+    anyGateway().send(std::move(request), m_clock.now() + callTimeout, [this, id, handler = std::move(handler)](const net::HttpResult& result) {
+        auto& job = m_jobs.at(id);
+        job.isCallOut = false;
+        const auto* response = std::get_if<net::HttpResponse>(&result);
+        const auto* failure = std::get_if<net::HttpFailure>(&result);
+        bool isUnsent = failure && *failure != net::HttpFailure::Unknown;
+        m_unanswered += response ? 0 : 1;
+        job.nextCallAt = m_clock.now() + (response && response->status == 200 ? Duration(askInterval) : Duration(retryInterval));
+        if (!isUnsent)
+            handler(job, response ? response->status : noAnswer, response ? response->body : std::string());
+    });
+}
+
+void Clients::submit(JobSpec spec, bool isToBeCancelled)
+{
+    auto id = spec.id;
+    if (spec.steps.front().isLasting)
+        m_world.lasting.insert(id);
+    if (spec.steps.front().mayCopy)
+        m_world.copied.insert(id);
+    auto& job = m_jobs[id];
+    job.spec = std::move(spec);
+    if (isToBeCancelled)
+        job.cancelAt = m_clock.now() + m_world.between(200, 4000);
+}
+
+void Clients::pump()
+{
+    auto now = m_clock.now();
+    for (auto& [id, job] : m_jobs) {
+        if (job.isCallOut || now < job.nextCallAt || job.isSettled())
+            continue;
+        if (!job.isAccepted)
+            hand(id, job);
+        else if (job.cancelAt != TimePoint {} && now >= job.cancelAt && job.cancelledAt == TimePoint {})
+            cancel(id, job);
+        else
+            ask(id, job);
+    }
+}
+
+void Clients::hand(const std::string& id, ClientJob& job)
+{
+    bool mayGiveUp = !m_isPatient && !job.isInDoubt && job.attempts >= maxAttempts;
+    if (mayGiveUp) {
+        job.isGivenUp = true;
+        if (job.hasRun)
+            m_world.violations.add("a job that was refused each time has run: " + id);
+        return;
+    }
+    job.attempts++;
+    send(id, platform::standin::submitCall(m_queue, job.spec, m_key), [this, id](ClientJob& job, int status, const std::string&) {
+        if (status == 200) {
+            job.isAccepted = true;
+            job.acceptedAt = m_clock.now();
+        } else if (status == 429 || status == 503) {
+            m_refused++;
+        } else if (status == noAnswer || status == 502 || status == 504) {
+            job.isInDoubt = true;
+        } else {
+            m_world.violations.add("handing in " + id + " was answered " + std::to_string(status));
+        }
+    });
+}
+
+void Clients::ask(const std::string& id, ClientJob& job)
+{
+    bool isCancelled = job.cancelledAt != TimePoint {};
+    send(id, platform::standin::readCall(m_queue, id, m_key), [this, id, isCancelled](ClientJob& job, int status, const std::string& body) {
+        if (status == 410 && !isCancelled)
+            m_world.violations.add("an accepted job is unknown: " + id);
+        auto phase = status == 200 ? platform::standin::decodePhase(body) : std::nullopt;
+        if (status == 410 && isCancelled)
+            phase = JobPhase::Cancelled;
+        if (!phase)
+            return;
+        if (*phase == JobPhase::Cancelled && job.cancelAt == TimePoint {})
+            m_world.violations.add("a job is shown as cancelled that nobody cancelled: " + id);
+        if (*phase == JobPhase::Completed && job.isLasting())
+            m_world.violations.add("a lasting job is shown as completed: " + id);
+        job.phase = *phase;
+    });
+}
+
+void Clients::cancel(const std::string& id, ClientJob& /*job*/)
+{
+    send(id, platform::standin::cancelCall(m_queue, id, m_key), [this](ClientJob& job, int status, const std::string&) {
+        if (status == 200 || status == 202 || status == 204 || status == 410)
+            job.cancelledAt = m_clock.now();
+    });
+}
+
+void Clients::noteStart(const StartOrder& order)
+{
+    auto it = m_jobs.find(order.task.job);
+    if (it == m_jobs.end())
+        return m_world.violations.add("start of a job that nobody handed in: " + order.task.job);
+    auto& job = it->second;
+    job.hasRun = true;
+    if (order.payload != job.spec.payload)
+        m_world.violations.add("start with another payload: " + order.task.job);
+    if (job.isGivenUp)
+        m_world.violations.add("a job that was refused each time runs: " + order.task.job);
+    if (job.cancelledAt != TimePoint {} && m_clock.now() - job.cancelledAt > cancelBound)
+        m_world.violations.add("start long after the cancelling was acknowledged: " + order.task.job);
+}
+
+} // namespace vanillalift::soak
--- /dev/null
+++ b/tests/soak/clients.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "endpoint_sim.h"
+#include "platform/standin/calls_p.h"
+
+#include <random>
+
+namespace vanillalift::soak {
+
+/// What a client knows of one job.
+struct ClientJob {
+    jobs::JobSpec spec;
+    /// A gateway has answered that it is stored.
+    bool isAccepted = false;
+    /// Some attempt had no clear answer: it may be stored.
+    bool isInDoubt = false;
+    /// All attempts were refused as not run, and no more are made.
+    bool isGivenUp = false;
+    bool isCallOut = false;
+    uint32_t attempts = 0;
+    TimePoint nextCallAt;
+    TimePoint acceptedAt;
+    /// Cancelling is wanted from then on; the epoch for never.
+    TimePoint cancelAt;
+    TimePoint cancelledAt;
+    jobs::JobPhase phase = jobs::JobPhase::Active;
+    /// Its tasks have been started by an endpoint.
+    bool hasRun = false;
+
+    [[nodiscard]] bool isLasting() const { return spec.steps.front().isLasting; }
+    [[nodiscard]] bool isSettled() const { return isGivenUp || phase != jobs::JobPhase::Active; }
+};
+
+/// Clients that hand in jobs, ask for them and cancel some, as the protocol has it, and hold the answers against each other.
+class Clients {
+public:
+    Clients(net::EventLoop& loop, const Clock& clock, sim::World& world, std::vector<net::Address> gateways, jobs::Queue queue, std::string key);
+
+    void submit(jobs::JobSpec spec, bool isToBeCancelled);
+    /// Makes the calls that are due.
+    void pump();
+    /// No further jobs are given up: each open call is repeated until it is clear.
+    void setPatient() { m_isPatient = true; }
+    /// Checks a start that an endpoint has seen.
+    void noteStart(const jobs::StartOrder& order);
+    [[nodiscard]] const std::map<std::string, ClientJob>& jobs() const { return m_jobs; }
+    [[nodiscard]] uint64_t calls() const { return m_calls; }
+    [[nodiscard]] uint64_t unanswered() const { return m_unanswered; }
+    [[nodiscard]] uint64_t refused() const { return m_refused; }
+
+private:
+    void hand(const std::string& id, ClientJob& job);
+    void ask(const std::string& id, ClientJob& job);
+    void cancel(const std::string& id, ClientJob& job);
+    net::HttpChannel& anyGateway();
+    void send(const std::string& id, net::HttpRequest request, std::function<void(ClientJob&, int status, const std::string& body)> handler);
+
+    net::EventLoop& m_loop;
+    const Clock& m_clock;
+    sim::World& m_world;
+    std::vector<net::Address> m_gateways;
+    jobs::Queue m_queue;
+    std::string m_key;
+    std::vector<std::unique_ptr<net::HttpChannel>> m_channels;
+    std::map<std::string, ClientJob> m_jobs;
+    bool m_isPatient = false;
+    uint64_t m_calls = 0;
+    uint64_t m_unanswered = 0;
+    uint64_t m_refused = 0;
+};
+
+} // namespace vanillalift::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,383 @@
+// Randomized soak: real controllers and gateways as processes on loopback addresses, faults from outside, promises checked
+// from what clients, operators and endpoints see. Ends with status 1 and the violations if one is broken.
+#include "site.h"
+
+#include <glog/logging.h>
+#include <popt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <iostream>
+
+using namespace vanillalift;
+using namespace vanillalift::soak;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Time without faults before the first, and after the last within which all accepted jobs have to end (finish_s).
+constexpr seconds formingTime { 6 };
+constexpr seconds finishBound { 14 };
+constexpr milliseconds pumpInterval { 3 };
+
+/// Harms the site at random, one thing after the other, several at a time.
+class Faults {
+public:
+    Faults(SoakSite& site, const Clock& clock)
+        : m_site(site)
+        , m_clock(clock)
+        , m_world(site.world())
+    {
+    }
+
+    void pump()
+    {
+        auto now = m_clock.now();
+        if (now < m_nextAt)
+            return;
+        m_nextAt = now + m_world.between(150, 1500);
+        static const std::vector<std::pair<int, void (Faults::*)()>> kinds {
+            { 3, &Faults::pause }, { 3, &Faults::kill }, { 2, &Faults::terminate }, { 4, &Faults::silence }, { 2, &Faults::reset }, { 2, &Faults::delay },
+            { 3, &Faults::crashEndpoint }, { 3, &Faults::silenceEndpoint }, { 1, &Faults::loseDisk }, { 2, &Faults::changeCatalog }, { 1, &Faults::startWave }
+        };
+        int sum = 0;
+        for (const auto& [weight, kind] : kinds)
+            sum += weight;
+        auto drawn = pick(static_cast<size_t>(sum));
+        for (const auto& [weight, kind] : kinds) {
+            if (drawn < static_cast<size_t>(weight))
+                return (this->*kind)();
+            drawn -= static_cast<size_t>(weight);
+        }
+    }
+
+    [[nodiscard]] size_t count() const { return m_count; }
+
+private:
+    size_t pick(size_t n) { return std::uniform_int_distribution<size_t>(0, n - 1)(m_world.random); }
+    void note(const std::string& what)
+    {
+        m_count++;
+        std::cout << std::chrono::duration_cast<milliseconds>(m_clock.now().time_since_epoch()).count() % 1000000 << " ms " << what << "\n";
+    }
+    void later(Duration delay, std::function<void()> handler) { m_world.agenda.after(delay, std::move(handler)); }
+
+    /// @returns a process, controllers more often.
+    std::string victim(size_t& n, bool& isGateway)
+    {
+        isGateway = pick(4) == 0;
+        n = pick(isGateway ? m_site.desc().gateways : m_site.desc().controllers);
+        return isGateway ? m_site.gatewayName(n) : m_site.controllerName(n);
+    }
+    void restartLater(size_t n, bool isGateway)
+    {
+        later(m_world.between(200, 3000), [this, n, isGateway] { isGateway ? m_site.startGateway(n) : m_site.startController(n); });
+    }
+
+    void pause()
+    {
+        size_t n = 0;
+        bool isGateway = false;
+        auto name = victim(n, isGateway);
+        note("pause " + name);
+        m_site.processes().signal(name, SIGSTOP);
+        later(m_world.between(100, 5000), [this, name] { m_site.processes().signal(name, SIGCONT); });
+    }
+    void kill()
+    {
+        size_t n = 0;
+        bool isGateway = false;
+        auto name = victim(n, isGateway);
+        note("kill " + name);
+        m_site.stop(name, SIGKILL);
+        if (!isGateway && pick(2) == 0)
+            later(milliseconds(100), [this, n, name] {
+                if (!m_site.processes().isRunning(name))
+                    m_site.tearLog(n);
+            });
+        restartLater(n, isGateway);
+    }
+    void terminate()
+    {
+        size_t n = 0;
+        bool isGateway = false;
+        auto name = victim(n, isGateway);
+        note("terminate " + name);
+        m_site.stop(name, SIGTERM);
+        later(m_world.between(7000, 9000), [this, n, isGateway] { isGateway ? m_site.startGateway(n) : m_site.startController(n); });
+    }
+    Proxy& anyProxy(std::string& name)
+    {
+        auto kind = pick(6);
+        auto n = pick(kind == 5 ? m_site.desc().gateways : m_site.desc().controllers);
+        name = (kind < 3 ? "links to controller " : kind < 5 ? "control calls to controller "
+                                                             : "clients of gateway ")
+            + std::to_string(n);
+        return kind < 3 ? m_site.linkProxy(n) : kind < 5 ? m_site.controlProxy(n)
+                                                         : m_site.gatewayProxy(n);
+    }
+    void silence()
+    {
+        std::string name;
+        auto& proxy = anyProxy(name);
+        auto direction = pick(3);
+        note("silence " + name + (direction == 0 ? " both ways" : direction == 1 ? " towards it"
+                                                                                 : " from it"));
+        proxy.setSilent(direction != 2, direction != 1);
+        later(m_world.between(300, 6000), [&proxy] { proxy.setSilent(false, false); });
+    }
+    void reset()
+    {
+        std::string name;
+        auto& proxy = anyProxy(name);
+        note("reset " + name);
+        proxy.reset();
+    }
+    void delay()
+    {
+        std::string name;
+        auto& proxy = anyProxy(name);
+        note("delay " + name);
+        proxy.setDelay(m_world.between(5, 400));
+        later(m_world.between(500, 5000), [&proxy] { proxy.setDelay({}); });
+    }
+    void crashEndpoint()
+    {
+        auto n = pick(m_site.desc().endpoints);
+        if (!m_site.endpoint(n).server)
+            return;
+        bool isSameId = pick(2) == 0;
+        note("crash endpoint " + std::to_string(n) + (isSameId ? " under the same id" : " under another id"));
+        m_site.rebirth(n, isSameId);
+    }
+    void silenceEndpoint()
+    {
+        auto n = pick(m_site.desc().endpoints);
+        auto direction = pick(3);
+        note("silence endpoint " + std::to_string(n));
+        m_site.endpoint(n).proxy->setSilent(direction != 2, direction != 1);
+        later(m_world.between(300, 7000), [this, n] { m_site.endpoint(n).proxy->setSilent(false, false); });
+    }
+    /// One disk at a time, with time to catch up before the next: what one replica of five may lose.
+    void loseDisk()
+    {
+        constexpr seconds catchUp { 15 };
+        auto now = m_clock.now();
+        if (now < m_nextDiskAt)
+            return;
+        m_nextDiskAt = now + catchUp;
+        auto n = pick(m_site.desc().controllers);
+        note("lose the disk of controller " + std::to_string(n));
+        m_site.stop(m_site.controllerName(n), SIGKILL);
+        later(milliseconds(200), [this, n] {
+            if (m_site.processes().isRunning(m_site.controllerName(n)))
+                return;
+            m_site.wipeDisk(n);
+            m_site.startController(n);
+        });
+    }
+    void changeCatalog()
+    {
+        note("change the configuration");
+        m_site.changeCatalog();
+    }
+    void startWave()
+    {
+        note("start a wave");
+        m_site.startWave();
+    }
+
+    SoakSite& m_site;
+    const Clock& m_clock;
+    sim::World& m_world;
+    TimePoint m_nextAt;
+    TimePoint m_nextDiskAt;
+    size_t m_count = 0;
+};
+
+/// Hands in jobs of all shapes.
+class Traffic {
+public:
+    Traffic(SoakSite& site, const Clock& clock)
+        : m_site(site)
+        , m_clock(clock)
+        , m_world(site.world())
+    {
+    }
+
+    void pump()
+    {
+        auto now = m_clock.now();
+        if (now < m_nextAt)
+            return;
+        m_nextAt = now + m_world.between(50, 350);
+        jobs::JobSpec spec;
+        std::array<char, 17> id {};
+        std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(m_world.random()));
+        spec.id = id.data();
+        spec.payload = "payload of " + spec.id;
+        auto kind = std::uniform_int_distribution<>(0, 9)(m_world.random);
+        jobs::StepSpec step;
+        step.need = { 1000, 100, 0 };
+        step.estimateMs = 800;
+        step.taskCount = std::uniform_int_distribution<uint32_t>(1, 4)(m_world.random);
+        step.mayCopy = kind == 0 || kind == 1;
+        bool isLasting = kind == 2 && m_lasting < maxLasting;
+        if (isLasting) {
+            m_lasting++;
+            step.isLasting = true;
+            step.hasMaxUnavailable = true;
+            step.maxUnavailable = 1;
+            step.taskCount = 2;
+        }
+        spec.steps.push_back(step);
+        if (kind >= 7) {
+            step.after = { 0 };
+            spec.steps.push_back(step);
+        }
+        m_site.clients().submit(std::move(spec), kind == 3 || (isLasting && m_lasting % 2 == 0));
+    }
+
+private:
+    static constexpr size_t maxLasting = 4;
+
+    SoakSite& m_site;
+    const Clock& m_clock;
+    sim::World& m_world;
+    TimePoint m_nextAt;
+    size_t m_lasting = 0;
+};
+
+struct Options {
+    std::string programs = "build/bin";
+    std::string folder;
+    int seed = 1;
+    int time = 20;
+    bool isCalm = false;
+};
+
+int readOptions(int argc, const char** argv, Options& options)
+{
+    char* programs = nullptr;
+    char* folder = nullptr;
+    int isCalm = 0;
+    const poptOption table[] = {
+        { "programs", 'p', POPT_ARG_STRING, static_cast<void*>(&programs), 0, "folder of the programs, build/bin by default", "DIR" },
+        { "folder", 'f', POPT_ARG_STRING, static_cast<void*>(&folder), 0, "folder for settings, data and logs; emptied first", "DIR" },
+        { "seed", 's', POPT_ARG_INT, static_cast<void*>(&options.seed), 0, "seed of jobs and faults", "N" },
+        { "time", 't', POPT_ARG_INT, static_cast<void*>(&options.time), 0, "seconds with faults", "SECONDS" },
+        { "calm", 'c', POPT_ARG_NONE, static_cast<void*>(&isCalm), 0, "no faults", nullptr },
+        POPT_AUTOHELP POPT_TABLEEND
+    };
+    auto* context = poptGetContext("vanillalift-soak", argc, argv, table, 0);
+    int rc = poptGetNextOpt(context);
+    if (rc < -1)
+        std::fprintf(stderr, "%s: %s\n", poptBadOption(context, 0), poptStrerror(rc));
+    poptFreeContext(context);
+    options.isCalm = isCalm != 0;
+    if (programs)
+        options.programs = programs;
+    options.folder = folder ? folder : (std::filesystem::temp_directory_path() / ("vanillalift-soak-" + std::to_string(options.seed))).string();
+    return rc < -1 || options.seed < 0 || options.time < 1 ? 2 : 0;
+}
+
+void checkEnd(SoakSite& site)
+{
+    auto& violations = site.world().violations;
+    for (const auto& [id, job] : site.clients().jobs()) {
+        if (job.isSettled())
+            continue;
+        if (!job.isAccepted)
+            violations.add("handing in " + id + " has no clear answer at the end");
+        else if (!job.isLasting())
+            violations.add("an accepted job is not done " + std::to_string(finishBound.count()) + " s after the last fault: " + id);
+    }
+    for (const auto& [id, job] : site.clients().jobs()) {
+        if (!job.isLasting() || !job.isAccepted || job.isSettled() || job.cancelAt != TimePoint {})
+            continue;
+        for (uint32_t index = 0; index < job.spec.steps.front().taskCount; index++) {
+            if (site.world().runningAt[{ id, 0, 0, index }].empty())
+                violations.add("task " + std::to_string(index) + " of a lasting job is not at work: " + id);
+        }
+    }
+    if (!site.isWaveComplete())
+        violations.add("the wave is not complete");
+}
+
+int report(SoakSite& site, const Options& options, size_t faults)
+{
+    size_t accepted = 0;
+    size_t completed = 0;
+    size_t failed = 0;
+    size_t cancelled = 0;
+    for (const auto& [id, job] : site.clients().jobs()) {
+        accepted += job.isAccepted ? 1 : 0;
+        completed += job.phase == jobs::JobPhase::Completed ? 1 : 0;
+        failed += job.phase == jobs::JobPhase::Failed ? 1 : 0;
+        cancelled += job.phase == jobs::JobPhase::Cancelled ? 1 : 0;
+    }
+    std::cout << "seed " << options.seed << ": " << faults << " faults; jobs " << site.clients().jobs().size() << ", accepted " << accepted << ", completed " << completed
+              << ", failed " << failed << ", cancelled " << cancelled << "; calls " << site.clients().calls() << ", refused " << site.clients().refused() << ", unanswered "
+              << site.clients().unanswered() << "\n";
+    const auto& found = site.world().violations.found;
+    if (found.empty()) {
+        std::cout << "No promise was broken.\n";
+        std::filesystem::remove_all(options.folder);
+        return 0;
+    }
+    std::cout << site.world().violations.text() << "Settings, data and logs are in " << options.folder << "\n";
+    return 1;
+}
+
+} // namespace
+
+int main(int argc, const char** argv)
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    Options options;
+    if (int rc = readOptions(argc, argv, options); rc != 0)
+        return rc;
+    std::signal(SIGPIPE, SIG_IGN);
+    SystemClock clock;
+    net::EventLoop loop;
+    SiteDesc desc;
+    desc.seed = static_cast<uint64_t>(options.seed);
+    desc.programs = options.programs;
+    desc.folder = options.folder;
+    SoakSite site(loop, clock, desc);
+    Faults faults(site, clock);
+    Traffic traffic(site, clock);
+    if (!site.start()) {
+        std::fprintf(stderr, "cannot listen on the addresses of seed %d: is another run under way?\n", options.seed);
+        return 2;
+    }
+    auto begin = clock.now();
+    auto healAt = begin + formingTime + seconds(options.time);
+    bool isHealed = false;
+    net::Timer* next = nullptr;
+    net::Timer timer(loop, [&] {
+        auto now = clock.now();
+        site.pump();
+        if (site.hasCatalog() && now < healAt)
+            traffic.pump();
+        if (!options.isCalm && now >= begin + formingTime && now < healAt)
+            faults.pump();
+        if (now >= healAt && !isHealed) {
+            isHealed = true;
+            site.clients().setPatient();
+        }
+        // Faults that were to end by themselves may still start or harm something.
+        if (isHealed)
+            site.heal();
+        if (now >= healAt + finishBound)
+            return loop.stop();
+        next->armAt(now + pumpInterval, now);
+    });
+    next = &timer;
+    timer.armAt(begin, begin);
+    loop.run();
+    checkEnd(site);
+    return report(site, options, faults.count());
+}
--- /dev/null
+++ b/tests/soak/site.cpp
@@ -0,0 +1,429 @@
+#include "site.h"
+
+#include <csignal>
+#include <fstream>
+#include <sys/wait.h>
+
+namespace vanillalift::soak {
+
+using namespace jobs;
+using namespace platform::standin;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr uint16_t linkPort = 7000;
+    constexpr uint16_t metricsPort = 7015;
+    constexpr uint16_t controlPort = 8345;
+    constexpr uint16_t clientPort = 8340;
+    constexpr uint16_t readinessPort = 8343;
+    constexpr uint16_t endpointPort = 8080;
+    constexpr uint16_t instancePort = 8344;
+    // Third number of the addresses, 127.S.N.host: processes behind proxies, proxies, endpoints behind theirs, and these.
+    constexpr int processNetwork = 1;
+    constexpr int proxyNetwork = 2;
+    constexpr int endpointNetwork = 3;
+    constexpr int endpointProxyNetwork = 4;
+    constexpr size_t firstGatewayHost = 100;
+    /// Second number of the addresses: runs at the same time need seeds that differ by it.
+    constexpr uint64_t networks = 200;
+    constexpr int firstNetwork = 20;
+
+    constexpr milliseconds beatInterval { 500 };
+    constexpr milliseconds callTimeout { 1000 };
+    constexpr milliseconds operatorInterval { 300 };
+    /// A version has to be in force everywhere this long after its ack (configApplyMs).
+    constexpr milliseconds applyBound { 2000 };
+    constexpr milliseconds maintenanceTime { 2000 };
+
+    std::string dataFolder(const SiteDesc& desc, size_t n) { return desc.folder + "/data-" + std::to_string(n); }
+
+} // namespace
+
+SoakSite::SoakSite(net::EventLoop& loop, const Clock& clock, SiteDesc desc)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_desc(std::move(desc))
+    , m_world(m_desc.seed)
+{
+    m_world.clock.time = clock.now();
+    m_world.faults.failedRun = 0.02;
+}
+
+net::Address SoakSite::address(int network, size_t host, uint16_t port) const { return *net::parseAddress(addressText(network, host, port)); }
+
+std::string SoakSite::addressText(int network, size_t host, uint16_t port) const
+{
+    return "127." + std::to_string(firstNetwork + m_desc.seed % networks) + '.' + std::to_string(network) + '.' + std::to_string(host + 1) + ':' + std::to_string(port);
+}
+
+bool SoakSite::start()
+{
+    std::filesystem::remove_all(m_desc.folder);
+    std::filesystem::create_directories(m_desc.folder);
+    bool isOpen = true;
+    auto proxy = [&](int from, int to, size_t host, uint16_t port) {
+        auto made = std::make_unique<Proxy>(m_loop, m_clock, address(from, host, port), address(to, host, port));
+        isOpen = isOpen && made->isOpen();
+        return made;
+    };
+    for (size_t n = 0; n < m_desc.controllers; n++) {
+        m_links.push_back(proxy(proxyNetwork, processNetwork, n, linkPort));
+        m_controls.push_back(proxy(proxyNetwork, processNetwork, n, controlPort));
+        m_operator.push_back(std::make_unique<net::HttpChannel>(m_loop, m_clock, address(proxyNetwork, n, controlPort)));
+    }
+    std::vector<net::Address> gateways;
+    for (size_t n = 0; n < m_desc.gateways; n++) {
+        m_fronts.push_back(proxy(proxyNetwork, processNetwork, firstGatewayHost + n, clientPort));
+        gateways.push_back(address(proxyNetwork, firstGatewayHost + n, clientPort));
+    }
+    m_catalog.version = 1;
+    Queue queue;
+    queue.name = "q";
+    queue.host = "soak.example";
+    queue.pathPrefix = "/jobs/";
+    queue.service = "pool";
+    queue.maxAttempts = 4;
+    queue.timeoutMs = 3000;
+    queue.targetLatencyMs = 2500;
+    m_catalog.queues.push_back(queue);
+    Service service;
+    service.name = "pool";
+    m_catalog.services.push_back(service);
+    m_catalog.workspaces.push_back({ "workspace", { "soak-key" }, 10, {} });
+    m_clients = std::make_unique<Clients>(m_loop, m_clock, m_world, gateways, queue, "soak-key");
+
+    InstanceServer::Handlers handlers;
+    handlers.list = [this] {
+        std::vector<Instance> instances;
+        for (const auto& it : m_endpoints) {
+            bool isDown = it->downUntil > m_clock.now();
+            instances.push_back({ it->instance, "pool", isDown ? InstanceState::Maintenance : InstanceState::Up, "zone-a", it->model->described.capacity, {}, isDown ? "" : it->model->described.id });
+        }
+        return instances;
+    };
+    handlers.move = [](const std::string&, const std::string&, uint64_t) { return InstanceOrderStatus::Impossible; };
+    handlers.maintain = [this](const std::string& instance, uint64_t wave, uint64_t) { return maintain(instance, wave); };
+    m_instances = std::make_unique<InstanceServer>(m_loop, address(endpointNetwork, firstGatewayHost, instancePort), std::move(handlers));
+    isOpen = isOpen && m_instances->isOpen();
+
+    for (size_t n = 0; n < m_desc.endpoints; n++) {
+        auto& it = *m_endpoints.emplace_back(std::make_unique<SoakEndpoint>());
+        it.instance = "m-" + std::to_string(n);
+        Endpoint endpoint;
+        endpoint.id = "e-" + std::to_string(n);
+        endpoint.bornMs = wallClockMs();
+        endpoint.service = "pool";
+        endpoint.address = addressText(endpointProxyNetwork, n, endpointPort);
+        endpoint.availabilityZone = "zone-a";
+        endpoint.instance = it.instance;
+        endpoint.capacity = { 4000, 4000, 0 };
+        auto& model = m_world.endpoints[endpoint.id];
+        model = std::make_unique<sim::SimEndpoint>(m_world, endpoint);
+        model->need = { 1000, 100, 0 };
+        it.model = model.get();
+        it.proxy = std::make_unique<Proxy>(m_loop, m_clock, address(endpointProxyNetwork, n, endpointPort), address(endpointNetwork, n, endpointPort));
+        isOpen = isOpen && it.proxy->isOpen();
+        openEndpoint(it, n);
+    }
+    for (size_t n = 0; n < m_desc.controllers; n++)
+        startController(n, true);
+    for (size_t n = 0; n < m_desc.gateways; n++)
+        startGateway(n);
+    return isOpen;
+}
+
+void SoakSite::openEndpoint(SoakEndpoint& it, size_t n)
+{
+    auto* model = it.model;
+    EndpointHandlers handlers;
+    handlers.start = [this, model](const StartOrder& order) {
+        auto known = m_world.runningAt[order.task].contains(model->described.id);
+        auto reply = model->start(order, "");
+        if (reply.status == OrderStatus::Accepted && !known)
+            m_clients->noteStart(order);
+        return reply;
+    };
+    handlers.stop = [model](const StopOrder& order) { return model->stop(order); };
+    handlers.pace = [model](const PaceOrder&) { return OrderReply { OrderStatus::Accepted, model->clockMs() }; };
+    handlers.hold = [model](const HoldOrder& order) { return model->hold(order); };
+    handlers.hasNews = [model](const HoldOrder& order) { return model->lastEnd() > order.recordedThrough && model->hasEnds(); };
+    handlers.clockMs = [model] { return model->clockMs(); };
+    // The server before has to give up the address first.
+    it.server.reset();
+    it.server = std::make_unique<EndpointServer>(m_loop, m_clock, address(endpointNetwork, n, endpointPort), model->described.id, std::move(handlers));
+    if (!it.server->isOpen())
+        m_world.violations.add("an endpoint of the soak could not listen");
+}
+
+void SoakSite::rebirth(size_t n, bool isSameId)
+{
+    auto& it = *m_endpoints[n];
+    it.life++;
+    it.model->reborn(isSameId ? it.model->described.id : "e-" + std::to_string(n) + "-" + std::to_string(it.life));
+    it.model->described.bornMs = wallClockMs();
+    it.sequence = 0;
+    it.proxy->reset();
+    openEndpoint(it, n);
+}
+
+void SoakSite::startController(size_t n, bool isFirstStart)
+{
+    auto name = controllerName(n);
+    if (m_processes.isRunning(name))
+        return;
+    NodeFile file;
+    file.node = name;
+    file.ip = addressText(proxyNetwork, n, linkPort);
+    file.ip.resize(file.ip.find(':'));
+    file.availabilityZone = "zone-" + std::string(1, static_cast<char>('a' + n % 3));
+    file.control = addressText(processNetwork, n, controlPort);
+    file.firstPort = linkPort;
+    file.lastPort = metricsPort;
+    for (size_t it = 0; it < std::min<size_t>(m_desc.controllers, 3); it++)
+        file.seeds.push_back(addressText(proxyNetwork, it, controlPort));
+    file.isFirstStart = isFirstStart;
+    file.dataFolder = dataFolder(m_desc, n);
+    file.instanceService = addressText(endpointNetwork, firstGatewayHost, instancePort);
+    auto path = m_desc.folder + '/' + name + ".json";
+    std::ofstream(path) << settingsText(file);
+    std::filesystem::create_directories(file.dataFolder);
+    if (!m_processes.start(name, { m_desc.programs + "/vanillalift-controller", "--settings", path, "--listen", addressText(processNetwork, n, linkPort) }, m_desc.folder + '/' + name + ".log"))
+        m_world.violations.add("cannot start " + name);
+}
+
+void SoakSite::startGateway(size_t n)
+{
+    auto name = gatewayName(n);
+    if (m_processes.isRunning(name))
+        return;
+    NodeFile file;
+    file.node = name;
+    auto host = firstGatewayHost + n;
+    file.ip = addressText(processNetwork, host, linkPort);
+    file.ip.resize(file.ip.find(':'));
+    file.availabilityZone = "zone-a";
+    file.clients = addressText(processNetwork, host, clientPort);
+    file.readiness = addressText(processNetwork, host, readinessPort);
+    file.firstPort = linkPort;
+    file.lastPort = metricsPort;
+    for (size_t it = 0; it < std::min<size_t>(m_desc.controllers, 3); it++)
+        file.seeds.push_back(addressText(proxyNetwork, it, controlPort));
+    auto path = m_desc.folder + '/' + name + ".json";
+    std::ofstream(path) << settingsText(file);
+    if (!m_processes.start(name, { m_desc.programs + "/vanillalift-gateway", "--settings", path }, m_desc.folder + '/' + name + ".log"))
+        m_world.violations.add("cannot start " + name);
+}
+
+void SoakSite::stop(const std::string& name, int signal)
+{
+    if (!m_processes.isRunning(name))
+        return;
+    m_stopping.insert(name);
+    m_processes.signal(name, SIGCONT);
+    m_processes.signal(name, signal);
+}
+
+void SoakSite::wipeDisk(size_t n) { std::filesystem::remove_all(dataFolder(m_desc, n)); }
+
+void SoakSite::tearLog(size_t n)
+{
+    std::filesystem::path newest;
+    std::error_code ec;
+    for (const auto& it : std::filesystem::directory_iterator(dataFolder(m_desc, n), ec)) {
+        if (it.path().extension() == ".seg" && it.path() > newest)
+            newest = it.path();
+    }
+    if (newest.empty())
+        return;
+    std::string torn("\xF7VLR\x90\x01\x00\x00", 8);
+    torn.append(static_cast<size_t>(std::uniform_int_distribution<>(0, 300)(m_world.random)), '\0');
+    std::ofstream(newest, std::ios::app | std::ios::binary) << torn;
+}
+
+InstanceOrderStatus SoakSite::maintain(const std::string& instance, uint64_t wave)
+{
+    auto now = m_clock.now();
+    if (wave != m_wave.number || std::find(m_wave.instances.begin(), m_wave.instances.end(), instance) == m_wave.instances.end())
+        return InstanceOrderStatus::NotOfWave;
+    for (size_t n = 0; n < m_endpoints.size(); n++) {
+        auto& it = *m_endpoints[n];
+        if (it.instance != instance)
+            continue;
+        if (it.maintainedBy == wave)
+            return InstanceOrderStatus::Accepted;
+        auto down = std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& other) { return other->downUntil > now; });
+        if (down >= static_cast<std::ptrdiff_t>(m_wave.maxAtOnce))
+            m_world.violations.add("maintenance of more instances at once than the wave allows: " + instance);
+        it.maintainedBy = wave;
+        it.downUntil = now + maintenanceTime;
+        it.model->crash();
+        it.model->isCut = true;
+        it.server.reset();
+        it.proxy->reset();
+        return InstanceOrderStatus::Accepted;
+    }
+    return InstanceOrderStatus::Impossible;
+}
+
+void SoakSite::beat(SoakEndpoint& it)
+{
+    auto now = m_clock.now();
+    if (now < it.nextBeatAt || !it.server)
+        return;
+    it.nextBeatAt = now + beatInterval;
+    if (it.beats && it.beats->pending() != 0)
+        return;
+    if (!it.beats)
+        it.beats = std::make_unique<net::HttpChannel>(m_loop, m_clock, address(proxyNetwork, it.beatsTo % m_desc.controllers, controlPort));
+    it.beats->send(beatCall(it.model->described, ++it.sequence, it.model->clockMs()), now + callTimeout, [this, &it](const net::HttpResult& result) {
+        const auto* response = std::get_if<net::HttpResponse>(&result);
+        if (response && response->status == 200)
+            return;
+        // Another controller is asked next. The channel is not replaced within its own handler.
+        it.beatsTo++;
+        it.nextBeatAt = m_clock.now() + milliseconds(100);
+    });
+}
+
+void SoakSite::callControl(net::HttpRequest request, std::function<void(int, const std::string&)> handler)
+{
+    auto n = std::uniform_int_distribution<size_t>(0, m_operator.size() - 1)(m_world.random);
+    m_operator[n]->send(std::move(request), m_clock.now() + callTimeout, [handler = std::move(handler)](const net::HttpResult& result) {
+        const auto* response = std::get_if<net::HttpResponse>(&result);
+        handler(response ? response->status : 0, response ? response->body : std::string());
+    });
+}
+
+void SoakSite::changeCatalog()
+{
+    if (m_ackedVersion != m_catalog.version)
+        return;
+    m_catalog.version++;
+    m_catalog.queues.front().targetLatencyMs = 2000 + 10 * static_cast<uint32_t>(m_catalog.version);
+}
+
+void SoakSite::putCatalog()
+{
+    m_isPutOut = true;
+    callControl(putCatalogCall(m_catalog), [this, version = m_catalog.version](int status, const std::string&) {
+        m_isPutOut = false;
+        if (status == 200) {
+            m_ackedVersion = std::max(m_ackedVersion, version);
+            m_ackedAt = m_clock.now();
+        } else if (status != 0 && status != 503) {
+            m_world.violations.add("a valid configuration was answered " + std::to_string(status));
+        }
+    });
+}
+
+void SoakSite::readCatalog()
+{
+    m_isReadOut = true;
+    bool isInForce = m_clock.now() - m_ackedAt > applyBound;
+    callControl(readCatalogCall(), [this, acked = m_ackedVersion, isInForce](int status, const std::string& body) {
+        m_isReadOut = false;
+        m_nextReadAt = m_clock.now() + operatorInterval;
+        auto version = status == 200 ? decodeVersion(body) : std::nullopt;
+        if (version && isInForce && *version < acked)
+            m_world.violations.add("an older configuration was read back: " + std::to_string(*version) + " after " + std::to_string(acked));
+    });
+}
+
+void SoakSite::startWave()
+{
+    if (m_wave.number != 0)
+        return;
+    m_wave.number = 1;
+    m_wave.maxAtOnce = 2;
+    for (const auto& it : m_endpoints)
+        m_wave.instances.push_back(it->instance);
+}
+
+void SoakSite::putWave()
+{
+    m_isWaveCallOut = true;
+    callControl(startWaveCall(m_wave, std::chrono::seconds(20)), [this](int status, const std::string&) {
+        m_isWaveCallOut = false;
+        m_nextWaveCallAt = m_clock.now() + operatorInterval;
+        m_isWaveAccepted = m_isWaveAccepted || status == 200;
+    });
+}
+
+void SoakSite::readWave()
+{
+    m_isWaveCallOut = true;
+    callControl(readWaveCall(m_wave.number), [this](int status, const std::string& body) {
+        m_isWaveCallOut = false;
+        m_nextWaveCallAt = m_clock.now() + operatorInterval;
+        if (status != 200 || !decodeWaveState(body).value_or(false))
+            return;
+        m_isWaveComplete = true;
+        for (const auto& it : m_endpoints) {
+            if (it->maintainedBy != m_wave.number)
+                m_world.violations.add("the wave is said to be complete without " + it->instance);
+        }
+    });
+}
+
+void SoakSite::pump()
+{
+    auto now = m_clock.now();
+    m_world.agenda.runUntil(now);
+    for (auto* list : { &m_links, &m_controls, &m_fronts }) {
+        for (auto& it : *list)
+            it->pump();
+    }
+    for (size_t n = 0; n < m_endpoints.size(); n++) {
+        auto& it = *m_endpoints[n];
+        it.model->lapse();
+        it.proxy->pump();
+        if (!it.server && now >= it.downUntil) {
+            it.model->isCut = false;
+            rebirth(n, false);
+        }
+        if (it.server)
+            it.server->pump();
+        if (it.beats && it.beats->pending() == 0 && it.beatsTo % m_desc.controllers != 0)
+            it.beats.reset();
+        beat(it);
+    }
+    m_clients->pump();
+    if (!m_isPutOut && m_ackedVersion < m_catalog.version)
+        putCatalog();
+    if (!m_isReadOut && m_ackedVersion != 0 && now >= m_nextReadAt)
+        readCatalog();
+    if (m_wave.number != 0 && !m_isWaveComplete && !m_isWaveCallOut && now >= m_nextWaveCallAt) {
+        if (m_isWaveAccepted)
+            readWave();
+        else
+            putWave();
+    }
+    m_processes.reap([this](const std::string& name, int status) {
+        bool isWanted = m_stopping.erase(name) != 0;
+        if (!isWanted)
+            m_world.violations.add(name + " ended by itself: " + (WIFEXITED(status) ? "status " + std::to_string(WEXITSTATUS(status)) : "signal " + std::to_string(WTERMSIG(status))));
+    });
+}
+
+void SoakSite::heal()
+{
+    for (auto* list : { &m_links, &m_controls, &m_fronts }) {
+        for (auto& it : *list) {
+            it->setSilent(false, false);
+            it->setDelay({});
+        }
+    }
+    for (auto& it : m_endpoints)
+        it->proxy->setSilent(false, false);
+    for (size_t n = 0; n < m_desc.controllers; n++) {
+        m_processes.signal(controllerName(n), SIGCONT);
+        startController(n);
+    }
+    for (size_t n = 0; n < m_desc.gateways; n++) {
+        m_processes.signal(gatewayName(n), SIGCONT);
+        startGateway(n);
+    }
+}
+
+} // namespace vanillalift::soak
--- /dev/null
+++ b/tests/soak/site.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "clients.h"
+#include "platform/standin/endpoint_server_p.h"
+#include "platform/standin/instance_server_p.h"
+#include "processes.h"
+#include "proxy.h"
+
+#include <filesystem>
+
+namespace vanillalift::soak {
+
+struct SiteDesc {
+    uint64_t seed = 1;
+    /// Folder of the programs.
+    std::string programs;
+    /// Folder for settings, data and logs.
+    std::string folder;
+    size_t controllers = 5;
+    size_t gateways = 2;
+    size_t endpoints = 6;
+};
+
+/// One endpoint with its server, reached through a proxy.
+struct SoakEndpoint {
+    std::string instance;
+    sim::SimEndpoint* model = nullptr;
+    std::unique_ptr<platform::standin::EndpointServer> server;
+    std::unique_ptr<Proxy> proxy;
+    std::unique_ptr<net::HttpChannel> beats;
+    size_t beatsTo = 0;
+    uint64_t sequence = 0;
+    TimePoint nextBeatAt;
+    uint32_t life = 0;
+    /// The instance is down until then.
+    TimePoint downUntil;
+    uint64_t maintainedBy = 0;
+};
+
+/// A deployment of real processes on loopback addresses of its own, with endpoints, clients, operators and the platform
+/// played by this process.
+class SoakSite {
+public:
+    SoakSite(net::EventLoop& loop, const Clock& clock, SiteDesc desc);
+
+    bool start();
+    void pump();
+
+    // Faults
+    void startController(size_t n, bool isFirstStart = false);
+    void startGateway(size_t n);
+    [[nodiscard]] std::string controllerName(size_t n) const { return "controller-" + std::to_string(n); }
+    [[nodiscard]] std::string gatewayName(size_t n) const { return "gateway-" + std::to_string(n); }
+    /// The signal's end of the process is wanted.
+    void stop(const std::string& name, int signal);
+    void wipeDisk(size_t n);
+    /// Appends what a power loss may leave of a write that was not synced.
+    void tearLog(size_t n);
+    Proxy& linkProxy(size_t n) { return *m_links[n]; }
+    Proxy& controlProxy(size_t n) { return *m_controls[n]; }
+    Proxy& gatewayProxy(size_t n) { return *m_fronts[n]; }
+    SoakEndpoint& endpoint(size_t n) { return *m_endpoints[n]; }
+    void rebirth(size_t n, bool isSameId);
+
+    // Operators
+    void changeCatalog();
+    void startWave();
+    /// Ends all harm of proxies and starts what is not running.
+    void heal();
+
+    [[nodiscard]] const SiteDesc& desc() const { return m_desc; }
+    [[nodiscard]] sim::World& world() { return m_world; }
+    [[nodiscard]] Clients& clients() { return *m_clients; }
+    [[nodiscard]] bool hasCatalog() const { return m_ackedVersion != 0; }
+    [[nodiscard]] bool isWaveComplete() const { return m_wave.number == 0 || m_isWaveComplete; }
+    Processes& processes() { return m_processes; }
+
+private:
+    [[nodiscard]] net::Address address(int network, size_t host, uint16_t port) const;
+    [[nodiscard]] std::string addressText(int network, size_t host, uint16_t port) const;
+    void openEndpoint(SoakEndpoint& it, size_t n);
+    void beat(SoakEndpoint& it);
+    void putCatalog();
+    void readCatalog();
+    void putWave();
+    void readWave();
+    void callControl(net::HttpRequest request, std::function<void(int status, const std::string& body)> handler);
+    jobs::InstanceOrderStatus maintain(const std::string& instance, uint64_t wave);
+
+    net::EventLoop& m_loop;
+    const Clock& m_clock;
+    SiteDesc m_desc;
+    sim::World m_world;
+    Processes m_processes;
+    std::set<std::string> m_stopping;
+    std::vector<std::unique_ptr<Proxy>> m_links;
+    std::vector<std::unique_ptr<Proxy>> m_controls;
+    std::vector<std::unique_ptr<Proxy>> m_fronts;
+    std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
+    std::unique_ptr<platform::standin::InstanceServer> m_instances;
+    std::vector<std::unique_ptr<net::HttpChannel>> m_operator;
+    std::unique_ptr<Clients> m_clients;
+    jobs::Catalog m_catalog;
+    uint64_t m_ackedVersion = 0;
+    TimePoint m_ackedAt;
+    bool m_isPutOut = false;
+    bool m_isReadOut = false;
+    TimePoint m_nextReadAt;
+    jobs::Wave m_wave;
+    bool m_isWaveAccepted = false;
+    bool m_isWaveComplete = false;
+    bool m_isWaveCallOut = false;
+    TimePoint m_nextWaveCallAt;
+};
+
+} // namespace vanillalift::soak
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -72,7 +72,7 @@
         controller.stop([&] { loop.stop(); });
     });
     loop.onSignal(SIGHUP, [&] {
-        auto changed = platform::loadPlatformSettings(platform::settingsPath());
+        auto changed = platform::loadPlatformSettings(settings->path);
         log.stateLine("reload").field("valid", changed.has_value());
         if (changed)
             controller.addSeeds(changed->seeds);
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -76,7 +76,7 @@
         stoppedAt = clock.now();
     });
     loop.onSignal(SIGHUP, [&] {
-        auto changed = platform::loadPlatformSettings(platform::settingsPath());
+        auto changed = platform::loadPlatformSettings(settings->path);
         log.stateLine("reload").field("valid", changed.has_value());
         if (changed)
             leaders.addSeeds(changed->seeds);
