Keep the number of voting controllers odd

Four voters bear no more losses than three. Ruled out: running on three machines, as a role cannot leave out a zone.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -100,6 +100,7 @@
     driverDesc.core.name = m_desc.name;
     driverDesc.core.electionBase = config::controlElection;
     driverDesc.core.seed = seedOf(m_desc.name);
+    driverDesc.core.voterSilence = config::replicaSilence;
     driverDesc.snapshotEveryBytes = config::snapshotEveryBytes;
     m_driver = std::make_unique<LogDriver>(loop, clock, std::move(driverDesc), std::move(storage), std::move(handlers));
     for (const auto& it : m_driver->core().status().members)
@@ -310,7 +311,7 @@
             continue;
         bool hasSuccessor = std::any_of(status.members.begin(), status.members.end(), [&](const auto& it) {
             auto other = m_store.replicas().find(it.name);
-            return it.name != lost.name && it.isVoter && other != m_store.replicas().end() && other->second.isSuccessor
+            return it.name != lost.name && (it.isVoter || !lost.isVoter) && other != m_store.replicas().end() && other->second.isSuccessor
                 && other->second.availabilityZone == note->second.availabilityZone && !isSilent(it.name);
         });
         if (!hasSuccessor)
--- a/src/replica/raft_core_p.h
+++ b/src/replica/raft_core_p.h
@@ -17,6 +17,9 @@
     size_t maxAppendEntries = 1024;
     size_t maxAppendBytes = 512U << 10U;
     size_t maxChunkBytes = 512U << 10U;
+    /// Keeps the number of voters odd: one more would only raise the majority, and a cut into halves would leave none. A
+    /// voter that is not heard for this long makes way for a learner that has caught up. Zero: all members vote.
+    Duration voterSilence {};
     /// Proposals are refused while this many entries wait for commit.
     size_t maxUncommitted = 10000;
 };
@@ -111,7 +114,8 @@
     void commitTo(uint64_t index);
     void confirmReads();
     void tryTransfer();
-    void promoteLearners();
+    void balanceVoters();
+    [[nodiscard]] bool isCaughtUp(const ReplicaMember& member) const;
     [[nodiscard]] std::optional<ProposeErrorCode> changeFault() const;
     void respondError(uint64_t id, ProposeErrorCode code);
 
--- a/src/replica/raft_leader.cpp
+++ b/src/replica/raft_leader.cpp
@@ -220,18 +220,33 @@
     changeMembers(changed, change.id);
 }
 
-void RaftCore::promoteLearners()
+bool RaftCore::isCaughtUp(const ReplicaMember& member) const
+{
+    auto progress = m_progress.find(member.name);
+    return progress != m_progress.end() && progress->second.storageId == member.storageId && progress->second.match >= m_commitIndex;
+}
+
+void RaftCore::balanceVoters()
 {
     if (changeFault())
         return;
     auto changed = members();
-    for (auto& it : changed) {
-        const auto& progress = m_progress.find(it.name);
-        if (it.isVoter || progress == m_progress.end() || progress->second.storageId != it.storageId || progress->second.match < m_commitIndex)
-            continue;
-        it.isVoter = true;
-        return changeMembers(changed, 0);
-    }
+    // A member that has just been cut off as well would count for the majority and never answer.
+    auto isReady = [this](const ReplicaMember& it) { return !it.isVoter && isCaughtUp(it) && (m_desc.voterSilence == Duration::zero() || m_now - heardAt(it.name) < m_desc.electionBase); };
+    auto isSilentVoter = [this](const ReplicaMember& it) { return it.isVoter && it.name != m_desc.name && m_now - heardAt(it.name) >= m_desc.voterSilence; };
+    auto voters = std::count_if(changed.begin(), changed.end(), [](const auto& it) { return it.isVoter; });
+    auto ready = std::find_if(changed.begin(), changed.end(), isReady);
+    auto silent = std::find_if(changed.begin(), changed.end(), isSilentVoter);
+    bool mayAllVote = m_desc.voterSilence == Duration::zero();
+    bool isEven = voters % 2 == 0;
+    bool isPairReady = std::count_if(changed.begin(), changed.end(), isReady) >= 2;
+    if (ready != changed.end() && (mayAllVote || isEven || isPairReady || silent != changed.end()))
+        ready->isVoter = true;
+    else if (!mayAllVote && isEven && silent != changed.end())
+        silent->isVoter = false;
+    else
+        return;
+    changeMembers(changed, 0);
 }
 
 void RaftCore::handle(Transfer)
--- a/src/replica/raft_log.cpp
+++ b/src/replica/raft_log.cpp
@@ -66,7 +66,7 @@
     // An entry of an older term that is on a majority can still be replaced (Raft paper, section 5.4.2).
     if (quorumIndex > m_commitIndex && termAt(quorumIndex) == m_hardState.term)
         commitTo(quorumIndex);
-    promoteLearners();
+    balanceVoters();
     tryTransfer();
     confirmReads();
 }
--- a/tests/raft_history_test.cpp
+++ b/tests/raft_history_test.cpp
@@ -46,3 +46,54 @@
     CHECK(committed > 4000);
     CHECK(known > 4000);
 }
+
+// Guards the same where one of four members only follows, and voters are exchanged for it.
+TEST_CASE("no schedule breaks the log of a group that keeps its number of voters odd", "[raft]")
+{
+    size_t diskLosses = 0;
+    for (uint64_t seed = 1001; seed <= 1300; seed++) {
+        INFO("seed " << seed);
+        Sim sim(seed, 4, std::chrono::milliseconds(1500));
+        sim.run(std::chrono::seconds(12), true);
+        sim.run(std::chrono::seconds(12), false);
+        REQUIRE_THAT(sim.fault(), Catch::Matchers::Equals(""));
+        REQUIRE(isLinearizable(sim.history()));
+        REQUIRE(sim.isWhole());
+        diskLosses += sim.diskLosses();
+    }
+    WARN("disk losses " << diskLosses);
+    CHECK(diskLosses > 100);
+}
+
+// Guards against a group of an even number that stands still while a cut leaves half of it on each side: on trouble-3 of
+// hvtw-lift no request was served for 5.5 s.
+TEST_CASE("a group of four that is cut into halves goes on in one of them", "[raft]")
+{
+    for (size_t partner = 1; partner <= 3; partner++) {
+        Sim sim(7, 4, std::chrono::milliseconds(1500));
+        sim.run(std::chrono::seconds(2), false);
+        sim.cut({ 0, partner });
+        sim.run(std::chrono::seconds(2), false);
+        INFO("node 0 with node " << partner);
+        CHECK(sim.commits(std::chrono::seconds(3)));
+    }
+}
+
+// Guards against a group that has lost a voter for good and cannot bear another loss although a member has only followed.
+TEST_CASE("a voter that is gone makes way for the member that follows", "[raft]")
+{
+    for (size_t first = 0; first < 3; first++) {
+        for (size_t second = 0; second < 4; second++) {
+            if (second == first)
+                continue;
+            Sim sim(11, 4, std::chrono::milliseconds(1500));
+            sim.run(std::chrono::seconds(2), false);
+            sim.stop(sim.nodes()[first]);
+            sim.run(std::chrono::seconds(6), false);
+            sim.stop(sim.nodes()[second]);
+            sim.run(std::chrono::seconds(3), false);
+            INFO("nodes " << first << " and then " << second);
+            CHECK(sim.commits(std::chrono::seconds(3)));
+        }
+    }
+}
