Follow rising demand ahead, and tell turns from small rises

(1) The forecast of turns took the first few requests of a pool for its turn and learned gaps of a second: 122 instances went to a pool without a turn just as the peak began in another. (2) The arriving work was an average of 0.8 s and of 0.3 s in the first 2.5 s, while demand rises for 4 to 6 s and a move takes 1.5 s: the pool asked for 85 instances when 150 had work, with a hundred spare. With eight jobs in 0.3 s or more the difference of the two averages is now carried on for a second.

--- a/src/jobs/arrival_rate.cpp
+++ b/src/jobs/arrival_rate.cpp
@@ -15,6 +15,15 @@
     /// An onset is a rate of this many thousandths of a core that is also this many times the slow average.
     constexpr double onsetRate = 8000;
     constexpr double onsetGrowth = 1.4;
+    /// Jobs in the fast average from which a trend can be told from chance and from single large jobs.
+    constexpr double trendJobs = 8;
+    /// Demand has a trend while the fast average exceeds the slow one by this factor: chance alone makes a tenth.
+    constexpr double trendGrowth = 1.15;
+    /// A steady rise moves the averages apart by what it adds in half a second; an instance takes 1.5 s to move, of which
+    /// this many half seconds are looked ahead. The rest would follow chance too closely.
+    constexpr double trendSteps = 2;
+
+    double withTrend(double fast, double slow) { return fast > slow * trendGrowth ? fast + trendSteps * (fast - slow) : std::max(fast, slow); }
 
 } // namespace
 
@@ -25,6 +34,7 @@
         auto kept = std::exp(-seconds / window);
         average.cpu *= kept;
         average.memory *= kept;
+        average.jobs *= kept;
     };
     decay(m_slow, slowWindow);
     decay(m_fast, fastWindow);
@@ -42,6 +52,7 @@
     for (auto* it : { &m_slow, &m_fast }) {
         it->cpu += cpuMs;
         it->memory += memorySeconds;
+        it->jobs++;
     }
 }
 
@@ -49,9 +60,14 @@
 {
     auto cpu = m_slow.cpu / slowWindow;
     auto memory = m_slow.memory / slowWindow;
-    if (m_isRising) {
-        cpu = std::max(cpu, m_fast.cpu / fastWindow);
-        memory = std::max(memory, m_fast.memory / fastWindow);
+    auto fastCpu = m_fast.cpu / fastWindow;
+    auto fastMemory = m_fast.memory / fastWindow;
+    if (m_fast.jobs >= trendJobs) {
+        cpu = withTrend(fastCpu, cpu);
+        memory = withTrend(fastMemory, memory);
+    } else if (m_isRising) {
+        cpu = std::max(cpu, fastCpu);
+        memory = std::max(memory, fastMemory);
     }
     return { static_cast<int64_t>(cpu), static_cast<int64_t>(memory), 0 };
 }
--- a/src/jobs/instance_keeper_pools.cpp
+++ b/src/jobs/instance_keeper_pools.cpp
@@ -70,7 +70,7 @@
             m_idleSince.clear();
         }
         pool.load.isRising = load.isRising;
-        m_forecast.observe(it.name, arriving, m_clock.now());
+        m_forecast.observe(it.name, arriving, m_instances.size(), m_clock.now());
         pool.load.arriving = std::max(arriving, m_forecast.expected(it.name, m_clock.now()));
         pool.load.backlogSeconds = inInstances(load.backlog, instance);
         pool.load.backlogWithin = std::max(load.objectiveSeconds * backlogShare, 0.5);
