Take a list of lasting tasks to be as old as the request for it

Traced by reading: the age of a list counted from when its answer was processed, and an answer may wait for the processor of a busy leader.

--- a/src/jobs/dispatcher_orders.cpp
+++ b/src/jobs/dispatcher_orders.cpp
@@ -173,7 +173,7 @@
         if (key)
             listed.insert(*key);
         if (run) {
-            noteProgress(session, *run, it);
+            noteProgress(session, *run, it, sentAt);
             continue;
         }
         // Nothing on record places it there.
@@ -211,7 +211,7 @@
     queueEnd(session, run, run.mustStop ? RunEnd::NotStarted : RunEnd::Lost, "");
 }
 
-void Dispatcher::noteProgress(EndpointSession& session, Run& run, const RunningRow& row)
+void Dispatcher::noteProgress(EndpointSession& session, Run& run, const RunningRow& row, TimePoint sentAt)
 {
     auto now = m_clock.now();
     if (run.phase == RunPhase::Ended)
@@ -236,7 +236,7 @@
     else if (run.atWorkSince == TimePoint {})
         run.atWorkSince = now;
     run.figure = row.figure;
-    run.figureAt = now;
+    run.listedAt = sentAt;
     if (!row.checkpoint.empty())
         run.checkpoint = row.checkpoint;
     auto patience = std::max<Duration>(stalledAfter, std::chrono::milliseconds(static_cast<int64_t>(run.estimateMs * stalledFactor)));
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -166,7 +166,7 @@
     void sendHold(EndpointSession& session);
     void receiveHold(EndpointSession& session, TimePoint sentAt, const HoldReply& reply);
     void reconcile(EndpointSession& session, TimePoint sentAt, const HoldReply& reply);
-    void noteProgress(EndpointSession& session, Run& run, const RunningRow& row);
+    void noteProgress(EndpointSession& session, Run& run, const RunningRow& row, TimePoint sentAt);
     void noteEnd(EndpointSession& session, const EndedRow& row);
     void settleAbsent(EndpointSession& session, Run& run, TimePoint sentAt);
     void sendStart(EndpointSession& session, Run& run);
--- a/src/jobs/endpoint_session.cpp
+++ b/src/jobs/endpoint_session.cpp
@@ -12,8 +12,8 @@
     /// Longest time after which an endpoint carries out a request that had no answer.
     constexpr std::chrono::milliseconds longestOrderDelay { 12000 };
     /// A list proves a task at work for this long. An endpoint may go dark at any moment, and the platform counts the task
-    /// as away from then on; endpoints whose lists are needed send one every 60 ms.
-    constexpr std::chrono::milliseconds atWorkFreshness { 130 };
+    /// as away from then on; endpoints whose lists are needed send one 60 ms after each request.
+    constexpr std::chrono::milliseconds atWorkFreshness { 160 };
 
 } // namespace
 
@@ -37,7 +37,7 @@
 {
     bool isSeen = phase == RunPhase::Running && !mustStop && atWorkSince != TimePoint {};
     Duration confirmation = wasInherited ? config::atWorkConfirmation : Duration::zero();
-    return isSeen && now - atWorkSince >= confirmation && now - figureAt <= atWorkFreshness;
+    return isSeen && now - atWorkSince >= confirmation && now - listedAt <= atWorkFreshness;
 }
 
 std::optional<int64_t> EndpointSession::clockAt(TimePoint moment) const
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -60,7 +60,8 @@
     uint32_t percent = 0;
     TimePoint progressAt;
     int64_t figure = 0;
-    TimePoint figureAt;
+    /// When the newest request was sent whose answer lists it: the list is not older than that.
+    TimePoint listedAt;
     std::string checkpoint;
     /// Checkpoint with which it was started.
     std::string resumedFrom;
