--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -198,6 +198,8 @@
     bool placeGang(JobPlan& plan, const TaskKey& first, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions);
     bool placeTask(JobPlan& plan, const TaskKey& key, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions);
     void commitPlacement(JobPlan& plan, const TaskKey& key, uint32_t run, EndpointSession& session, const std::string& ticket);
+    /// @returns what workspaces use by what their weights give them, see OrderedJob.
+    [[nodiscard]] std::map<std::string, double> workspaceShares(const std::vector<JobPlan*>& plans) const;
     void logWait(JobPlan& plan, size_t candidates);
     void refreshPlan(JobPlan& plan);
     void collectReady(JobPlan& plan, uint32_t occurrence);
--- a/src/jobs/dispatcher_placing.cpp
+++ b/src/jobs/dispatcher_placing.cpp
@@ -151,6 +151,7 @@
     if (candidates.empty())
         return;
     auto now = m_clock.now();
+    auto shares = workspaceShares(plans);
     std::vector<OrderedJob> ordered;
     for (const auto* plan : plans) {
         const auto& job = *plan->job;
@@ -158,6 +159,7 @@
         entry.chainMs = plan->estimate.chainMs;
         entry.workMs = plan->estimate.workMs;
         entry.relativeSize = plan->relativeSize;
+        entry.workspaceShare = shares[job.workspace];
         ordered.push_back(entry);
     }
     FailedNeeds failed;
@@ -190,6 +192,34 @@
     }
 }
 
+std::map<std::string, double> Dispatcher::workspaceShares(const std::vector<JobPlan*>& plans) const
+{
+    std::map<std::string, double> weights;
+    double weightSum = 0;
+    int64_t used = 0;
+    auto add = [&](const std::string& name) {
+        const auto* workspace = name.empty() ? nullptr : m_store.catalog().workspaceNamed(name);
+        if (!workspace || !weights.try_emplace(name, workspace->weight).second)
+            return;
+        weightSum += workspace->weight;
+        auto use = m_workspaceUse.find(name);
+        used += use == m_workspaceUse.end() ? 0 : use->second.cpu;
+    };
+    for (const auto* plan : plans)
+        add(plan->job->workspace);
+    for (const auto& [name, use] : m_workspaceUse) {
+        if (use.cpu > 0)
+            add(name);
+    }
+    std::map<std::string, double> shares;
+    for (const auto& [name, weight] : weights) {
+        auto use = m_workspaceUse.find(name);
+        bool isKnown = use != m_workspaceUse.end() && used > 0 && weight > 0 && weightSum > 0;
+        shares[name] = isKnown ? (static_cast<double>(use->second.cpu) / static_cast<double>(used)) / (weight / weightSum) : 0;
+    }
+    return shares;
+}
+
 void Dispatcher::logWait(JobPlan& plan, size_t candidates)
 {
     auto now = m_clock.now();
--- a/src/jobs/queue_order.cpp
+++ b/src/jobs/queue_order.cpp
@@ -56,7 +56,7 @@
     std::vector<Ranked> ranked;
     ranked.reserve(jobs.size());
     for (const auto& it : jobs)
-        ranked.push_back({ it.serial, tierOf(it, now), it.priority, valueOf(it) / (1 + it.workspaceShare), it.objectiveAt });
+        ranked.push_back({ it.serial, tierOf(it, now), it.priority, valueOf(it) / std::max(1.0, it.workspaceShare), it.objectiveAt });
     std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
         if (left.tier != right.tier)
             return left.tier < right.tier;
--- a/src/jobs/queue_order_p.h
+++ b/src/jobs/queue_order_p.h
@@ -24,7 +24,8 @@
     double workMs = 0;
     /// Work of the whole job compared with the mean of its queue.
     double relativeSize = 1;
-    /// Running capacity of its workspace by weight, compared with the other workspaces of the pool.
+    /// Capacity that its workspace uses, by what its weight gives it among the workspaces with work: 1 for just that, 2 for
+    /// twice as much. A workspace beyond its share comes later by as much; one below it gains nothing.
     double workspaceShare = 0;
 };
 
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -283,3 +283,36 @@
     CHECK(site.leader.dispatcher->loads()["s"].backlog.cpu == 2000);
     CHECK_FALSE(site.job("u").hasStarted);
 }
+
+TEST_CASE("a workspace with more work than its weight gives it comes after others when all is full", "[dispatcher]")
+{
+    // Load: 60 jobs of one workspace, then one of another each 1.7 s, on room for 16 tasks.
+    Site site(18);
+    auto catalog = site.leader.store.catalog();
+    catalog.version = 2;
+    // All jobs can be on time, so that the time left does not decide.
+    catalog.queues.front().targetLatencyMs = 60000;
+    catalog.workspaces.push_back({ "many", { "k1" }, 1, {} });
+    catalog.workspaces.push_back({ "few", { "k2" }, 1, {} });
+    site.leader.propose(PutCatalog { catalog });
+    auto submit = [&](const std::string& id, const std::string& workspace) {
+        JobSpec spec;
+        spec.id = id;
+        StepSpec step;
+        step.taskCount = 4;
+        step.need = { 1000, 100, 0 };
+        step.estimateMs = 800;
+        spec.steps.push_back(step);
+        site.leader.propose(PutJob { spec, workspace, "q", wallClockMs() });
+    };
+    for (int n = 0; n < 60; n++)
+        submit("m" + std::to_string(n), "many");
+    site.run(milliseconds(100));
+    for (int n = 0; n < 4; n++) {
+        submit("f" + std::to_string(n), "few");
+        site.run(milliseconds(1700));
+        INFO("round " << n);
+        CHECK(site.job("f" + std::to_string(n)).hasStarted);
+    }
+    CHECK(std::count_if(site.leader.store.jobs().begin(), site.leader.store.jobs().end(), [](const auto& it) { return it.second->isActive() && !it.second->hasStarted; }) > 10);
+}
