Let a wave go on without an instance that has left

An instance that is refused as busy and missing from the lists of 4 s has left. One list is not enough: it may miss an instance that changes its page.

Test: a wave with an instance that has left completes, one with an instance that is down waits for it. The times of calls stand once, in the keeper's header.

--- a/src/jobs/instance_keeper.cpp
+++ b/src/jobs/instance_keeper.cpp
@@ -5,6 +5,7 @@
 #include <vanillalift/config.h>
 
 #include <algorithm>
+#include <array>
 
 namespace vanillalift::jobs {
 
@@ -18,12 +19,18 @@
     constexpr std::chrono::milliseconds calmReadInterval { 2500 };
     /// The platform may be slow without being unavailable.
     constexpr std::chrono::milliseconds readTimeout { 3000 };
-    constexpr std::chrono::milliseconds callTimeout { 3000 };
-    /// Pause before an order that was not accepted is given again.
-    constexpr std::chrono::milliseconds callRetry { 300 };
     /// Part of the platform's rate that this leader uses: an earlier leader's last calls may still count.
     constexpr double rateShare = 0.9;
 
+    /// Time without an instance in the platform's lists, read about once a second in a wave, after which it has left.
+    constexpr std::chrono::milliseconds goneAfter { 4000 };
+
+    std::string_view stateName(InstanceState state)
+    {
+        constexpr std::array<std::string_view, static_cast<size_t>(InstanceState::InstanceStateCount)> names { "up", "moving", "maintenance", "down" };
+        return names.at(static_cast<size_t>(state));
+    }
+
 } // namespace
 
 InstanceKeeper::InstanceKeeper(InstanceKeeperDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, InstanceService& service, std::function<void(Command)> propose, const Clock& clock, EventLog& log)
@@ -213,7 +220,9 @@
             return;
         auto now = m_clock.now();
         auto& progress = m_progress[{ wave, name }];
-        m_log.line("wave-order").field("wave", wave).field("instance", name).field("status", instanceOrderStatusName(status));
+        auto known = m_instances.find(name);
+        auto state = known == m_instances.end() ? std::string_view("not-listed") : stateName(known->second.instance.state);
+        m_log.line("wave-order").field("wave", wave).field("instance", name).field("status", instanceOrderStatusName(status)).field("listed", state);
         if (status == InstanceOrderStatus::Accepted || status == InstanceOrderStatus::Impossible || status == InstanceOrderStatus::NotOfWave) {
             progress.acceptedAt = now;
             progress.isBack = status != InstanceOrderStatus::Accepted;
@@ -221,6 +230,15 @@
             return;
         }
         progress.nextCallAt = now + callRetry;
+        // An instance that is down is listed and may come back. One that the platform neither lists nor takes orders for has
+        // left for good; a list may miss one that changes its page, so a single one proves nothing.
+        bool isUnlisted = status == InstanceOrderStatus::Busy && known == m_instances.end() && !m_instances.empty();
+        if (!isUnlisted)
+            progress.unlistedSince = {};
+        else if (progress.unlistedSince == TimePoint {})
+            progress.unlistedSince = now;
+        else if (m_instances.begin()->second.readAt - progress.unlistedSince >= goneAfter)
+            m_propose(MarkMaintained { wave, name });
     });
 }
 
--- a/src/jobs/instance_keeper_p.h
+++ b/src/jobs/instance_keeper_p.h
@@ -31,6 +31,11 @@
     void tick();
 
 private:
+    /// The platform may be slow without being unavailable.
+    static constexpr std::chrono::milliseconds callTimeout { 3000 };
+    /// Pause before an order that was not accepted is given again.
+    static constexpr std::chrono::milliseconds callRetry { 300 };
+
     struct Known {
         Instance instance;
         /// When the reading that told this was sent.
@@ -44,6 +49,8 @@
         TimePoint acceptedAt;
         /// The instance has been seen up after the order.
         bool isBack = false;
+        /// Since when the platform has refused the order and not listed the instance; the epoch if it lists it.
+        TimePoint unlistedSince;
     };
 
     /// A move that is planned or ordered.
--- a/src/jobs/instance_keeper_pools.cpp
+++ b/src/jobs/instance_keeper_pools.cpp
@@ -14,10 +14,6 @@
     constexpr std::chrono::milliseconds poolPlanInterval { 100 };
     /// One line a pool and second is enough to follow a peak afterwards.
     constexpr std::chrono::milliseconds poolLogInterval { 1000 };
-    /// The platform may be slow without being unavailable.
-    constexpr std::chrono::milliseconds callTimeout { 3000 };
-    /// Pause before a move that may have been carried out is ordered again.
-    constexpr std::chrono::milliseconds callRetry { 300 };
     /// Part of a job's objective within which the work that waits before it has to be done.
     constexpr double backlogShare = 0.4;
     /// A move counts as under way for this much longer than the platform says: the new life has to report itself.
--- a/tests/jobs/instance_keeper_test.cpp
+++ b/tests/jobs/instance_keeper_test.cpp
@@ -45,9 +45,16 @@
         m_world.agenda.after(milliseconds(5), [handler, status] { handler(status); });
     }
 
-    void maintain(const std::string&, uint64_t, uint64_t, TimePoint, std::function<void(InstanceOrderStatus)> handler) override
+    void maintain(const std::string& instance, uint64_t, uint64_t, TimePoint, std::function<void(InstanceOrderStatus)> handler) override
     {
-        m_world.agenda.after(milliseconds(5), [handler] { handler(InstanceOrderStatus::NotOfWave); });
+        auto it = instances.find(instance);
+        bool isUp = it != instances.end() && it->second.state == InstanceState::Up;
+        auto status = isUp ? InstanceOrderStatus::Accepted : InstanceOrderStatus::Busy;
+        if (isUp) {
+            it->second.state = InstanceState::Maintenance;
+            m_world.agenda.after(seconds(2), [this, instance] { instances.at(instance).state = InstanceState::Up; });
+        }
+        m_world.agenda.after(milliseconds(5), [handler, status] { handler(status); });
     }
 
     struct Moved {
@@ -143,3 +150,28 @@
     CHECK(*back - peakAt < milliseconds(800));
     CHECK(site.world.violations.text().empty());
 }
+
+// Guards against a wave that is never complete because an instance of it has left (inc-cd4b of hvtw-lift), and against one that
+// is said to be complete while an instance is only down.
+TEST_CASE("a wave goes without an instance that has left, and waits for one that is down", "[keeper]")
+{
+    for (bool isOnlyDown : { false, true }) {
+        PooledSite pooled(4);
+        auto& site = pooled.site;
+        if (isOnlyDown)
+            pooled.platform.instances.at("m-e0").state = InstanceState::Down;
+        else
+            pooled.platform.instances.erase("m-e0");
+        site.endpoint("e0").crash();
+        site.endpoint("e0").isCut = true;
+        site.leader.propose(PutWave { { 1, { "m-e0", "m-e1", "m-e2" }, wallClockMs() + 20000, 1 } });
+        site.run(seconds(25));
+        INFO((isOnlyDown ? "down" : "left"));
+        CHECK(site.leader.store.waves().at(1).isComplete() == !isOnlyDown);
+        if (!isOnlyDown)
+            continue;
+        pooled.platform.instances.at("m-e0").state = InstanceState::Up;
+        site.run(seconds(6));
+        CHECK(site.leader.store.waves().at(1).isComplete());
+    }
+}
