Give lasting tasks that wait an instance each, and stop none while others wait

Cause: its step wants one task an endpoint, the pool's instances each held one, and a pool with waiting lasting tasks asked for one instance more than its load needed, which was fewer than it had. A pool now asks for as many instances more than it has as lasting tasks wait, up to 8 at a time, and no lasting task is stopped while others of its pool wait for a place.

--- a/src/jobs/instance_keeper.cpp
+++ b/src/jobs/instance_keeper.cpp
@@ -31,6 +31,15 @@
         return names.at(static_cast<size_t>(state));
     }
 
+    /// @returns whether lasting tasks of the pool wait for a place.
+    bool areLastingWaiting(const Dispatcher& dispatcher, const JobStore& store, std::string_view service)
+    {
+        return std::any_of(dispatcher.plans().begin(), dispatcher.plans().end(), [&](const auto& it) {
+            const auto& plan = it.second;
+            return plan.job->isLasting() && !plan.ready.empty() && store.queueOf(*plan.job).service == service;
+        });
+    }
+
 } // namespace
 
 InstanceKeeper::InstanceKeeper(InstanceKeeperDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, InstanceService& service, std::function<void(Command)> propose, const Clock& clock, EventLog& log)
@@ -290,10 +299,12 @@
         if ((run.isLasting || isForced) && mayStop(run))
             toStop.push_back(key);
     }
+    // A lasting task is not stopped while others of the pool wait for a place: it would wait as well.
+    bool mayStopLasting = toStop.empty() || !areLastingWaiting(m_dispatcher, m_store, session->endpoint.service);
     // One at a time, since each one that is away counts for the next.
     for (const auto& it : toStop) {
         auto run = session->runs.find(it);
-        if (run == session->runs.end() || !mayStop(run->second))
+        if (run == session->runs.end() || (run->second.isLasting && !mayStopLasting) || !mayStop(run->second))
             continue;
         m_dispatcher.evacuate(session->endpoint.id, it);
     }
--- a/src/jobs/pool_plan.cpp
+++ b/src/jobs/pool_plan.cpp
@@ -18,6 +18,10 @@
     /// A pool gives instances away once it has this many more than it wants: demand moves by itself as much.
     constexpr double surplusMargin = 0.5;
 
+    /// Instances taken at a time for lasting tasks that wait: they may wait for their workspace's limit, which no instance
+    /// changes.
+    constexpr size_t mostForWaiting = 8;
+
     struct Balance {
         double wanted = 0;
         size_t present = 0;
@@ -48,9 +52,18 @@
         if (pools[n].isSpare)
             sparePool = n;
     }
+    std::vector<double> arriving(pools.size());
     for (const auto& it : instances) {
         balance[it.pool].present += it.isAway ? 0 : 1;
         balance[it.pool].leaving += it.isLeaving && !it.isAway ? 1 : 0;
+        arriving[it.pool] += it.isArriving ? 1 : 0;
+    }
+    // Lasting tasks that wait fit on none of the instances there, however little these are used: tasks of a step stay apart.
+    for (size_t n = 0; n < pools.size(); n++) {
+        if (pools[n].isSpare || pools[n].load.lastingWaiting == 0)
+            continue;
+        auto settled = static_cast<double>(balance[n].present) - static_cast<double>(balance[n].leaving) - arriving[n];
+        balance[n].wanted = std::max(balance[n].wanted, settled + static_cast<double>(std::min(pools[n].load.lastingWaiting, mostForWaiting)));
     }
     std::vector<bool> isTaken(instances.size(), false);
     // A pool whose demand has come back keeps what it was about to give away.
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -209,6 +209,25 @@
         CHECK(it.instance > 3);
 }
 
+// Guards against lasting tasks that wait although instances are spare: a hunt on gandum-lift-grown (quiet-1 --seed 733276528612)
+// had one without a place for 14 s in a pool of which others of its step held each instance.
+TEST_CASE("a pool takes an instance for each lasting task that waits, however little it is used", "[pools]")
+{
+    Fleet fleet;
+    fleet.add(0, 8, false);
+    fleet.add(2, 10);
+    fleet.pools[0].load.lasting = 2;
+    fleet.pools[0].load.lastingWaiting = 4;
+    CHECK(fleet.movesTo(planPools(fleet.pools, fleet.instances, true, now), 0) == 4);
+    fleet.pools[0].load.lastingWaiting = 100;
+    CHECK(fleet.movesTo(planPools(fleet.pools, fleet.instances, true, now), 0) <= 8);
+    fleet.pools[0].load.lastingWaiting = 4;
+    fleet.add(0, 4);
+    for (size_t n = 18; n < 22; n++)
+        fleet.instances[n].isArriving = true;
+    CHECK(fleet.movesTo(planPools(fleet.pools, fleet.instances, true, now), 0) == 0);
+}
+
 TEST_CASE("steps that wait for others and workspaces at their limit draw no instances", "[pools]")
 {
     PoolLoad load;
