--- a/src/jobs/copy_plan.cpp
+++ b/src/jobs/copy_plan.cpp
@@ -20,19 +20,19 @@
 
 } // namespace
 
-bool isCopyWorthwhile(const RunView& run)
+bool isCopyWorthwhile(const RunView& run, TimePoint now)
 {
-    if (run.isStopping || run.silence > longSilence || run.sinceUnanswered > startDoubt)
+    bool isStartInDoubt = run.unansweredAt != TimePoint {} && now - run.unansweredAt > startDoubt;
+    if (run.isStopping || isStartInDoubt || now - run.heardAt > longSilence)
         return true;
-    if (run.sinceStart < std::chrono::duration_cast<Duration>(run.expected * slowFactor))
+    if (run.startedAt == TimePoint {} || now - run.startedAt < run.expected * slowFactor)
         return false;
-    auto reportedAfter = run.sinceStart - run.sinceReport;
-    if (run.sinceReport > stuckAfter || reportedAfter <= Duration::zero())
-        return run.sinceReport > stuckAfter;
+    auto ranUntilReport = run.progressAt - run.startedAt;
+    if (now - run.progressAt > stuckAfter || ranUntilReport <= Duration::zero())
+        return now - run.progressAt > stuckAfter;
     constexpr double whole = 100;
-    double done = std::max<double>(run.percent, 1);
-    auto total = std::chrono::duration_cast<Duration>(reportedAfter * (whole / done));
-    return total - run.sinceStart > std::chrono::duration_cast<Duration>(run.expected * gainFactor);
+    auto wholeRun = ranUntilReport * (whole / std::max<double>(run.percent, 1));
+    return wholeRun - (now - run.startedAt) > run.expected * gainFactor;
 }
 
 } // namespace vanillalift::jobs
--- a/src/jobs/dispatcher_copies.cpp
+++ b/src/jobs/dispatcher_copies.cpp
@@ -26,14 +26,14 @@
             if (!run.mayCopy || run.wantsCopy || run.phase == RunPhase::Ended || run.phase == RunPhase::Committing)
                 continue;
             RunView view;
-            view.sinceStart = run.startedAt == TimePoint {} ? Duration::zero() : now - run.startedAt;
-            view.sinceUnanswered = run.unansweredSince == TimePoint {} || run.phase == RunPhase::Running ? Duration::zero() : now - run.unansweredSince;
-            view.silence = now - std::max(heardAt, run.placedAt);
+            view.startedAt = run.startedAt;
+            view.unansweredAt = run.phase == RunPhase::Running ? TimePoint {} : run.unansweredSince;
+            view.heardAt = std::max(heardAt, run.placedAt);
             view.expected = expectedRunTime(run);
             view.percent = run.percent;
-            view.sinceReport = now - run.progressAt;
+            view.progressAt = run.progressAt;
             view.isStopping = run.mustStop;
-            if (!isCopyWorthwhile(view))
+            if (!isCopyWorthwhile(view, now))
                 continue;
             run.wantsCopy = true;
             markDirty(key.task.job);
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -581,13 +581,14 @@
 
 namespace {
 
-RunView makeRun(Duration sinceStart, uint32_t percent)
+RunView makeRun(Duration ranFor, uint32_t percent)
 {
     RunView run;
-    run.sinceStart = sinceStart;
+    run.startedAt = now - ranFor;
     run.expected = seconds(1);
     run.percent = percent;
-    run.sinceReport = milliseconds(100);
+    run.progressAt = now - milliseconds(100);
+    run.heardAt = now;
     return run;
 }
 
@@ -597,26 +598,27 @@
 // waste work.
 TEST_CASE("a copy is worthwhile where a run is in doubt or slow", "[copies]")
 {
-    CHECK_FALSE(isCopyWorthwhile(makeRun(milliseconds(500), 20)));
-    CHECK_FALSE(isCopyWorthwhile(makeRun(milliseconds(1500), 90)));
+    CHECK_FALSE(isCopyWorthwhile(makeRun(milliseconds(500), 20), now));
+    CHECK_FALSE(isCopyWorthwhile(makeRun(milliseconds(1500), 90), now));
     // A long task that is nearly done.
-    CHECK_FALSE(isCopyWorthwhile(makeRun(milliseconds(3000), 80)));
+    CHECK_FALSE(isCopyWorthwhile(makeRun(milliseconds(3000), 80), now));
     // Four times as slow as elsewhere.
-    CHECK(isCopyWorthwhile(makeRun(milliseconds(2000), 45)));
+    CHECK(isCopyWorthwhile(makeRun(milliseconds(2000), 45), now));
     auto stuck = makeRun(milliseconds(2500), 80);
-    stuck.sinceReport = milliseconds(2000);
-    CHECK(isCopyWorthwhile(stuck));
+    stuck.progressAt = now - milliseconds(2000);
+    CHECK(isCopyWorthwhile(stuck, now));
     auto silent = makeRun(milliseconds(500), 20);
-    silent.silence = milliseconds(2500);
-    CHECK(isCopyWorthwhile(silent));
+    silent.heardAt = now - milliseconds(2500);
+    CHECK(isCopyWorthwhile(silent, now));
     auto unanswered = makeRun(Duration::zero(), 0);
-    unanswered.sinceUnanswered = milliseconds(300);
-    CHECK_FALSE(isCopyWorthwhile(unanswered));
-    unanswered.sinceUnanswered = milliseconds(1000);
-    CHECK(isCopyWorthwhile(unanswered));
+    unanswered.startedAt = {};
+    unanswered.unansweredAt = now - milliseconds(300);
+    CHECK_FALSE(isCopyWorthwhile(unanswered, now));
+    unanswered.unansweredAt = now - milliseconds(1000);
+    CHECK(isCopyWorthwhile(unanswered, now));
     auto stopping = makeRun(milliseconds(100), 0);
     stopping.isStopping = true;
-    CHECK(isCopyWorthwhile(stopping));
+    CHECK(isCopyWorthwhile(stopping, now));
 }
 
 // Guards against endpoints that are slow being chosen as if they were not, and against never trying them again.
