Say things once in the dispatcher and the keeper

Two bounds of the speed estimate have their reason now, and comments that spoke in pictures say what happens.

No decision changes but the first value of a queue's mean work, which used to be taken again when it was 0.

--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -93,7 +93,7 @@
 /// Endpoints named in one request for advice.
 constexpr size_t maxAdvisedEndpoints = 100;
 
-/// Shortest election timeout of control instances. Their processors may stand still for a tenth of a second.
+/// Shortest election timeout of control instances. Their processes may get no processor for a tenth of a second.
 constexpr milliseconds controlElection { 500 };
 /// A control instance that has not been heard for this time is removed once a successor of its zone has caught up.
 constexpr milliseconds replicaSilence { 2500 };
--- a/src/jobs/arrival_rate_p.h
+++ b/src/jobs/arrival_rate_p.h
@@ -6,8 +6,8 @@
 namespace vanillalift::jobs {
 
 /// Work that arrives for a pool a second, averaged. While demand is beginning, the average is a short one, since a longer
-/// one would follow it only when the first peak is half over, and a rise of many small jobs is carried on ahead: an instance
-/// takes 1.5 s to move.
+/// one would follow it only when the first peak is half over, and a rise of many small jobs is extrapolated: an instance takes
+/// 1.5 s to move.
 class ArrivalRate {
 public:
     /// @param cpuMs work in milliseconds of a whole core.
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -120,9 +120,8 @@
     plan.estimate = estimateJob(job, 0);
     plan.objective = latencyObjective(m_store.queueOf(job), plan.estimate);
     auto& mean = m_meanWork[job.queue.name];
-    constexpr double meanWeight = 0.05;
-    mean = mean == 0 ? plan.estimate.totalWorkMs : mean + meanWeight * (plan.estimate.totalWorkMs - mean);
-    plan.relativeSize = mean > 0 ? plan.estimate.totalWorkMs / mean : 1;
+    mean.add(plan.estimate.totalWorkMs);
+    plan.relativeSize = mean.value() > 0 ? plan.estimate.totalWorkMs / mean.value() : 1;
     return plan;
 }
 
@@ -476,6 +475,14 @@
     }
 }
 
+bool Dispatcher::hasLastingWaiting(std::string_view service) const
+{
+    return std::any_of(m_plans.begin(), m_plans.end(), [&](const auto& it) {
+        const auto& plan = it.second;
+        return plan.job->isLasting() && !plan.ready.empty() && m_store.queueOf(*plan.job).service == service;
+    });
+}
+
 bool Dispatcher::isReachable(const EndpointSession& session) const
 {
     auto now = m_clock.now();
--- a/src/jobs/dispatcher_orders.cpp
+++ b/src/jobs/dispatcher_orders.cpp
@@ -245,7 +245,7 @@
     if (!isStalled && !isStuckStarting)
         return;
     m_log.line("stalled").field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("percent", run.percent);
-    noteFailure(session, "a task stands still");
+    noteFailure(session, "a task makes no progress");
     run.mustStop = true;
 }
 
@@ -299,15 +299,23 @@
     });
 }
 
-void Dispatcher::receiveStart(EndpointSession& session, const RunKey& key, const OrderReply& reply)
+Run* Dispatcher::runOfReply(EndpointSession& session, const RunKey& key, const OrderReply& reply)
 {
-    auto now = m_clock.now();
-    auto* run = findRun(session, key);
     if (reply.clockMs)
-        session.addClockSample(*reply.clockMs, now);
+        session.addClockSample(*reply.clockMs, m_clock.now());
+    auto* run = findRun(session, key);
     if (!run || run->phase == RunPhase::Ended)
-        return;
+        return nullptr;
     run->isOrderOut = false;
+    return run;
+}
+
+void Dispatcher::receiveStart(EndpointSession& session, const RunKey& key, const OrderReply& reply)
+{
+    auto now = m_clock.now();
+    auto* run = runOfReply(session, key, reply);
+    if (!run)
+        return;
     if (reply.status == OrderStatus::Accepted) {
         session.lastAnswerAt = now;
         run->settledAt = now;
@@ -371,12 +379,9 @@
 void Dispatcher::receiveStop(EndpointSession& session, const RunKey& key, const OrderReply& reply)
 {
     auto now = m_clock.now();
-    auto* run = findRun(session, key);
-    if (reply.clockMs)
-        session.addClockSample(*reply.clockMs, now);
-    if (!run || run->phase == RunPhase::Ended)
+    auto* run = runOfReply(session, key, reply);
+    if (!run)
         return;
-    run->isOrderOut = false;
     if (reply.status == OrderStatus::WrongInstance)
         return removeEndpoint(session, "another life answers at the address");
     if (reply.status != OrderStatus::Accepted) {
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -130,6 +130,8 @@
     };
     [[nodiscard]] std::map<std::string, ServiceLoad> loads();
     [[nodiscard]] bool isReachable(const EndpointSession& session) const;
+    /// Whether lasting tasks of the pool wait for a place.
+    [[nodiscard]] bool hasLastingWaiting(std::string_view service) const;
 
     void onCatalog() override;
     void onEndpoint(const Endpoint& endpoint) override;
@@ -176,6 +178,8 @@
     void noteEnd(EndpointSession& session, const EndedRow& row);
     void settleAbsent(EndpointSession& session, Run& run, TimePoint sentAt);
     void sendStart(EndpointSession& session, Run& run);
+    /// @returns the run that an order's reply is about, or nullptr if it has ended since.
+    Run* runOfReply(EndpointSession& session, const RunKey& key, const OrderReply& reply);
     void receiveStart(EndpointSession& session, const RunKey& key, const OrderReply& reply);
     void sendStop(EndpointSession& session, Run& run);
     void receiveStop(EndpointSession& session, const RunKey& key, const OrderReply& reply);
@@ -227,7 +231,7 @@
     /// Recent arrivals by service.
     std::map<std::string, ArrivalRate> m_arrivals;
     /// Mean work of a queue's jobs, in milliseconds of a whole core.
-    std::map<std::string, double> m_meanWork;
+    std::map<std::string, RunningMean> m_meanWork;
     /// Run times of a queue's tasks by those that were declared.
     std::map<std::string, RunningMean> m_runTimeRatio;
     TimePoint m_nextCopyPlanAt;
--- a/src/jobs/endpoint_session.cpp
+++ b/src/jobs/endpoint_session.cpp
@@ -11,8 +11,8 @@
 
     /// Longest time after which an endpoint carries out a request that had no answer.
     constexpr std::chrono::milliseconds longestOrderDelay { 12000 };
-    /// A list proves a task at work for this long. An endpoint may go dark at any moment, and the platform counts the task
-    /// as away from then on; endpoints whose lists are needed send one 60 ms after each request.
+    /// A list proves a task at work for this long. An endpoint may fail at any moment without a sign, and the platform counts
+    /// the task as away from then on; endpoints whose lists are needed send one 60 ms after each request.
     constexpr std::chrono::milliseconds atWorkFreshness { 160 };
 
 } // namespace
--- a/src/jobs/instance_keeper.cpp
+++ b/src/jobs/instance_keeper.cpp
@@ -31,15 +31,6 @@
         return names.at(static_cast<size_t>(state));
     }
 
-    /// @returns whether lasting tasks of the pool wait for a place.
-    bool areLastingWaiting(const Dispatcher& dispatcher, const JobStore& store, std::string_view service)
-    {
-        return std::any_of(dispatcher.plans().begin(), dispatcher.plans().end(), [&](const auto& it) {
-            const auto& plan = it.second;
-            return plan.job->isLasting() && !plan.ready.empty() && store.queueOf(*plan.job).service == service;
-        });
-    }
-
 } // namespace
 
 InstanceKeeper::InstanceKeeper(InstanceKeeperDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, InstanceService& service, std::function<void(Command)> propose, const Clock& clock, EventLog& log)
@@ -300,7 +291,7 @@
             toStop.push_back(key);
     }
     // A lasting task is not stopped while others of the pool wait for a place: it would wait as well.
-    bool mayStopLasting = toStop.empty() || !areLastingWaiting(m_dispatcher, m_store, session->endpoint.service);
+    bool mayStopLasting = toStop.empty() || !m_dispatcher.hasLastingWaiting(session->endpoint.service);
     // One at a time, since each one that is away counts for the next.
     for (const auto& it : toStop) {
         auto run = session->runs.find(it);
--- a/src/jobs/instance_keeper_pools.cpp
+++ b/src/jobs/instance_keeper_pools.cpp
@@ -198,9 +198,8 @@
             known->second.instance.state = InstanceState::Down;
             known->second.instance.endpoint.clear();
         }
-        bool isSpareSeen = move.isAccepted && pool && pool->isSpare && known != m_instances.end() && known->second.readAt > move.acceptedAt + m_desc.move && known->second.instance.pool == move.pool;
         bool isOverdue = move.isAccepted && now - move.acceptedAt > m_desc.move + moveMargin && known != m_instances.end() && known->second.readAt > move.acceptedAt + m_desc.move;
-        if (hasArrived || isResting || isSpareSeen || isOverdue) {
+        if (hasArrived || isResting || isOverdue) {
             m_idleSince[name] = now;
             it = m_moves.erase(it);
         } else {
--- a/src/jobs/speed_estimate.cpp
+++ b/src/jobs/speed_estimate.cpp
@@ -11,9 +11,10 @@
     constexpr double runWeight = 0.3;
     /// Time in which two thirds of what was learned is forgotten.
     constexpr std::chrono::seconds memory { 8 };
+    /// Bounds of what one run may say: a task that hung, or had little to do, tells nothing of the endpoint.
     constexpr double leastSpeed = 0.05;
     constexpr double mostSpeed = 2;
-    /// Weight of one value of a mean over all endpoints of a queue.
+    /// Weight of one value of a mean: it follows a change within some twenty values and no single one.
     constexpr double meanWeight = 0.05;
 
 } // namespace
--- a/src/replica/raft_core_p.h
+++ b/src/replica/raft_core_p.h
@@ -18,7 +18,7 @@
     size_t maxAppendBytes = 512U << 10U;
     size_t maxChunkBytes = 512U << 10U;
     /// Keeps the number of voters odd: one more would only raise the majority, and a cut into halves would leave none. A
-    /// voter that is not heard for this long makes way for a learner that has caught up. Zero: all members vote.
+    /// voter that is not heard for this long is replaced by a learner that has caught up. Zero: all members vote.
     Duration voterSilence {};
     /// Proposals are refused while this many entries wait for commit.
     size_t maxUncommitted = 10000;
