Make two tests fail for what they guard

Mutations on a scratch copy: with the stop of other copies taken out of onRunEnded, "the slower copy of a task is stopped once the other is done" passed, since the job was done as well and all its runs end then. It now plays a job that goes on beside the copied task, and fails there. The test of spare instances taken back failed by 0.9 s against 0.8 s without its change, by the luck of when the list was read; it now plays six moments after a reading, bound 0.65 s (0.35 s until the first move is over, 0.3 s to notice the peak and plan), and fails by 2.8 to 3.2 s.

--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -220,17 +220,35 @@
     CHECK(site.world.violations.text().empty());
 }
 
-TEST_CASE("the slower copy of a task is stopped once the other is done", "[dispatcher]")
+TEST_CASE("the slower copy of a task is stopped once the other is done, also while its job goes on", "[dispatcher]")
 {
-    Site site(15);
-    for (auto& [key, it] : site.world.endpoints)
-        it->slowness = key == "e0" ? 60 : 1;
-    for (int n = 0; n < 8; n++)
-        site.submitCopied("a" + std::to_string(n), 2);
-    site.run(seconds(20));
-    CHECK(site.runningTasks() == 0);
-    for (int n = 0; n < 8; n++)
-        CHECK(site.job("a" + std::to_string(n)).phase == JobPhase::Completed);
+    Site site(15, 1);
+    auto& slow = site.endpoint("e0");
+    slow.slowness = 60;
+    site.world.copied.insert("a");
+    JobSpec spec;
+    spec.id = "a";
+    StepSpec step;
+    step.need = { 1000, 100, 0 };
+    // Long enough for neither task to count as stalled.
+    step.estimateMs = 8000;
+    step.mayCopy = true;
+    spec.steps.push_back(step);
+    step.mayCopy = false;
+    spec.steps.push_back(step);
+    site.leader.propose(PutJob { spec, "", "q", wallClockMs() });
+    site.run(milliseconds(300));
+    REQUIRE(site.runningTasks() == 2);
+    // Silent for long enough that the first task is copied, and not for as long as its lease.
+    site.addEndpoint("e1");
+    slow.isCut = true;
+    site.run(milliseconds(2500));
+    slow.isCut = false;
+    site.run(milliseconds(2500));
+    CHECK(site.job("a").isActive());
+    CHECK(site.job("a").occurrences[0].steps[0].doneCount == 1);
+    CHECK(site.world.runningAt[{ "a", 0, 0, 0 }].empty());
+    CHECK(site.world.runningAt[{ "a", 0, 1, 0 }].size() == 1);
     CHECK(site.world.violations.text().empty());
 }
 
--- a/tests/jobs/instance_keeper_test.cpp
+++ b/tests/jobs/instance_keeper_test.cpp
@@ -131,24 +131,29 @@
 // were on their way to the spare pool for 3 s after their moves while a peak asked for 176 and got 63.
 TEST_CASE("an instance that was sent to the spare pool can be taken back as soon as its move is over", "[keeper]")
 {
-    PooledSite pooled(8);
-    auto& site = pooled.site;
-    // Load: some work, a pause in which idle instances become spare, and a peak.
-    for (int n = 0; n < 4; n++)
-        site.submit("a" + std::to_string(n), 4);
-    for (int n = 0; n < 200 && !pooled.movedAfter(TimePoint {}, "spare"); n++)
-        site.run(milliseconds(50));
-    REQUIRE(pooled.movedAfter(TimePoint {}, "spare"));
-    site.run(milliseconds(1300));
-    for (int n = 0; n < 40; n++)
-        site.submit("b" + std::to_string(n), 4);
-    auto peakAt = site.world.clock.time;
-    site.run(seconds(6));
-    auto back = pooled.movedAfter(peakAt, "s");
-    REQUIRE(back);
-    // The first one's move is over 0.2 s after the peak begins.
-    CHECK(*back - peakAt < milliseconds(800));
-    CHECK(site.world.violations.text().empty());
+    // The platform's list is read every 3.3 s; the peak comes at different times after a reading.
+    for (int offset = 0; offset < 3300; offset += 550) {
+        PooledSite pooled(8);
+        auto& site = pooled.site;
+        site.run(milliseconds(offset));
+        // Load: some work, a pause in which idle instances become spare, and a peak.
+        for (int n = 0; n < 4; n++)
+            site.submit("a" + std::to_string(n), 4);
+        for (int n = 0; n < 200 && !pooled.movedAfter(TimePoint {}, "spare"); n++)
+            site.run(milliseconds(50));
+        REQUIRE(pooled.movedAfter(TimePoint {}, "spare"));
+        site.run(milliseconds(1300));
+        for (int n = 0; n < 40; n++)
+            site.submit("b" + std::to_string(n), 4);
+        auto peakAt = site.world.clock.time;
+        site.run(seconds(6));
+        auto back = pooled.movedAfter(peakAt, "s");
+        REQUIRE(back);
+        INFO("offset " << offset);
+        // The first move is over 0.35 s after the peak begins, at the latest; the peak is noticed and planned for in 0.3 s.
+        CHECK(*back - peakAt < milliseconds(650));
+        CHECK(site.world.violations.text().empty());
+    }
 }
 
 // Guards against a wave that is never complete because an instance of it has left (inc-cd4b of hvtw-lift), and against one that
