--- a/tests/jobs/platform_decode_test.cpp
+++ b/tests/jobs/platform_decode_test.cpp
@@ -162,8 +162,8 @@
 
 TEST_CASE("no name of the platform is used outside its folder", "[platform]")
 {
-    const char* names[] = { "heartbeatAddr", "ackedThrough", "lastCheckpoint", "rejectsOverload", "mayMiss", "X-Duty-Holder", "X-Fence-Token", "X-Expect-Instance", "X-Credential", "X-Deadline-Ms", "coldLeftMs", "inFailureBudget", "run-start", "run-stop", "machine-upkeep", "machine-move", "wave-start", "VANILLALIFT_BOOT", "estRuntimeMs", "antiAffinity", "longRunning", "pathPrefix\"", "apiKeys" };
-    for (const auto* folder : { "src", "include", "tools" }) {
+    const char* names[] = { "heartbeatAddr", "ackedThrough", "lastCheckpoint", "rejectsOverload", "mayMiss", "X-Duty-Holder", "X-Fence-Token", "X-Expect-Instance", "X-Credential", "X-Deadline-Ms", "coldLeftMs", "inFailureBudget", "run-start", "run-stop", "machine-upkeep", "machine-move", "wave-start", "VANILLALIFT_BOOT", "estRuntimeMs", "antiAffinity", "longRunning", "pathPrefix\"", "apiKeys", "cancel_ms", "finish_s", "configApplyMs", "dutyPerS", "maxHoldMs" };
+    for (const auto* folder : { "src", "include", "tools", "tests/soak" }) {
         for (const auto& it : std::filesystem::recursive_directory_iterator(folder)) {
             if (!it.is_regular_file())
                 continue;
--- a/tests/raft_history_test.cpp
+++ b/tests/raft_history_test.cpp
@@ -65,7 +65,7 @@
     CHECK(diskLosses > 100);
 }
 
-// Guards against a group of an even number that stands still while a cut leaves half of it on each side: on trouble-3 of
+// Guards against a group of an even number that commits nothing while a cut leaves half of it on each side: on trouble-3 of
 // hvtw-lift no request was served for 5.5 s.
 TEST_CASE("a group of four that is cut into halves goes on in one of them", "[raft]")
 {
@@ -80,7 +80,7 @@
 }
 
 // Guards against a group that has lost a voter for good and cannot bear another loss although a member has only followed.
-TEST_CASE("a voter that is gone makes way for the member that follows", "[raft]")
+TEST_CASE("a voter that is gone is replaced by the member that follows", "[raft]")
 {
     for (size_t first = 0; first < 3; first++) {
         for (size_t second = 0; second < 4; second++) {
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -11,7 +11,7 @@
     constexpr milliseconds askInterval { 700 };
     constexpr milliseconds retryInterval { 250 };
     constexpr uint32_t maxAttempts = 4;
-    /// A cancelled job starts nothing later than this after its ack (cancel_ms), and a part of a second for the way here.
+    /// A cancelled job starts nothing later than this after its ack (3 s on the target platform), and a part of a second for the way here.
     constexpr milliseconds cancelBound { 3300 };
     /// Connections to each gateway, so that a call without an answer does not hold up the others.
     constexpr size_t channelsPerGateway = 8;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -16,10 +16,11 @@
 
 namespace {
 
-/// Time without faults before the first, and after the last within which all accepted jobs have to end (finish_s).
+/// Time without faults before the first, and after the last within which all accepted jobs have to end: the target platform gives 14 s after the end of the traffic.
 constexpr seconds formingTime { 6 };
 constexpr seconds finishBound { 14 };
 constexpr milliseconds pumpInterval { 3 };
+constexpr size_t leastControllers = 3;
 
 /// Harms the site at random, one thing after the other, several at a time.
 class Faults {
@@ -39,7 +40,7 @@
         m_nextAt = now + m_world.between(150, 1500);
         static const std::vector<std::pair<int, void (Faults::*)()>> kinds {
             { 3, &Faults::pause }, { 3, &Faults::kill }, { 2, &Faults::terminate }, { 4, &Faults::silence }, { 2, &Faults::reset }, { 2, &Faults::delay },
-            { 3, &Faults::crashEndpoint }, { 3, &Faults::silenceEndpoint }, { 1, &Faults::loseDisk }, { 2, &Faults::changeCatalog }, { 1, &Faults::startWave }
+            { 3, &Faults::crashEndpoint }, { 3, &Faults::silenceEndpoint }, { 1, &Faults::loseDisk }, { 2, &Faults::changeCatalog }, { 1, &Faults::startWave }, { 1, &Faults::reload }
         };
         int sum = 0;
         for (const auto& [weight, kind] : kinds)
@@ -107,6 +108,14 @@
         m_site.stop(name, SIGTERM);
         later(m_world.between(7000, 9000), [this, n, isGateway] { isGateway ? m_site.startGateway(n) : m_site.startController(n); });
     }
+    void reload()
+    {
+        size_t n = 0;
+        bool isGateway = false;
+        auto name = victim(n, isGateway);
+        note("reload " + name);
+        m_site.processes().signal(name, SIGHUP);
+    }
     Proxy& anyProxy(std::string& name)
     {
         auto kind = pick(6);
@@ -159,7 +168,7 @@
         m_site.endpoint(n).proxy->setSilent(direction != 2, direction != 1);
         later(m_world.between(300, 7000), [this, n] { m_site.endpoint(n).proxy->setSilent(false, false); });
     }
-    /// One disk at a time, with time to catch up before the next: what one replica of five may lose.
+    /// One disk at a time, with time to catch up before the next: what a group of three voters bears.
     void loseDisk()
     {
         constexpr seconds catchUp { 15 };
@@ -344,6 +353,8 @@
     net::EventLoop loop;
     SiteDesc desc;
     desc.seed = static_cast<uint64_t>(options.seed);
+    // Three, four (of which one follows) or five.
+    desc.controllers = leastControllers + desc.seed % 3;
     desc.programs = options.programs;
     desc.folder = options.folder;
     SoakSite site(loop, clock, desc);
--- a/tests/soak/site.cpp
+++ b/tests/soak/site.cpp
@@ -32,7 +32,7 @@
     constexpr milliseconds beatInterval { 500 };
     constexpr milliseconds callTimeout { 1000 };
     constexpr milliseconds operatorInterval { 300 };
-    /// A version has to be in force everywhere this long after its ack (configApplyMs).
+    /// A version has to be in force everywhere this long after its ack, on the target platform.
     constexpr milliseconds applyBound { 2000 };
     constexpr milliseconds maintenanceTime { 2000 };
 
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -34,6 +34,10 @@
         LOG(ERROR) << "a gateway needs addresses for clients and for readiness";
         return 2;
     }
+    if (settings->controller.listen) {
+        LOG(ERROR) << "--listen is for controllers: a gateway takes no links";
+        return 2;
+    }
     SystemClock clock;
     net::EventLoop loop;
     EventLog log(clock, STDOUT_FILENO, {});
