Log how far a controller's event loop is behind and what its time goes to

The leader now writes one line a second, never limited: the worst lateness of a tick, time by part, the worst commit, orders, expired calls of endpoints (and those that this process noticed late), endpoints weighed for tasks, waiting and live tasks. The same figures are on the metrics page. No decision changes.

--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -101,6 +101,10 @@
 constexpr milliseconds linkStatusInterval { 250 };
 /// A link without a message for this time is closed.
 constexpr milliseconds linkSilence { 1000 };
+/// A tick of the event loop counts as late from here on: a third of an order's timeout.
+constexpr milliseconds lateTick { 100 };
+/// Time between two lines about a controller's load.
+constexpr milliseconds loadLineInterval { 1000 };
 /// Pause between two attempts to connect to a process.
 constexpr milliseconds linkRetry { 150 };
 /// Part of a client's deadline that is kept for sending the answer.
--- a/include/vanillalift/endpoint_link.h
+++ b/include/vanillalift/endpoint_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <vanillalift/call_stats.h>
 #include <vanillalift/clock.h>
 #include <vanillalift/job.h>
 
@@ -141,6 +142,8 @@
     virtual ~EndpointLinks() = default;
     /// @returns nullptr if the endpoint's address is malformed.
     virtual std::unique_ptr<EndpointLink> open(const Endpoint& endpoint) = 0;
+    /// Of all links.
+    [[nodiscard]] virtual CallStats stats() const = 0;
 };
 
 /// An endpoint that may run a step, and the proof of it that a start has to carry.
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -198,10 +198,22 @@
 }
 
 void Dispatcher::tick()
+{
+    serveEndpoints();
+    placeTasks();
+}
+
+void Dispatcher::serveEndpoints()
+{
+    if (!mayLead())
+        return;
+    for (auto& [id, session] : m_sessions)
+        serveSession(*session);
+}
+
+void Dispatcher::placeTasks()
 {
     if (mayLead()) {
-        for (auto& [id, session] : m_sessions)
-            serveSession(*session);
         planCopies();
         place();
     }
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -40,6 +40,8 @@
     uint64_t runsFailed = 0;
     uint64_t runsLost = 0;
     uint64_t placements = 0;
+    /// Endpoints that were weighed for a task, also in vain: what placing costs.
+    uint64_t placementTrials = 0;
     size_t readyTasks = 0;
     size_t liveRuns = 0;
     size_t openJobs = 0;
@@ -81,8 +83,10 @@
     Dispatcher(DispatcherDesc desc, JobStore& store, const Clock& clock, EndpointLinks& links, AdviceService& advice, EventLog& log);
     ~Dispatcher() override;
 
-    /// Does all that is due.
+    /// Does all that is due: both of the following.
     void tick();
+    void serveEndpoints();
+    void placeTasks();
 
     /// What an endpoint says of itself.
     struct Beat {
--- a/src/jobs/dispatcher_placing.cpp
+++ b/src/jobs/dispatcher_placing.cpp
@@ -267,6 +267,7 @@
     }
     for (size_t n = 0; n < candidates.size(); n++)
         preparePlacement(candidates[n], *sessions[n], key, step);
+    m_stats.placementTrials += candidates.size();
     auto chosen = choosePlacement(step, hints, candidates);
     if (!chosen)
         return false;
@@ -312,6 +313,7 @@
     for (uint32_t index = 0; index < step.taskCount; index++) {
         hints.avoid = tasks[index].failedAt;
         hints.rack = step.wantsOneRack ? std::string_view(rack) : std::string_view();
+        m_stats.placementTrials += trial.size();
         auto place = choosePlacement(step, hints, trial);
         if (!place)
             return false;
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -6,10 +6,11 @@
 
 namespace vanillalift::net {
 
-HttpChannel::HttpChannel(EventLoop& loop, const Clock& clock, const Address& address)
+HttpChannel::HttpChannel(EventLoop& loop, const Clock& clock, const Address& address, CallStats* stats)
     : m_loop(loop)
     , m_clock(clock)
     , m_address(address)
+    , m_stats(stats)
     , m_parser(HttpParser::Kind::Response, { config::maxHttpHeadBytes, config::maxHttpBodyBytes })
     , m_timer(loop, [this] { handleTimer(); })
 {
@@ -55,6 +56,8 @@
         return;
     }
     m_connects++;
+    if (m_stats)
+        m_stats->connects++;
     m_hasAnswered = false;
     m_parser = HttpParser(HttpParser::Kind::Response, { config::maxHttpHeadBytes, config::maxHttpBodyBytes });
     m_stream = std::make_unique<Stream>(m_loop, m_address,
@@ -86,6 +89,8 @@
     if (!m_parser.hasMessage())
         return used;
     m_hasAnswered = true;
+    if (m_stats)
+        m_stats->answered++;
     if (!m_parser.shouldKeepAlive())
         retire();
     finish(m_parser.takeResponse());
@@ -126,11 +131,21 @@
     }
 }
 
+void HttpChannel::countExpired(Duration lateness)
+{
+    if (!m_stats)
+        return;
+    m_stats->expired++;
+    if (lateness >= config::lateTick)
+        m_stats->expiredLate++;
+}
+
 void HttpChannel::handleTimer()
 {
     auto now = m_clock.now();
     auto isAlive = m_isAlive;
     if (m_isInFlight && m_queue.front().deadline <= now) {
+        countExpired(now - m_queue.front().deadline);
         retire();
         fail(HttpFailure::Unknown);
         if (!*isAlive)
@@ -141,6 +156,7 @@
             n++;
             continue;
         }
+        countExpired(now - m_queue[n].deadline);
         auto handler = std::move(m_queue[n].handler);
         m_queue.erase(m_queue.begin() + static_cast<std::ptrdiff_t>(n));
         handler(HttpFailure::NotSent);
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -2,6 +2,8 @@
 
 #include "stream_p.h"
 
+#include <vanillalift/call_stats.h>
+
 #include <http_parser.h>
 
 #include <deque>
@@ -131,7 +133,8 @@
 public:
     using Handler = std::function<void(HttpResult)>;
 
-    HttpChannel(EventLoop& loop, const Clock& clock, const Address& address);
+    /// @param stats shared with other channels, or nullptr.
+    HttpChannel(EventLoop& loop, const Clock& clock, const Address& address, CallStats* stats = nullptr);
     ~HttpChannel();
 
     /// @param deadline the request fails if no response is there by then; the connection is closed with it.
@@ -158,12 +161,14 @@
     void fail(HttpFailure failure);
     void handleEnd(StreamEnd end);
     void handleTimer();
+    void countExpired(Duration lateness);
     void armTimer();
     void finish(HttpResult result);
 
     EventLoop& m_loop;
     const Clock& m_clock;
     Address m_address;
+    CallStats* m_stats;
     std::deque<Item> m_queue;
     bool m_isInFlight = false;
     bool m_hasAnswered = false;
--- a/src/node/command_batcher.cpp
+++ b/src/node/command_batcher.cpp
@@ -41,17 +41,24 @@
         return;
     m_entries++;
     auto number = m_append(std::exchange(m_entry, {}));
-    if (!m_handlers.empty())
-        m_waiting[number] = std::exchange(m_handlers, {});
+    m_waiting[number] = { m_clock.now(), std::exchange(m_handlers, {}) };
 }
 
 void CommandBatcher::resolve(uint64_t number, bool isCommitted)
 {
-    auto handlers = m_waiting.extract(number);
-    if (handlers.empty())
+    auto waiting = m_waiting.extract(number);
+    if (waiting.empty())
         return;
-    for (const auto& it : handlers.mapped())
+    m_worstCommit = std::max(m_worstCommit, m_clock.now() - waiting.mapped().appendedAt);
+    for (const auto& it : waiting.mapped().handlers)
         it(isCommitted);
 }
 
+Duration CommandBatcher::takeWorstCommit()
+{
+    if (!m_waiting.empty())
+        m_worstCommit = std::max(m_worstCommit, m_clock.now() - m_waiting.begin()->second.appendedAt);
+    return std::exchange(m_worstCommit, {});
+}
+
 } // namespace vanillalift::node
--- a/src/node/command_batcher_p.h
+++ b/src/node/command_batcher_p.h
@@ -22,6 +22,8 @@
     void resolve(uint64_t number, bool isCommitted);
     [[nodiscard]] uint64_t entries() const { return m_entries; }
     [[nodiscard]] uint64_t commands() const { return m_commands; }
+    /// @returns the longest time from an entry's hand-over to its outcome since the last call, of those that wait too.
+    Duration takeWorstCommit();
 
 private:
     void flush();
@@ -30,7 +32,12 @@
     std::function<uint64_t(std::string)> m_append;
     std::string m_entry;
     std::vector<Handler> m_handlers;
-    std::map<uint64_t, std::vector<Handler>> m_waiting;
+    struct Waiting {
+        TimePoint appendedAt;
+        std::vector<Handler> handlers;
+    };
+    std::map<uint64_t, Waiting> m_waiting;
+    Duration m_worstCommit {};
     bool m_isArmed = false;
     uint64_t m_entries = 0;
     uint64_t m_commands = 0;
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -73,6 +73,7 @@
     , m_log(log)
     , m_desc(std::move(desc))
     , m_peers(peers)
+    , m_load(clock)
     , m_storageId(storage.recovered().storageId)
     , m_leaderClient(loop, clock, log, { { m_desc.name, m_desc.availabilityZone, m_storageId }, m_desc.seeds, [this](Request request, std::function<void(Reply)> respond) { handleLocal(std::move(request), std::move(respond)); } })
     , m_batcher(loop, clock, [this](std::string entry) { return m_driver->propose(std::move(entry)); })
@@ -81,12 +82,18 @@
 {
     LogDriver::Handlers handlers;
     handlers.send = [this](raft::Message message) { sendRaft(std::move(message)); };
-    handlers.apply = [this](uint64_t, std::string_view command) { m_store.apply(command); };
+    handlers.apply = [this](uint64_t, std::string_view command) {
+        LoadMeter::Span span(m_load, LoopPart::Apply);
+        m_store.apply(command);
+    };
     handlers.restore = [this](std::string_view snapshot) {
         if (!snapshot.empty())
             m_store.restore(snapshot);
     };
-    handlers.snapshot = [this] { return m_store.snapshot(); };
+    handlers.snapshot = [this] {
+        LoadMeter::Span span(m_load, LoopPart::Snapshot);
+        return m_store.snapshot();
+    };
     handlers.resolve = [this](uint64_t number, LogDriver::Outcome outcome) { m_batcher.resolve(number, outcome.has_value()); };
     handlers.roleChanged = [this](const ReplicaStatus& status) { changeRole(status); };
     handlers.diskFull = [this](bool isFull) { m_log.stateLine(isFull ? "disk-full" : "disk-has-room"); };
@@ -105,7 +112,8 @@
     m_driver = std::make_unique<LogDriver>(loop, clock, std::move(driverDesc), std::move(storage), std::move(handlers));
     for (const auto& it : m_driver->core().status().members)
         m_leaderClient.keepLink(it.name);
-    m_timer.armAt(clock.now(), clock.now());
+    m_nextTickAt = clock.now();
+    m_timer.armAt(m_nextTickAt, m_nextTickAt);
 }
 
 Controller::~Controller() { dropLead(); }
@@ -139,6 +147,7 @@
 
 void Controller::receive(uint64_t id, std::string_view frame)
 {
+    LoadMeter::Span span(m_load, LoopPart::Links);
     auto message = decode(frame);
     auto it = m_inbound.find(id);
     if (!message || it == m_inbound.end())
@@ -218,6 +227,7 @@
 {
     m_takeovers++;
     m_leadTerm = status.term;
+    m_loggedStats = {};
     m_log.stateLine("lead").field("term", status.term).field("jobs", m_store.jobs().size()).field("endpoints", m_store.endpoints().size()).field("config", m_store.catalog().version);
     jobs::DispatcherDesc desc;
     desc.term = status.term;
@@ -247,9 +257,18 @@
 void Controller::tick()
 {
     auto now = m_clock.now();
+    m_load.noteTick(m_nextTickAt);
     m_retired.clear();
     if (m_dispatcher) {
-        m_dispatcher->tick();
+        {
+            LoadMeter::Span span(m_load, LoopPart::Serve);
+            m_dispatcher->serveEndpoints();
+        }
+        {
+            LoadMeter::Span span(m_load, LoopPart::Place);
+            m_dispatcher->placeTasks();
+        }
+        LoadMeter::Span span(m_load, LoopPart::Instances);
         m_keeper->tick();
     }
     if (now >= m_nextStatusAt)
@@ -261,10 +280,53 @@
         removeReplaced();
         forgetJobs();
     }
+    if (now >= m_nextLoadLineAt)
+        logLoad();
     m_log.flush();
     if (m_onStopped && ((!m_driver->isLeader() && !m_driver->hasUnwritten()) || now >= m_stopBy))
         return std::exchange(m_onStopped, nullptr)();
-    m_timer.armAt(now + tickInterval, now);
+    m_nextTickAt = now + tickInterval;
+    m_timer.armAt(m_nextTickAt, now);
+}
+
+void Controller::logLoad()
+{
+    m_nextLoadLineAt = m_clock.now() + config::loadLineInterval;
+    auto load = m_load.take();
+    auto commit = m_batcher.takeWorstCommit();
+    if (!m_dispatcher && load.worstLateness < config::lateTick)
+        return;
+    auto inMs = [](Duration it) { return std::chrono::duration_cast<std::chrono::milliseconds>(it).count(); };
+    auto part = [&](LoopPart it) { return inMs(load.parts.at(static_cast<size_t>(it))); };
+    auto stats = m_dispatcher ? m_dispatcher->stats() : jobs::DispatcherStats {};
+    auto calls = m_peers.endpoints->stats();
+    const auto& before = m_loggedStats;
+    m_log.stateLine("load")
+        .field("late-ms", inMs(load.worstLateness))
+        .field("cpu-ms", inMs(load.processorTime))
+        .field("serve-ms", part(LoopPart::Serve))
+        .field("place-ms", part(LoopPart::Place))
+        .field("instances-ms", part(LoopPart::Instances))
+        .field("apply-ms", part(LoopPart::Apply))
+        .field("links-ms", part(LoopPart::Links))
+        .field("snapshot-ms", part(LoopPart::Snapshot))
+        .field("commit-ms", inMs(commit))
+        .field("placed", stats.placements - before.placements)
+        .field("trials", stats.placementTrials - before.placementTrials)
+        .field("done", stats.runsDone - before.runsDone)
+        .field("lost", stats.runsLost - before.runsLost)
+        .field("starts", stats.startsSent - before.startsSent)
+        .field("starts-unanswered", stats.startsUnanswered - before.startsUnanswered)
+        .field("holds", stats.holdsSent - before.holdsSent)
+        .field("holds-unanswered", stats.holdsUnanswered - before.holdsUnanswered)
+        .field("connects", calls.connects - m_loggedCalls.connects)
+        .field("expired", calls.expired - m_loggedCalls.expired)
+        .field("expired-late", calls.expiredLate - m_loggedCalls.expiredLate)
+        .field("ready", stats.readyTasks)
+        .field("live", stats.liveRuns)
+        .field("open-jobs", stats.openJobs);
+    m_loggedStats = stats;
+    m_loggedCalls = calls;
 }
 
 void Controller::joinGroup()
@@ -344,6 +406,13 @@
     visit("endpoints", "Endpoints on record.", static_cast<double>(m_store.endpoints().size()));
     visit("config_version", "Version of the configuration in force.", static_cast<double>(m_store.catalog().version));
     visit("log_lines_dropped_total", "Log lines dropped because of their rate or a slow reader.", static_cast<double>(m_log.dropped()));
+    visit("processor_seconds_total", "Processor time of this process.", std::chrono::duration<double>(LoadMeter::processorTime()).count());
+    visit("late_ticks_total", "Ticks of the event loop that ran 0.1 s late or more.", static_cast<double>(m_load.lateTicks()));
+    auto calls = m_peers.endpoints->stats();
+    visit("endpoint_connects_total", "Connections opened to endpoints.", static_cast<double>(calls.connects));
+    visit("endpoint_calls_answered_total", "Calls of endpoints that were answered.", static_cast<double>(calls.answered));
+    visit("endpoint_calls_expired_total", "Calls of endpoints without an answer by their deadline.", static_cast<double>(calls.expired));
+    visit("endpoint_calls_expired_late_total", "Those of them whose deadline this process noticed 0.1 s late or more.", static_cast<double>(calls.expiredLate));
     if (!m_dispatcher)
         return;
     auto stats = m_dispatcher->stats();
@@ -357,6 +426,7 @@
     visit("runs_failed_total", "Runs that failed in this term.", static_cast<double>(stats.runsFailed));
     visit("runs_lost_total", "Runs whose endpoint or lease ended in this term.", static_cast<double>(stats.runsLost));
     visit("placements_total", "Tasks placed in this term.", static_cast<double>(stats.placements));
+    visit("placement_trials_total", "Endpoints weighed for tasks in this term, also in vain.", static_cast<double>(stats.placementTrials));
     visit("ready_tasks", "Tasks that wait for room.", static_cast<double>(stats.readyTasks));
     visit("live_runs", "Runs that hold capacity.", static_cast<double>(stats.liveRuns));
     visit("open_jobs", "Jobs that are not finished.", static_cast<double>(stats.openJobs));
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -4,6 +4,7 @@
 #include "job_service_p.h"
 #include "jobs/instance_keeper_p.h"
 #include "leader_client_p.h"
+#include "load_meter_p.h"
 #include "net/frame_link_p.h"
 #include "replica/log_driver_p.h"
 
@@ -77,6 +78,7 @@
     void admit(const JoinRequest& request);
     void removeReplaced();
     void forgetJobs();
+    void logLoad();
 
     net::EventLoop& m_loop;
     const Clock& m_clock;
@@ -84,6 +86,7 @@
     ControllerDesc m_desc;
     ControllerPeers m_peers;
     jobs::JobStore m_store;
+    LoadMeter m_load;
     std::string m_storageId;
     std::map<uint64_t, Inbound> m_inbound;
     std::vector<std::unique_ptr<net::FrameLink>> m_retired;
@@ -98,6 +101,11 @@
     TimePoint m_nextStatusAt;
     TimePoint m_nextJoinAt;
     TimePoint m_nextHousekeepingAt;
+    TimePoint m_nextTickAt;
+    TimePoint m_nextLoadLineAt;
+    /// Counters at the last line about the load.
+    jobs::DispatcherStats m_loggedStats;
+    CallStats m_loggedCalls;
     std::function<void()> m_onStopped;
     TimePoint m_stopBy;
     uint64_t m_takeovers = 0;
--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -396,6 +396,7 @@
     {
     }
     std::unique_ptr<EndpointLink> open(const Endpoint& endpoint) override { return std::make_unique<SimLink>(m_world, endpoint.address, endpoint.id); }
+    [[nodiscard]] CallStats stats() const override { return {}; }
 
 private:
     World& m_world;
