--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -5,6 +5,7 @@
 
 #include <vanillalift/config.h>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -48,6 +49,59 @@
     uint64_t m_last = 0;
 };
 
+/// The leader's thread. With a meter, what it does takes time, and what arrives meanwhile waits for the next pass of its
+/// event loop; without one, all is done at once.
+class SimThread {
+public:
+    using Handler = std::function<void()>;
+
+    explicit SimThread(Agenda& agenda)
+        : m_agenda(agenda)
+    {
+    }
+    /// @param meter tells what was spent since its last call.
+    void setMeter(std::function<Duration()> meter) { m_meter = std::move(meter); }
+    /// What comes in from outside. Each pass handles it before the timers.
+    void post(Handler handler) { add(m_arrived, std::move(handler)); }
+    void postTimer(Handler handler) { add(m_timers, std::move(handler)); }
+    [[nodiscard]] Duration busyTime() const { return m_busyTime; }
+
+private:
+    void add(std::deque<Handler>& queue, Handler handler)
+    {
+        if (!m_meter)
+            return handler();
+        queue.push_back(std::move(handler));
+        if (!m_isBusy)
+            runNext();
+    }
+    void runNext()
+    {
+        if (m_pass.empty()) {
+            m_pass.swap(m_arrived);
+            m_pass.insert(m_pass.end(), m_timers.begin(), m_timers.end());
+            m_timers.clear();
+        }
+        m_isBusy = !m_pass.empty();
+        if (!m_isBusy)
+            return;
+        auto handler = std::move(m_pass.front());
+        m_pass.pop_front();
+        handler();
+        auto spent = m_meter();
+        m_busyTime += spent;
+        m_agenda.after(spent, [this] { runNext(); });
+    }
+
+    Agenda& m_agenda;
+    std::function<Duration()> m_meter;
+    std::deque<Handler> m_pass;
+    std::deque<Handler> m_arrived;
+    std::deque<Handler> m_timers;
+    bool m_isBusy = false;
+    Duration m_busyTime {};
+};
+
 struct Faults {
     double lostRequest = 0;
     double lostAnswer = 0;
@@ -72,12 +126,19 @@
     }
 };
 
+/// What a task takes on a sound endpoint.
+struct TaskShape {
+    Resources need;
+    Duration duration {};
+};
+
 class SimEndpoint;
 
 struct World {
     explicit World(uint64_t seed)
         : random(seed)
         , agenda(clock)
+        , thread(agenda)
     {
     }
     bool chance(double share) { return std::uniform_real_distribution<>(0, 1)(random) < share; }
@@ -86,6 +147,9 @@
     std::mt19937_64 random;
     SimClock clock;
     Agenda agenda;
+    SimThread thread;
+    /// Each link carries one request at a time, in order, as the adapter's connections do.
+    bool hasQueuedLinks = false;
     Faults faults;
     Violations violations;
     std::map<std::string, std::unique_ptr<SimEndpoint>> endpoints;
@@ -97,6 +161,12 @@
     /// Jobs whose tasks may run twice at the same time.
     std::set<std::string> copied;
     std::map<TaskName, uint32_t> failuresNoted;
+    /// Tasks that differ from what their endpoint has for all.
+    std::map<TaskName, TaskShape> shapes;
+    /// Work of runs that ended as done, in thousandths of a core times milliseconds.
+    double doneWork = 0;
+    /// Messages to the leader that its thread has handled.
+    uint64_t answersHandled = 0;
 };
 
 /// An endpoint as the target platform describes it.
@@ -140,13 +210,16 @@
         if (!places.empty() && !mayCopy)
             m_world.violations.add("two runs at once: " + text(order.task, order.run) + " also on " + *places.begin());
         places.insert(described.id);
-        m_runs[order.task] = { order.run, ++m_lastStart, 0 };
-        used += need;
+        auto shape = m_world.shapes.find(order.task);
+        bool hasShape = shape != m_world.shapes.end();
+        auto taken = hasShape ? shape->second.need : need;
+        m_runs[order.task] = { order.run, ++m_lastStart, m_world.clock.time, taken };
+        used += taken;
         if (!used.fitsIn(described.capacity))
             m_world.violations.add("over capacity: " + text(order.task, order.run));
         if (m_world.lasting.contains(order.task.job))
             return { OrderStatus::Accepted, clockMs() };
-        auto duration = m_world.between(100, 1500) * slowness;
+        auto duration = (hasShape ? shape->second.duration : m_world.between(100, 1500)) * slowness;
         m_world.agenda.after(duration, [this, task = order.task, serial = m_lastStart, life = m_life] {
             auto it = m_runs.find(task);
             if (life == m_life && it != m_runs.end() && it->second.serial == serial)
@@ -201,9 +274,24 @@
         return reply;
     }
 
+    /// Answers at once if an end is listed, or else when a run ends or the request's waiting time is over.
+    void holdUntilEnd(const HoldOrder& order, std::function<void(const HoldReply&)> answer)
+    {
+        auto reply = hold(order);
+        if (reply.status != OrderStatus::Accepted || !reply.ended.empty() || order.waitMs == 0)
+            return answer(reply);
+        auto number = ++m_lastWaiting;
+        m_waiting[number] = [this, order, answer = std::move(answer)] { answer(hold(order)); };
+        m_world.agenda.after(milliseconds(order.waitMs), [this, number] {
+            if (auto it = m_waiting.extract(number); !it.empty())
+                it.mapped()();
+        });
+    }
+
     /// All that runs ends without a report, and nothing is known of before.
     void crash()
     {
+        m_waiting.clear();
         for (const auto& [task, run] : m_runs)
             m_world.runningAt[task].erase(described.id);
         m_runs.clear();
@@ -255,7 +343,8 @@
     struct SimRun {
         uint32_t run = 0;
         uint64_t serial = 0;
-        int percent = 0;
+        TimePoint startedAt;
+        Resources need;
     };
 
     static std::string text(const TaskName& task, uint32_t run) { return task.job + '.' + std::to_string(task.step) + '.' + std::to_string(task.index) + " run " + std::to_string(run); }
@@ -272,9 +361,17 @@
         auto it = m_runs.find(task);
         m_closed[task] = std::max(m_closed[task], it->second.run);
         m_ended.push_back({ ++m_lastEnd, task, it->second.run, how, "" });
+        if (how == RunEnd::Done)
+            m_world.doneWork += static_cast<double>(it->second.need.cpu) * std::chrono::duration<double, std::milli>(m_world.clock.time - it->second.startedAt).count();
+        used -= it->second.need;
         m_runs.erase(it);
-        used -= need;
         m_world.runningAt[task].erase(described.id);
+        if (m_waiting.empty())
+            return;
+        m_world.agenda.after(Duration::zero(), [this] {
+            for (auto& [number, answer] : std::exchange(m_waiting, {}))
+                answer();
+        });
     }
 
     World& m_world;
@@ -289,8 +386,20 @@
     std::map<TaskName, SimRun> m_runs;
     std::map<TaskName, uint32_t> m_closed;
     std::deque<EndedRow> m_ended;
+    /// Status requests that wait for an end.
+    std::map<uint64_t, std::function<void()>> m_waiting;
+    uint64_t m_lastWaiting = 0;
 };
 
+inline SimEndpoint* endpointAt(const World& world, const std::string& address)
+{
+    for (const auto& [key, it] : world.endpoints) {
+        if (it->described.address == address)
+            return it.get();
+    }
+    return nullptr;
+}
+
 struct SimHoldReply : HoldReply {
     /// Life of the endpoint that has answered.
     std::optional<uint64_t> life;
@@ -324,7 +433,7 @@
     {
         // As the adapter does: ends are acknowledged only on a connection that the life behind it has answered on.
         auto sent = order;
-        auto* receiver = target();
+        auto* receiver = endpointAt(m_world, m_address);
         if (!m_provenLife || !receiver || receiver->life() != *m_provenLife)
             sent.recordedThrough = 0;
         auto note = [this, handler = std::move(handler), forgotten = sent.recordedThrough](SimHoldReply reply) {
@@ -337,15 +446,6 @@
     }
 
 private:
-    SimEndpoint* target() const
-    {
-        for (const auto& [key, it] : m_world.endpoints) {
-            if (it->described.address == m_address)
-                return it.get();
-        }
-        return nullptr;
-    }
-
     template <typename Reply>
     void deliver(TimePoint deadline, std::function<void(Reply)> handler, std::function<Reply(SimEndpoint&)> carryOut, bool mayWait)
     {
@@ -365,7 +465,7 @@
         if (mayWait)
             delay += m_world.between(0, 100);
         // An order travels on a connection to the process that runs now: a later life at the address never gets it.
-        auto* receiver = target();
+        auto* receiver = endpointAt(m_world, m_address);
         auto life = receiver ? receiver->life() : 0;
         bool isAnswerLost = isLate || m_world.chance(m_world.faults.lostAnswer);
         m_world.agenda.after(delay, [&world = m_world, id = m_id, it = receiver, life, carryOut, answer, isAnswerLost] {
@@ -389,17 +489,222 @@
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
+/// Carries requests as net::HttpChannel does: one at a time over one connection, which is closed when a request in flight has
+/// no answer by its deadline. A request whose deadline passes while it waits has not been sent.
+template <typename Reply>
+class SimChannel {
+public:
+    using Handler = std::function<void(const Reply&)>;
+    /// Carries the request out, and gives the reply to the handler at once or later.
+    using Request = std::function<void(SimEndpoint&, Handler)>;
+
+    SimChannel(World& world, std::string address, std::string id, CallStats& stats)
+        : m_world(world)
+        , m_address(std::move(address))
+        , m_id(std::move(id))
+        , m_stats(stats)
+    {
+    }
+    ~SimChannel() { *m_isAlive = false; }
+
+    void send(Request request, TimePoint deadline, Handler handler)
+    {
+        m_queue.push_back({ std::move(request), deadline, std::move(handler) });
+        m_world.agenda.after(deadline - m_world.clock.time, [this, isAlive = m_isAlive] {
+            if (*isAlive && hasExpired())
+                m_world.thread.postTimer(guarded([this] { handleTimer(); }));
+        });
+        startNext();
+    }
+    /// Whether the next request goes over a connection on which the peer has answered before.
+    [[nodiscard]] bool hasAnswered() const { return m_hasAnswered; }
+
+private:
+    struct Item {
+        Request request;
+        TimePoint deadline;
+        Handler handler;
+    };
+
+    static Reply failure(OrderStatus status)
+    {
+        Reply reply;
+        reply.status = status;
+        return reply;
+    }
+    std::function<void()> guarded(std::function<void()> handler) const
+    {
+        return [handler = std::move(handler), isAlive = m_isAlive] {
+            if (*isAlive)
+                handler();
+        };
+    }
+    /// Calls the handler in the leader's thread if the connection is still the same.
+    std::function<void()> onConnection(std::function<void()> handler)
+    {
+        return guarded([this, connection = m_connection, handler = std::move(handler)] {
+            m_world.thread.post(guarded([this, connection, handler] {
+                if (connection != m_connection)
+                    return;
+                m_world.answersHandled++;
+                handler();
+            }));
+        });
+    }
+    [[nodiscard]] bool hasExpired() const
+    {
+        return std::any_of(m_queue.begin(), m_queue.end(), [this](const auto& it) { return it.deadline <= m_world.clock.time; });
+    }
+    void retire()
+    {
+        m_connection++;
+        m_isConnecting = m_isConnected = m_hasAnswered = false;
+    }
+    void startNext()
+    {
+        if (m_queue.empty() || m_isInFlight || m_isConnecting)
+            return;
+        if (m_isConnected)
+            return writeFirst();
+        m_stats.connects++;
+        m_isConnecting = true;
+        m_world.agenda.after(m_world.between(1, 20) + m_world.between(1, 20), onConnection([this] {
+            m_isConnecting = false;
+            m_isConnected = true;
+            startNext();
+        }));
+    }
+    void writeFirst()
+    {
+        m_isInFlight = true;
+        auto* receiver = endpointAt(m_world, m_address);
+        auto reached = [this, receiver, life = receiver ? receiver->life() : 0, id = m_id, request = m_queue.front().request, connection = m_connection] {
+            if (!receiver || receiver->isCut || receiver->life() != life)
+                return;
+            auto answer = [this, connection, isAlive = m_isAlive](const Reply& reply) {
+                if (*isAlive && connection == m_connection)
+                    m_world.agenda.after(m_world.between(1, 20), onConnection([this, reply] { receive(reply); }));
+            };
+            if (receiver->described.id == id)
+                request(*receiver, answer);
+            else
+                answer(failure(OrderStatus::WrongInstance));
+        };
+        // What is under way is carried out even if the connection is closed meanwhile.
+        m_world.agenda.after(m_world.between(1, 20), reached);
+    }
+    void receive(const Reply& reply)
+    {
+        m_hasAnswered = true;
+        m_stats.answered++;
+        finish(reply);
+    }
+    void finish(const Reply& reply)
+    {
+        m_isInFlight = false;
+        auto item = std::move(m_queue.front());
+        m_queue.pop_front();
+        auto isAlive = m_isAlive;
+        item.handler(reply);
+        if (*isAlive)
+            startNext();
+    }
+    void handleTimer()
+    {
+        auto now = m_world.clock.time;
+        auto isAlive = m_isAlive;
+        if (m_isInFlight && m_queue.front().deadline <= now) {
+            m_stats.expired++;
+            retire();
+            finish(failure(OrderStatus::Unknown));
+            if (!*isAlive)
+                return;
+        }
+        for (size_t n = m_isInFlight ? 1 : 0; n < m_queue.size();) {
+            if (m_queue[n].deadline > now) {
+                n++;
+                continue;
+            }
+            m_stats.expired++;
+            auto handler = std::move(m_queue[n].handler);
+            m_queue.erase(m_queue.begin() + static_cast<std::ptrdiff_t>(n));
+            handler(failure(OrderStatus::NotSent));
+            if (!*isAlive)
+                return;
+        }
+        if (m_queue.empty() && m_isConnecting)
+            retire();
+    }
+
+    World& m_world;
+    std::string m_address;
+    std::string m_id;
+    CallStats& m_stats;
+    std::deque<Item> m_queue;
+    bool m_isInFlight = false;
+    bool m_isConnecting = false;
+    bool m_isConnected = false;
+    bool m_hasAnswered = false;
+    /// Numbers the connections.
+    uint64_t m_connection = 0;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+/// Orders on one connection and status requests on another, without the world's faults.
+class QueuedSimLink final : public EndpointLink {
+public:
+    QueuedSimLink(World& world, const Endpoint& endpoint, CallStats& stats)
+        : m_orders(world, endpoint.address, endpoint.id, stats)
+        , m_holds(world, endpoint.address, endpoint.id, stats)
+    {
+    }
+
+    void start(const StartOrder& order, TimePoint deadline, std::function<void(const OrderReply&)> handler) override
+    {
+        auto copy = order;
+        copy.payload = {};
+        m_orders.send([copy](SimEndpoint& it, const auto& answer) { answer(it.start(copy, "")); }, deadline, std::move(handler));
+    }
+    void stop(const StopOrder& order, TimePoint deadline, std::function<void(const OrderReply&)> handler) override
+    {
+        m_orders.send([order](SimEndpoint& it, const auto& answer) { answer(it.stop(order)); }, deadline, std::move(handler));
+    }
+    void pace(const PaceOrder& /*order*/, TimePoint /*deadline*/, std::function<void(const OrderReply&)> /*handler*/) override { }
+    void hold(const HoldOrder& order, TimePoint deadline, std::function<void(HoldReply)> handler) override
+    {
+        auto sent = order;
+        if (!m_holds.hasAnswered())
+            sent.recordedThrough = 0;
+        auto note = [handler = std::move(handler), forgotten = sent.recordedThrough](HoldReply reply) {
+            reply.forgottenThrough = forgotten;
+            handler(std::move(reply));
+        };
+        m_holds.send([sent](SimEndpoint& it, const auto& answer) { it.holdUntilEnd(sent, answer); }, deadline, std::move(note));
+    }
+
+private:
+    SimChannel<OrderReply> m_orders;
+    SimChannel<HoldReply> m_holds;
+};
+
 class SimLinks final : public EndpointLinks {
 public:
     explicit SimLinks(World& world)
         : m_world(world)
     {
     }
-    std::unique_ptr<EndpointLink> open(const Endpoint& endpoint) override { return std::make_unique<SimLink>(m_world, endpoint.address, endpoint.id); }
-    [[nodiscard]] CallStats stats() const override { return {}; }
+    std::unique_ptr<EndpointLink> open(const Endpoint& endpoint) override
+    {
+        if (m_world.hasQueuedLinks)
+            return std::make_unique<QueuedSimLink>(m_world, endpoint, m_stats);
+        return std::make_unique<SimLink>(m_world, endpoint.address, endpoint.id);
+    }
+    /// Of queued links only.
+    [[nodiscard]] CallStats stats() const override { return m_stats; }
 
 private:
     World& m_world;
+    CallStats m_stats;
 };
 
 class NoAdvice final : public AdviceService {
@@ -423,10 +728,17 @@
     {
         std::string entry;
         appendCommand(entry, command);
+        commandsProposed++;
+        if (const auto* ends = std::get_if<EndRuns>(&command))
+            notStarted += static_cast<uint64_t>(std::count_if(ends->runs.begin(), ends->runs.end(), [](const auto& it) { return it.end == RunEnd::NotStarted; }));
+        if (const auto* placed = std::get_if<PlaceRuns>(&command))
+            placedAgain += static_cast<uint64_t>(std::count_if(placed->runs.begin(), placed->runs.end(), [](const auto& it) { return it.run.number > 1; }));
         m_world.agenda.after(m_world.between(3, 12), [this, entry, term = m_term] {
-            // What an old leader has proposed is lost, unless it was on a majority.
-            if (term == m_term)
-                store.apply(entry);
+            m_world.thread.post([this, entry, term] {
+                // What an old leader has proposed is lost, unless it was on a majority.
+                if (term == m_term)
+                    store.apply(entry);
+            });
         });
     }
 
@@ -449,13 +761,19 @@
     std::unique_ptr<Dispatcher> dispatcher;
     bool isCut = false;
     TimePoint leaderContactAt;
+    uint64_t commandsProposed = 0;
+    /// Runs that were recorded as ended before they began.
+    uint64_t notStarted = 0;
+    /// Runs that were not the first of their task.
+    uint64_t placedAgain = 0;
+    [[nodiscard]] CallStats callStats() const { return m_links.stats(); }
 
 private:
     void tick()
     {
         if (dispatcher)
             dispatcher->tick();
-        m_world.agenda.after(milliseconds(10), [this] { tick(); });
+        m_world.agenda.after(milliseconds(10), [this] { m_world.thread.postTimer([this] { tick(); }); });
     }
 
     World& m_world;
@@ -465,13 +783,25 @@
     uint64_t m_term = 0;
 };
 
+struct SiteDesc {
+    size_t endpointCount = 4;
+    Resources capacity { 4000, 4000, 0 };
+    bool hasQueuedLinks = false;
+};
+
 /// A world with one queue, endpoints that report themselves, and helpers to hand in jobs.
 class Site {
 public:
     explicit Site(uint64_t seed, size_t endpointCount = 4)
+        : Site(seed, SiteDesc { endpointCount })
+    {
+    }
+    Site(uint64_t seed, const SiteDesc& desc)
         : world(seed)
         , leader(world)
+        , m_capacity(desc.capacity)
     {
+        world.hasQueuedLinks = desc.hasQueuedLinks;
         Catalog catalog;
         catalog.version = 1;
         Queue queue;
@@ -486,7 +816,7 @@
         service.name = "s";
         catalog.services.push_back(service);
         leader.propose(PutCatalog { catalog });
-        for (size_t n = 0; n < endpointCount; n++)
+        for (size_t n = 0; n < desc.endpointCount; n++)
             addEndpoint("e" + std::to_string(n));
         beat();
         run(milliseconds(500));
@@ -499,7 +829,7 @@
         endpoint.bornMs = 1;
         endpoint.service = "s";
         endpoint.address = "10.0.0." + std::to_string(world.endpoints.size() + 1) + ":80";
-        endpoint.capacity = { 4000, 4000, 0 };
+        endpoint.capacity = m_capacity;
         auto& added = world.endpoints[id];
         added = std::make_unique<SimEndpoint>(world, endpoint);
         added->need = { 1000, 100, 0 };
@@ -527,7 +857,13 @@
         step.isLasting = isLasting;
         step.mayCopy = world.copied.contains(id);
         spec.steps.push_back(step);
-        leader.propose(PutJob { spec, "", "q", wallClockMs() });
+        submit(spec);
+    }
+    void submit(const JobSpec& spec)
+    {
+        // Handed in later than now, it counts as accepted at its commit: the wall clock's time is not simulated.
+        constexpr int64_t aheadMs = 3600000;
+        leader.propose(PutJob { spec, "", "q", wallClockMs() + aheadMs });
     }
 
     void run(Duration time) { world.agenda.runUntil(world.clock.time + time); }
@@ -551,11 +887,15 @@
             if (it->isCut)
                 continue;
             Dispatcher::Beat beat { it->described, ++m_sequence, it->clockMs(), std::nullopt };
-            leader.dispatcher->receiveBeat(beat, [] {});
+            world.thread.post([this, beat] {
+                world.answersHandled++;
+                leader.dispatcher->receiveBeat(beat, [] {});
+            });
         }
         world.agenda.after(milliseconds(500), [this] { beat(); });
     }
 
+    Resources m_capacity;
     uint64_t m_sequence = 0;
 };
 
