--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -213,7 +213,7 @@
         auto shape = m_world.shapes.find(order.task);
         bool hasShape = shape != m_world.shapes.end();
         auto taken = hasShape ? shape->second.need : need;
-        m_runs[order.task] = { order.run, ++m_lastStart, m_world.clock.time, taken };
+        m_runs[order.task] = { order.run, ++m_lastStart, m_world.clock.time, taken, hasShape ? shape->second.duration : Duration::zero() };
         used += taken;
         if (!used.fitsIn(described.capacity))
             m_world.violations.add("over capacity: " + text(order.task, order.run));
@@ -269,7 +269,7 @@
             m_ended.pop_front();
         }
         for (const auto& [task, run] : m_runs)
-            reply.running.push_back({ task, run.run, "", m_world.lasting.contains(task.job) ? 100U : 50U, 0 });
+            reply.running.push_back({ task, run.run, "", percentOf(task, run), 0 });
         reply.ended.assign(m_ended.begin(), m_ended.end());
         return reply;
     }
@@ -346,8 +346,18 @@
         TimePoint startedAt;
         Resources need;
     };
+        /// Zero for a task without a shape, whose progress is not played.
+        Duration duration {};
 
     static std::string text(const TaskName& task, uint32_t run) { return task.job + '.' + std::to_string(task.step) + '.' + std::to_string(task.index) + " run " + std::to_string(run); }
+    [[nodiscard]] uint32_t percentOf(const TaskName& task, const SimRun& run) const
+    {
+        if (m_world.lasting.contains(task.job))
+            return 100;
+        if (run.duration == Duration::zero())
+            return 50;
+        return static_cast<uint32_t>(std::min<int64_t>(99, 100 * (m_world.clock.time - run.startedAt) / run.duration));
+    }
 
     /// A longer lease is shortened to the longest that the platform takes.
     void extendLease(int64_t untilMs)
