Give an endpoint its next order when a connection is free for it

What callers saw: jobs accepted and started seconds late, refused, or with nothing running although there was room (LOST on mix: a task's run 7 was the first to work). Cause: all orders to one endpoint shared one connection, one at a time, while the 300 ms of each ran from the moment it was queued. An order takes a pass of the leader's loop, 30 to 80 ms at a peak, so the eighth in the queue was given up: not sent, its run ended, its task placed anew elsewhere; the one in flight had an unknown outcome, its connection was closed and the order repeated.

Runs that have to end go first.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -87,6 +87,7 @@
     session->link = m_links.open(endpoint);
     // What the link before had under way is not answered any more.
     session->isHoldOut = false;
+    session->ordersOut = 0;
     for (auto& [key, run] : session->runs) {
         run.hasUnansweredStart = run.hasUnansweredStart || (run.isOrderOut && run.phase == RunPhase::Starting);
         run.isOrderOut = false;
@@ -436,7 +437,7 @@
     run->phase = RunPhase::Starting;
     run->placedAt = m_clock.now();
     if (mayLead())
-        serveRun(*session, *run);
+        serveRun(*session, *run, m_clock.now());
 }
 
 void Dispatcher::onRunEnded(Job& job, const EndedRun& run, const std::string& endpoint)
--- a/src/jobs/dispatcher_orders.cpp
+++ b/src/jobs/dispatcher_orders.cpp
@@ -47,18 +47,33 @@
     // The answers to ends that are not recorded yet would only list them again.
     if (isNeeded && !session.isHoldOut && now >= session.nextHoldAt && session.endsWaiting == 0)
         sendHold(session);
-    for (auto it = session.runs.begin(); it != session.runs.end();) {
-        auto& run = (it++)->second;
-        serveRun(session, run);
-    }
+    serveRuns(session, now);
     if (now > session.leaseEndsAt + config::leaseMargin)
         expireSession(session);
 }
 
-void Dispatcher::serveRun(EndpointSession& session, Run& run)
+void Dispatcher::serveRuns(EndpointSession& session, TimePoint now)
 {
-    auto now = m_clock.now();
-    if (run.isOrderOut || now < run.nextOrderAt || !session.isConfirmed)
+    // Runs that have to end come first: their room is wanted.
+    for (bool isStopTurn : { true, false }) {
+        for (auto it = session.runs.begin(); it != session.runs.end() && session.mayOrder();) {
+            auto& run = (it++)->second;
+            if (run.mustStop == isStopTurn)
+                serveRun(session, run, now);
+        }
+    }
+}
+
+void Dispatcher::serveNext(const std::string& endpointId)
+{
+    auto* session = findSession(endpointId);
+    if (session && mayLead())
+        serveRuns(*session, m_clock.now());
+}
+
+void Dispatcher::serveRun(EndpointSession& session, Run& run, TimePoint now)
+{
+    if (run.isOrderOut || now < run.nextOrderAt || !session.isConfirmed || !session.mayOrder())
         return;
     if (run.phase == RunPhase::Starting) {
         if (!run.mustStop)
@@ -290,12 +305,16 @@
         return;
     StartOrder order { nameOf(run), run.key.number, job->spec.payload, *lease, m_desc.term, task->checkpoint, run.ticket };
     run.isOrderOut = true;
+    session.ordersOut++;
     run.resumedFrom = task->checkpoint;
     m_stats.startsSent++;
     session.link->start(order, now + config::orderTimeout, [this, id = session.endpoint.id, key = run.key, isAlive = m_isAlive](const OrderReply& reply) {
         auto* session = *isAlive ? findSession(id) : nullptr;
-        if (session)
-            receiveStart(*session, key, reply);
+        if (!session)
+            return;
+        session->ordersOut--;
+        receiveStart(*session, key, reply);
+        serveNext(id);
     });
 }
 
@@ -367,12 +386,16 @@
 void Dispatcher::sendStop(EndpointSession& session, Run& run)
 {
     run.isOrderOut = true;
+    session.ordersOut++;
     m_stats.stopsSent++;
     StopOrder order { nameOf(run), run.key.number, m_desc.term };
     session.link->stop(order, m_clock.now() + config::orderTimeout, [this, id = session.endpoint.id, key = run.key, isAlive = m_isAlive](const OrderReply& reply) {
         auto* session = *isAlive ? findSession(id) : nullptr;
-        if (session)
-            receiveStop(*session, key, reply);
+        if (!session)
+            return;
+        session->ordersOut--;
+        receiveStop(*session, key, reply);
+        serveNext(id);
     });
 }
 
@@ -397,10 +420,14 @@
 void Dispatcher::sendPace(EndpointSession& session, Run& run)
 {
     run.isPaceOut = true;
+    session.ordersOut++;
     PaceOrder order { nameOf(run), run.key.number, run.wantedPacePercent, m_desc.term };
     auto handle = [this, id = session.endpoint.id, key = run.key, percent = order.percent, isAlive = m_isAlive](const OrderReply& reply) {
         auto* session = *isAlive ? findSession(id) : nullptr;
-        auto* run = session ? findRun(*session, key) : nullptr;
+        if (!session)
+            return;
+        session->ordersOut--;
+        auto* run = findRun(*session, key);
         if (!run)
             return;
         run->isPaceOut = false;
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -174,7 +174,10 @@
     [[nodiscard]] TimePoint leaseTarget() const;
     std::optional<int64_t> grantLease(EndpointSession& session);
     void serveSession(EndpointSession& session);
-    void serveRun(EndpointSession& session, Run& run);
+    void serveRuns(EndpointSession& session, TimePoint now);
+    void serveRun(EndpointSession& session, Run& run, TimePoint now);
+    /// Sends the orders that have waited for others of the endpoint.
+    void serveNext(const std::string& endpointId);
     void sendHold(EndpointSession& session);
     void receiveHold(EndpointSession& session, TimePoint sentAt, const HoldReply& reply);
     void reconcile(EndpointSession& session, TimePoint sentAt, const HoldReply& reply);
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -3,6 +3,7 @@
 #include "speed_estimate_p.h"
 
 #include <vanillalift/clock.h>
+#include <vanillalift/config.h>
 #include <vanillalift/endpoint_link.h>
 
 #include <map>
@@ -104,6 +105,8 @@
     bool isRegistrationOut = false;
     /// By when everything there has ended unless the lease is extended.
     TimePoint leaseEndsAt;
+    /// Orders without an answer so far.
+    size_t ordersOut = 0;
     bool isHoldOut = false;
     TimePoint holdSentAt;
     TimePoint nextHoldAt;
@@ -134,6 +137,8 @@
     /// @returns the endpoint's clock at least this early at a moment of ours: never ahead of the true one.
     [[nodiscard]] std::optional<int64_t> clockAt(TimePoint moment) const;
     void addClockSample(int64_t clockMs, TimePoint receivedAt);
+    /// An order that waits behind others would use up its time limit before it is sent.
+    [[nodiscard]] bool mayOrder() const { return ordersOut < config::maxOrdersPerEndpoint; }
     [[nodiscard]] Resources free() const { return endpoint.capacity - used; }
     /// Whether the newest list shows a run at work.
     [[nodiscard]] bool isListedAtWork(const RunKey& run) const;
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -2,6 +2,7 @@
 
 #include <vanillalift/config.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace vanillalift::net {
@@ -168,4 +169,27 @@
     armTimer();
 }
 
+HttpChannelPool::HttpChannelPool(EventLoop& loop, const Clock& clock, const Address& address, size_t maxChannels, CallStats* stats)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_address(address)
+    , m_maxChannels(maxChannels)
+    , m_stats(stats)
+{
+}
+
+void HttpChannelPool::send(HttpRequest request, TimePoint deadline, HttpChannel::Handler handler)
+{
+    leastBusy().send(std::move(request), deadline, std::move(handler));
+}
+
+HttpChannel& HttpChannelPool::leastBusy()
+{
+    auto it = std::min_element(m_channels.begin(), m_channels.end(), [](const auto& left, const auto& right) { return left->pending() < right->pending(); });
+    if (it != m_channels.end() && ((*it)->pending() == 0 || m_channels.size() >= m_maxChannels))
+        return **it;
+    m_channels.push_back(std::make_unique<HttpChannel>(m_loop, m_clock, m_address, m_stats));
+    return *m_channels.back();
+}
+
 } // namespace vanillalift::net
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -181,4 +181,23 @@
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
+/// Channels to one address: requests wait for one another only when all are in use.
+class HttpChannelPool {
+public:
+    /// @param stats see HttpChannel.
+    HttpChannelPool(EventLoop& loop, const Clock& clock, const Address& address, size_t maxChannels, CallStats* stats = nullptr);
+
+    void send(HttpRequest request, TimePoint deadline, HttpChannel::Handler handler);
+
+private:
+    HttpChannel& leastBusy();
+
+    EventLoop& m_loop;
+    const Clock& m_clock;
+    Address m_address;
+    size_t m_maxChannels;
+    CallStats* m_stats;
+    std::vector<std::unique_ptr<HttpChannel>> m_channels;
+};
+
 } // namespace vanillalift::net
--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -6,6 +6,7 @@
 #include <vanillalift/config.h>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -345,11 +346,10 @@
         uint64_t serial = 0;
         TimePoint startedAt;
         Resources need;
-    };
         /// Zero for a task without a shape, whose progress is not played.
         Duration duration {};
+    };
 
-    static std::string text(const TaskName& task, uint32_t run) { return task.job + '.' + std::to_string(task.step) + '.' + std::to_string(task.index) + " run " + std::to_string(run); }
     [[nodiscard]] uint32_t percentOf(const TaskName& task, const SimRun& run) const
     {
         if (m_world.lasting.contains(task.job))
@@ -358,6 +358,7 @@
             return 50;
         return static_cast<uint32_t>(std::min<int64_t>(99, 100 * (m_world.clock.time - run.startedAt) / run.duration));
     }
+    static std::string text(const TaskName& task, uint32_t run) { return task.job + '.' + std::to_string(task.step) + '.' + std::to_string(task.index) + " run " + std::to_string(run); }
 
     /// A longer lease is shortened to the longest that the platform takes.
     void extendLease(int64_t untilMs)
@@ -528,6 +529,8 @@
     }
     /// Whether the next request goes over a connection on which the peer has answered before.
     [[nodiscard]] bool hasAnswered() const { return m_hasAnswered; }
+    /// Requests that wait or are in flight.
+    [[nodiscard]] size_t pending() const { return m_queue.size(); }
 
 private:
     struct Item {
@@ -660,24 +663,25 @@
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
-/// Orders on one connection and status requests on another, without the world's faults.
+/// Orders on a few connections and status requests on another, without the world's faults.
 class QueuedSimLink final : public EndpointLink {
 public:
     QueuedSimLink(World& world, const Endpoint& endpoint, CallStats& stats)
-        : m_orders(world, endpoint.address, endpoint.id, stats)
-        , m_holds(world, endpoint.address, endpoint.id, stats)
+        : m_holds(world, endpoint.address, endpoint.id, stats)
     {
+        for (auto& it : m_orders)
+            it = std::make_unique<SimChannel<OrderReply>>(world, endpoint.address, endpoint.id, stats);
     }
 
     void start(const StartOrder& order, TimePoint deadline, std::function<void(const OrderReply&)> handler) override
     {
         auto copy = order;
         copy.payload = {};
-        m_orders.send([copy](SimEndpoint& it, const auto& answer) { answer(it.start(copy, "")); }, deadline, std::move(handler));
+        leastBusy().send([copy](SimEndpoint& it, const auto& answer) { answer(it.start(copy, "")); }, deadline, std::move(handler));
     }
     void stop(const StopOrder& order, TimePoint deadline, std::function<void(const OrderReply&)> handler) override
     {
-        m_orders.send([order](SimEndpoint& it, const auto& answer) { answer(it.stop(order)); }, deadline, std::move(handler));
+        leastBusy().send([order](SimEndpoint& it, const auto& answer) { answer(it.stop(order)); }, deadline, std::move(handler));
     }
     void pace(const PaceOrder& /*order*/, TimePoint /*deadline*/, std::function<void(const OrderReply&)> /*handler*/) override { }
     void hold(const HoldOrder& order, TimePoint deadline, std::function<void(HoldReply)> handler) override
@@ -693,7 +697,13 @@
     }
 
 private:
-    SimChannel<OrderReply> m_orders;
+    /// As net::HttpChannelPool chooses.
+    SimChannel<OrderReply>& leastBusy()
+    {
+        return **std::min_element(m_orders.begin(), m_orders.end(), [](const auto& left, const auto& right) { return left->pending() < right->pending(); });
+    }
+
+    std::array<std::unique_ptr<SimChannel<OrderReply>>, config::maxOrdersPerEndpoint> m_orders;
     SimChannel<HoldReply> m_holds;
 };
 
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 // Descriptors kept for files, links and calls to endpoints.
-constexpr size_t reservedDescriptors = 1200;
+constexpr size_t reservedDescriptors = 2000;
 constexpr size_t minConnections = 64;
 
 size_t connectionLimit(size_t maxDescriptors)
