Weigh endpoints for waiting tasks only when something has changed

Placing looked on each tick of 10 ms at every waiting task of every job, weighed up to 100 endpoints for most, and sorted all jobs, although next to nothing had changed since the last tick: with 3,000 to 4,500 waiting tasks (after a restart of all machines, or at a peak with all pools full) it took 200 to 400 ms of each second of the leader's thread, and 400 to 600 ms with 1,450 queues. Answers, commits and heartbeats waited for it, and the more tasks waited the less was done.

The tasks of a service are tried again when one of them has become ready, room or part of a limit has become free there, an endpoint has been confirmed, advice has come, or 0.1 s have passed (what changes with time alone). A job whose smallest need is larger than the largest room is passed over before jobs are sorted; one failed task of a step stands for the others; of the needs that fitted nowhere, the smallest are remembered. Neighbours with a latency bound are counted as they come and go.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -151,6 +151,8 @@
     run.placedAt = m_clock.now();
     run.progressAt = run.placedAt;
     session.used += run.need;
+    session.servingRuns += run.targetMs != 0 ? 1 : 0;
+    session.fillerRuns += run.isFiller ? 1 : 0;
     if (!run.workspace.empty())
         m_workspaceUse[run.workspace] += run.share;
     return run;
@@ -162,8 +164,25 @@
         return;
     run.phase = RunPhase::Ended;
     session.used -= run.need;
+    session.servingRuns -= run.targetMs != 0 ? 1 : 0;
+    session.fillerRuns -= run.isFiller ? 1 : 0;
     if (!run.workspace.empty())
         m_workspaceUse[run.workspace] -= run.share;
+    noteReleased(session, run);
+}
+
+void Dispatcher::noteReleased(const EndpointSession& session, const Run& run)
+{
+    for (auto& [service, waiting] : m_waitingTasks) {
+        if (service == session.endpoint.service || (waiting.isLimited && !run.workspace.empty()))
+            waiting.hasChanged = true;
+    }
+}
+
+void Dispatcher::tryAllAgain()
+{
+    for (auto& [service, waiting] : m_waitingTasks)
+        waiting.hasChanged = true;
 }
 
 void Dispatcher::eraseRun(EndpointSession& session, const RunKey& key)
@@ -496,9 +515,8 @@
     });
 }
 
-bool Dispatcher::isReachable(const EndpointSession& session) const
+bool Dispatcher::isReachable(const EndpointSession& session, TimePoint now)
 {
-    auto now = m_clock.now();
     auto heardAt = std::max(session.lastAnswerAt, session.lastBeatAt);
     return session.isConfirmed && session.unansweredHolds == 0 && now - heardAt < config::endpointSilence;
 }
--- a/src/jobs/dispatcher_orders.cpp
+++ b/src/jobs/dispatcher_orders.cpp
@@ -208,8 +208,10 @@
                 settleAbsent(session, run, sentAt);
         }
     }
-    if (isFirst)
+    if (isFirst) {
+        tryAllAgain();
         m_log.line("endpoint-confirmed").field("endpoint", session.endpoint.id).field("running", reply.running.size()).field("ended", reply.ended.size()).field("term", m_desc.term);
+    }
     paceFillers(session);
     flushEnds();
 }
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -60,6 +60,8 @@
     double dueMemoryMs = 0;
     /// Tasks that may be placed now.
     std::vector<TaskKey> ready;
+    /// The least that any of them needs, by resource.
+    Resources smallestNeed;
     /// Tasks whose placement is proposed and not committed.
     std::set<TaskKey> committing;
     bool isDirty = true;
@@ -133,7 +135,7 @@
         double objectiveSeconds = 0;
     };
     [[nodiscard]] std::map<std::string, ServiceLoad> loads();
-    [[nodiscard]] bool isReachable(const EndpointSession& session) const;
+    [[nodiscard]] bool isReachable(const EndpointSession& session) const { return isReachable(session, m_clock.now()); }
     /// Whether lasting tasks of the pool wait for a place.
     [[nodiscard]] bool hasLastingWaiting(std::string_view service) const;
 
@@ -203,9 +205,25 @@
     /// @returns the run of a task that is not done and has one, or nullptr.
     [[nodiscard]] const Run* onlyRunOf(const TaskKey& key, const Task& task) const;
 
+    [[nodiscard]] static bool isReachable(const EndpointSession& session, TimePoint now);
+
     // Placing (dispatcher_placing.cpp)
+    /// Tasks of one service that found no place. They are tried again once something has changed.
+    struct WaitingTasks {
+        bool hasChanged = true;
+        /// Some wait for their workspace's limit.
+        bool isLimited = false;
+        TimePoint retryAt;
+    };
+    class FailedNeeds;
     void place();
-    void placeService(const std::string& service, std::vector<JobPlan*>& plans);
+    void placeService(const std::string& service, WaitingTasks& waiting);
+    /// @param room largest room of any of the usable endpoints, by resource.
+    std::vector<JobPlan*> plansThatMayFit(const std::string& service, const Resources& room, size_t endpoints);
+    void placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, FailedNeeds& failed, WaitingTasks& waiting);
+    /// Room of an endpoint, and part of a workspace's limit, has become free.
+    void noteReleased(const EndpointSession& session, const Run& run);
+    void tryAllAgain();
     bool placeGang(JobPlan& plan, const TaskKey& first, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions);
     bool placeTask(JobPlan& plan, const TaskKey& key, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions);
     void commitPlacement(JobPlan& plan, const TaskKey& key, uint32_t run, EndpointSession& session, const std::string& ticket);
@@ -217,7 +235,7 @@
     void flushPlacements();
     void addReadyNeeds(std::map<std::string, ServiceLoad>& loads);
     [[nodiscard]] bool isWithinLimit(const Job& job, const StepSpec& step, uint32_t count);
-    [[nodiscard]] bool mayPlaceOn(const EndpointSession& session) const;
+    [[nodiscard]] bool mayPlaceOn(const EndpointSession& session, TimePoint now) const;
     const StepAdvice* adviceFor(JobPlan& plan, const TaskKey& key, const std::vector<EndpointSession*>& sessions);
     void preparePlacement(PlacementCandidate& candidate, const EndpointSession& session, const TaskKey& key, const StepSpec& step) const;
 
@@ -234,6 +252,7 @@
     /// EndpointSession::staleForgetUntil of endpoints that were removed.
     std::map<std::string, TimePoint> m_staleForgetUntil;
     std::map<uint64_t, JobPlan> m_plans;
+    std::map<std::string, WaitingTasks> m_waitingTasks;
     std::map<std::string, Resources> m_workspaceUse;
     /// Recent arrivals by service.
     std::map<std::string, ArrivalRate> m_arrivals;
--- a/src/jobs/dispatcher_placing.cpp
+++ b/src/jobs/dispatcher_placing.cpp
@@ -6,6 +6,7 @@
 #include <vanillalift/config.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace vanillalift::jobs {
 
@@ -13,8 +14,10 @@
 
     /// A job that takes longer than this many times its objective counts for nothing.
     constexpr int lateFactor = 3;
-    /// Needs that fitted nowhere in this pass, kept to skip tasks that need as much.
-    constexpr size_t maxFailedNeeds = 8;
+    constexpr size_t maxFailedNeeds = 16;
+    /// Time after which tasks without a place are tried again although nothing is known to have changed: an endpoint may have
+    /// become usable by the passing of time alone.
+    constexpr std::chrono::milliseconds placeRetry { 100 };
     /// Work of an occurrence counts as demand this long before it is due: an instance takes 1.5 s to move.
     constexpr std::chrono::milliseconds occurrenceLead { 2000 };
     /// Time between two lines about a job whose tasks find no place.
@@ -26,28 +29,35 @@
     /// Time that the advice service may take beyond what the queue's terms tell.
     constexpr std::chrono::milliseconds adviceMargin { 1500 };
 
-    struct FailedNeeds {
-        std::vector<Resources> needs;
-
-        [[nodiscard]] bool covers(const Resources& need) const
-        {
-            return std::any_of(needs.begin(), needs.end(), [&](const auto& it) { return it.fitsIn(need); });
-        }
-        void add(const Resources& need)
-        {
-            if (needs.size() < maxFailedNeeds && !covers(need))
-                needs.push_back(need);
-        }
-    };
-
     bool isConstrained(const StepSpec& step) { return step.maxPerEndpoint != 0 || !step.requiredLabel.empty(); }
 
 } // namespace
 
+/// Smallest needs that fitted nowhere in this pass, to skip tasks that need as much.
+class Dispatcher::FailedNeeds {
+public:
+    [[nodiscard]] bool covers(const Resources& need) const
+    {
+        return std::any_of(m_needs.begin(), m_needs.end(), [&](const auto& it) { return it.fitsIn(need); });
+    }
+    void add(const Resources& need)
+    {
+        if (covers(need))
+            return;
+        std::erase_if(m_needs, [&](const auto& it) { return need.fitsIn(it); });
+        if (m_needs.size() < maxFailedNeeds)
+            m_needs.push_back(need);
+    }
+
+private:
+    std::vector<Resources> m_needs;
+};
+
 void Dispatcher::refreshPlan(JobPlan& plan)
 {
     plan.isDirty = false;
     plan.ready.clear();
+    plan.smallestNeed = { std::numeric_limits<int64_t>::max(), std::numeric_limits<int64_t>::max(), std::numeric_limits<int64_t>::max() };
     plan.dueWorkMs = plan.dueMemoryMs = 0;
     auto& job = *plan.job;
     bool hasDue = false;
@@ -90,15 +100,19 @@
             if (plan.committing.contains(key))
                 continue;
             const auto* run = onlyRunOf(key, tasks[index]);
-            if (tasks[index].isIdle() || (run && run->wantsCopy))
-                plan.ready.push_back(key);
+            if (!tasks[index].isIdle() && !(run && run->wantsCopy))
+                continue;
+            plan.ready.push_back(key);
+            auto need = countedNeed(job.spec.steps[step]);
+            auto& smallest = plan.smallestNeed;
+            smallest = { std::min(smallest.cpu, need.cpu), std::min(smallest.memory, need.memory), std::min(smallest.gpus, need.gpus) };
         }
     }
 }
 
-bool Dispatcher::mayPlaceOn(const EndpointSession& session) const
+bool Dispatcher::mayPlaceOn(const EndpointSession& session, TimePoint now) const
 {
-    return isReachable(session) && !session.endpoint.isDraining && !session.isLeaving && !session.isRemovalOut && session.clock && m_clock.now() >= std::max(session.suspectUntil, session.staleForgetUntil);
+    return isReachable(session, now) && !session.endpoint.isDraining && !session.isLeaving && !session.isRemovalOut && session.clock && now >= std::max(session.suspectUntil, session.staleForgetUntil);
 }
 
 bool Dispatcher::isWithinLimit(const Job& job, const StepSpec& step, uint32_t count)
@@ -115,42 +129,60 @@
 
 void Dispatcher::place()
 {
-    std::map<std::string, std::vector<JobPlan*>> byService;
+    auto now = m_clock.now();
     for (auto& [serial, plan] : m_plans) {
-        if (plan.isDirty)
-            refreshPlan(plan);
+        if (!plan.isDirty)
+            continue;
+        refreshPlan(plan);
         if (!plan.ready.empty())
-            byService[m_store.queueOf(*plan.job).service].push_back(&plan);
+            m_waitingTasks[m_store.queueOf(*plan.job).service].hasChanged = true;
+    }
+    for (auto& [service, waiting] : m_waitingTasks) {
+        if (!waiting.hasChanged && now < waiting.retryAt)
+            continue;
+        waiting = { false, false, now + placeRetry };
+        placeService(service, waiting);
     }
-    for (auto& [service, plans] : byService)
-        placeService(service, plans);
     flushPlacements();
 }
 
-void Dispatcher::placeService(const std::string& service, std::vector<JobPlan*>& plans)
+std::vector<JobPlan*> Dispatcher::plansThatMayFit(const std::string& service, const Resources& room, size_t endpoints)
+{
+    std::vector<JobPlan*> plans;
+    for (auto& [serial, plan] : m_plans) {
+        if (plan.ready.empty() || m_store.queueOf(*plan.job).service != service)
+            continue;
+        if (plan.smallestNeed.fitsIn(room))
+            plans.push_back(&plan);
+        else
+            logWait(plan, endpoints);
+    }
+    return plans;
+}
+
+void Dispatcher::placeService(const std::string& service, WaitingTasks& waiting)
 {
+    auto now = m_clock.now();
     std::vector<PlacementCandidate> candidates;
     std::vector<EndpointSession*> sessions;
+    Resources room;
     for (auto& [id, session] : m_sessions) {
-        if (session->endpoint.service != service || !mayPlaceOn(*session))
+        if (session->endpoint.service != service || !mayPlaceOn(*session, now))
             continue;
         PlacementCandidate candidate;
         candidate.endpoint = &session->endpoint;
         candidate.free = session->free();
         candidate.recentFailures = session->failuresInRow;
-        candidate.speed = session->speed.at(m_clock.now());
-        for (const auto& [key, run] : session->runs) {
-            if (run.phase == RunPhase::Ended)
-                continue;
-            candidate.servingRuns += run.targetMs != 0 ? 1 : 0;
-            candidate.fillerRuns += run.isFiller ? 1 : 0;
-        }
+        candidate.speed = session->speed.at(now);
+        candidate.servingRuns = session->servingRuns;
+        candidate.fillerRuns = session->fillerRuns;
+        room = { std::max(room.cpu, candidate.free.cpu), std::max(room.memory, candidate.free.memory), std::max(room.gpus, candidate.free.gpus) };
         candidates.push_back(candidate);
         sessions.push_back(session.get());
     }
     if (candidates.empty())
         return;
-    auto now = m_clock.now();
+    auto plans = plansThatMayFit(service, room, candidates.size());
     auto shares = workspaceShares(plans);
     std::vector<OrderedJob> ordered;
     for (const auto* plan : plans) {
@@ -163,33 +195,51 @@
         ordered.push_back(entry);
     }
     FailedNeeds failed;
-    for (auto serial : orderJobs(ordered, now)) {
-        auto& plan = m_plans.at(serial);
-        std::vector<TaskKey> left;
-        bool isGangPlaced = false;
-        for (const auto& key : std::exchange(plan.ready, {})) {
-            const auto& step = plan.job->spec.steps[key.step];
-            if (step.isGang) {
-                // The first member stands for all; members that end are placed together again.
-                if (key.index == 0)
-                    isGangPlaced = placeGang(plan, key, candidates, sessions);
-                if (!isGangPlaced)
-                    left.push_back(key);
-                continue;
-            }
-            auto need = countedNeed(step);
-            if (failed.covers(need) || !placeTask(plan, key, candidates, sessions)) {
+    for (auto serial : orderJobs(ordered, now))
+        placeJob(m_plans.at(serial), candidates, sessions, failed, waiting);
+}
+
+void Dispatcher::placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, FailedNeeds& failed, WaitingTasks& waiting)
+{
+    std::vector<TaskKey> left;
+    bool isGangPlaced = false;
+    // What one task of a step lacks, the others lack as well.
+    const StepSpec* failedStep = nullptr;
+    for (const auto& key : std::exchange(plan.ready, {})) {
+        const auto& step = plan.job->spec.steps[key.step];
+        if (step.isGang) {
+            // The first member stands for all; members that end are placed together again.
+            if (key.index == 0)
+                isGangPlaced = placeGang(plan, key, candidates, sessions);
+            if (!isGangPlaced)
                 left.push_back(key);
-                // The copy of a task has one endpoint fewer to choose from.
-                bool isCopy = !plan.job->findTask(key)->placements.empty();
-                if (!isCopy && !isConstrained(step) && isWithinLimit(*plan.job, step, 1) && !m_store.queueOf(*plan.job).isAdvised)
-                    failed.add(need);
-            }
+            continue;
+        }
+        auto need = countedNeed(step);
+        if (failedStep == &step || failed.covers(need)) {
+            left.push_back(key);
+            continue;
+        }
+        if (!isWithinLimit(*plan.job, step, 1)) {
+            waiting.isLimited = true;
+            failedStep = &step;
+            left.push_back(key);
+            continue;
         }
-        plan.ready = std::move(left);
-        if (!plan.ready.empty() && now >= plan.nextWaitLineAt)
-            logWait(plan, candidates.size());
+        if (placeTask(plan, key, candidates, sessions))
+            continue;
+        left.push_back(key);
+        // The copy of a task has one endpoint fewer to choose from.
+        bool isCopy = !plan.job->findTask(key)->placements.empty();
+        if (isCopy)
+            continue;
+        failedStep = &step;
+        if (!isConstrained(step) && !m_store.queueOf(*plan.job).isAdvised)
+            failed.add(need);
     }
+    plan.ready = std::move(left);
+    if (!plan.ready.empty())
+        logWait(plan, candidates.size());
 }
 
 std::map<std::string, double> Dispatcher::workspaceShares(const std::vector<JobPlan*>& plans) const
@@ -223,6 +273,8 @@
 void Dispatcher::logWait(JobPlan& plan, size_t candidates)
 {
     auto now = m_clock.now();
+    if (now < plan.nextWaitLineAt)
+        return;
     bool isFirst = plan.nextWaitLineAt == TimePoint {};
     plan.nextWaitLineAt = now + waitLineInterval;
     if (isFirst)
@@ -251,8 +303,6 @@
 {
     const auto& job = *plan.job;
     const auto& step = job.spec.steps[key.step];
-    if (!isWithinLimit(job, step, 1))
-        return false;
     const auto* task = job.findTask(key);
     PlacementHints hints;
     hints.avoid = task->failedAt;
@@ -277,11 +327,10 @@
         ticket = advice->tickets[static_cast<size_t>(it - advice->endpoints.begin())];
     }
     commitPlacement(plan, key, task->lastRun + 1, *sessions[*chosen], ticket);
-    candidates[*chosen].free = sessions[*chosen]->free();
-    if (step.isFiller)
-        candidates[*chosen].fillerRuns++;
-    else if (step.targetMs != 0)
-        candidates[*chosen].servingRuns++;
+    auto& candidate = candidates[*chosen];
+    candidate.free = sessions[*chosen]->free();
+    candidate.servingRuns = sessions[*chosen]->servingRuns;
+    candidate.fillerRuns = sessions[*chosen]->fillerRuns;
     return true;
 }
 
@@ -388,6 +437,7 @@
         auto& advice = it->second;
         auto now = m_clock.now();
         advice.isAsked = false;
+        tryAllAgain();
         advice.nextAskAt = now + adviceRetry;
         if (!reply.allowed) {
             m_log.line("advice-missing").field("job", stepKey.job).field("step", stepKey.step);
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -94,6 +94,9 @@
     std::map<RunKey, Run> runs;
     /// Needs of the runs that have not ended.
     Resources used;
+    /// Those of them that serve callers with a latency bound, and those that use what others leave.
+    uint32_t servingRuns = 0;
+    uint32_t fillerRuns = 0;
     /// The endpoint has listed its runs in this leader's term.
     bool isConfirmed = false;
     /// When it has first done so, for its present life.
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -251,6 +251,7 @@
     m_service.reset();
     m_keeper.reset();
     m_dispatcher.reset();
+    m_loggedStats = {};
     m_leaderClient.setLocalLeader(false, 0);
 }
 
