Show the progress of simulated tasks that have a shape of their own

A task of the overloaded site that runs over 2.5 s was taken for stalled, as endpoints listed all tasks at 50 percent: its run was stopped and the task placed again, through no fault of the leader.

--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -269,7 +269,7 @@
             m_ended.pop_front();
         }
         for (const auto& [task, run] : m_runs)
-            reply.running.push_back({ task, run.run, "", m_world.lasting.contains(task.job) ? 100U : 50U, 0 });
+            reply.running.push_back({ task, run.run, "", m_world.lasting.contains(task.job) ? 100U : percentOf(task, run), 0 });
         reply.ended.assign(m_ended.begin(), m_ended.end());
         return reply;
     }
@@ -349,6 +349,15 @@
 
     static std::string text(const TaskName& task, uint32_t run) { return task.job + '.' + std::to_string(task.step) + '.' + std::to_string(task.index) + " run " + std::to_string(run); }
 
+    uint32_t percentOf(const TaskName& task, const SimRun& run) const
+    {
+        auto shape = m_world.shapes.find(task);
+        if (shape == m_world.shapes.end())
+            return 50;
+        auto share = std::chrono::duration<double>(m_world.clock.time - run.startedAt) / std::chrono::duration<double>(shape->second.duration * slowness);
+        return static_cast<uint32_t>(100 * std::min(share, 1.0));
+    }
+
     /// A longer lease is shortened to the longest that the platform takes.
     void extendLease(int64_t untilMs)
     {
