--- a/tests/jobs/dispatcher_overload_test.cpp
+++ b/tests/jobs/dispatcher_overload_test.cpp
@@ -184,6 +184,7 @@
     CHECK(overloaded.site.leader.notStarted == 0);
     CHECK(overloaded.site.leader.dispatcher->stats().startsUnanswered == 0);
     CHECK(overloaded.site.leader.placedAgain == 0);
+    CHECK(overloaded.site.world.violations.text().empty());
 }
 
 TEST_CASE("tasks that found no room are not weighed again before anything has changed", "[dispatcher][overload]")
