--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -340,6 +340,7 @@
         if (isMoved)
             openSession(endpoint);
         session->endpoint = endpoint;
+        tryAllAgain();
     }
     auto waiters = m_waiters.extract(endpoint.id);
     if (!waiters.empty()) {
--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -214,7 +214,7 @@
         auto shape = m_world.shapes.find(order.task);
         bool hasShape = shape != m_world.shapes.end();
         auto taken = hasShape ? shape->second.need : need;
-        m_runs[order.task] = { order.run, ++m_lastStart, m_world.clock.time, taken, hasShape ? shape->second.duration : Duration::zero() };
+        m_runs[order.task] = { order.run, ++m_lastStart, m_world.clock.time, taken };
         used += taken;
         if (!used.fitsIn(described.capacity))
             m_world.violations.add("over capacity: " + text(order.task, order.run));
@@ -270,7 +270,7 @@
             m_ended.pop_front();
         }
         for (const auto& [task, run] : m_runs)
-            reply.running.push_back({ task, run.run, "", percentOf(task, run), 0 });
+            reply.running.push_back({ task, run.run, "", m_world.lasting.contains(task.job) ? 100U : percentOf(task, run), 0 });
         reply.ended.assign(m_ended.begin(), m_ended.end());
         return reply;
     }
@@ -346,19 +346,18 @@
         uint64_t serial = 0;
         TimePoint startedAt;
         Resources need;
-        /// Zero for a task without a shape, whose progress is not played.
-        Duration duration {};
     };
 
-    [[nodiscard]] uint32_t percentOf(const TaskName& task, const SimRun& run) const
+    static std::string text(const TaskName& task, uint32_t run) { return task.job + '.' + std::to_string(task.step) + '.' + std::to_string(task.index) + " run " + std::to_string(run); }
+
+    uint32_t percentOf(const TaskName& task, const SimRun& run) const
     {
-        if (m_world.lasting.contains(task.job))
-            return 100;
-        if (run.duration == Duration::zero())
+        auto shape = m_world.shapes.find(task);
+        if (shape == m_world.shapes.end())
             return 50;
-        return static_cast<uint32_t>(std::min<int64_t>(99, 100 * (m_world.clock.time - run.startedAt) / run.duration));
+        auto share = std::chrono::duration<double>(m_world.clock.time - run.startedAt) / std::chrono::duration<double>(shape->second.duration * slowness);
+        return static_cast<uint32_t>(100 * std::min(share, 1.0));
     }
-    static std::string text(const TaskName& task, uint32_t run) { return task.job + '.' + std::to_string(task.step) + '.' + std::to_string(task.index) + " run " + std::to_string(run); }
 
     /// A longer lease is shortened to the longest that the platform takes.
     void extendLease(int64_t untilMs)
