Work out once a plan which instances are in a wave

No decision changes; instance_keeper_test passes. Found by reading, its part of the time was not measured by itself.

--- a/src/jobs/instance_keeper_p.h
+++ b/src/jobs/instance_keeper_p.h
@@ -69,7 +69,8 @@
     std::vector<PoolInstance> describeInstances(const std::vector<Pool>& pools);
     void callMove(const std::string& name);
     void settleMoves();
-    [[nodiscard]] bool isInOpenWave(const std::string& instance) const;
+    /// @returns the instances that a wave takes down or has not yet seen back.
+    [[nodiscard]] std::set<std::string_view> instancesInWaves() const;
     void readInstances();
     void readPage(const std::string& token, TimePoint sentAt);
     void serveWave(const WaveState& wave);
--- a/src/jobs/instance_keeper_pools.cpp
+++ b/src/jobs/instance_keeper_pools.cpp
@@ -31,18 +31,22 @@
 
 } // namespace
 
-bool InstanceKeeper::isInOpenWave(const std::string& instance) const
+std::set<std::string_view> InstanceKeeper::instancesInWaves() const
 {
-    return std::any_of(m_store.waves().begin(), m_store.waves().end(), [&](const auto& it) {
-        const auto& wave = it.second;
-        if (std::find(wave.wave.instances.begin(), wave.wave.instances.end(), instance) == wave.wave.instances.end())
-            return false;
-        // Once ordered down, until it has been seen up again.
-        auto progress = m_progress.find({ it.first, instance });
-        bool isUnderWay = wave.isIntended(instance) || (progress != m_progress.end() && progress->second.drainingSince != TimePoint {});
-        bool isBack = wave.isMaintained(instance) && progress != m_progress.end() && progress->second.isBack;
-        return isUnderWay && !isBack && !wave.isComplete();
-    });
+    std::set<std::string_view> found;
+    for (const auto& [number, wave] : m_store.waves()) {
+        if (wave.isComplete())
+            continue;
+        for (const auto& name : wave.wave.instances) {
+            // Once ordered down, until it has been seen up again.
+            auto progress = m_progress.find({ number, name });
+            bool isUnderWay = wave.isIntended(name) || (progress != m_progress.end() && progress->second.drainingSince != TimePoint {});
+            bool isBack = wave.isMaintained(name) && progress != m_progress.end() && progress->second.isBack;
+            if (isUnderWay && !isBack)
+                found.insert(name);
+        }
+    }
+    return found;
 }
 
 std::vector<Pool> InstanceKeeper::describePools()
@@ -81,6 +85,7 @@
 std::vector<PoolInstance> InstanceKeeper::describeInstances(const std::vector<Pool>& pools)
 {
     auto now = m_clock.now();
+    auto inWaves = instancesInWaves();
     std::vector<PoolInstance> instances;
     for (const auto& [name, known] : m_instances) {
         auto move = m_moves.find(name);
@@ -102,8 +107,9 @@
         bool isHeard = session && m_dispatcher.isReachable(*session) && session->confirmedAt > known.readAt;
         bool isUp = isHeard || known.instance.state == InstanceState::Up || (pool->isSpare && known.instance.state == InstanceState::Down);
         described.isIdle = pool->isSpare || (session && session->runs.empty() && session->isConfirmed);
-        described.isAway = (!pool->isSpare && !isUp && !described.isArriving) || isInOpenWave(name);
-        described.isFixed = !isUp || isInOpenWave(name) || (session && session->endpoint.isDraining) || (!session && !pool->isSpare);
+        bool isInWave = inWaves.contains(name);
+        described.isAway = (!pool->isSpare && !isUp && !described.isArriving) || isInWave;
+        described.isFixed = !isUp || isInWave || (session && session->endpoint.isDraining) || (!session && !pool->isSpare);
         if (session) {
             for (const auto& [key, run] : session->runs)
                 described.isFixed = described.isFixed || run.isLasting;
