Ask for advice on one step at a time

With many steps waiting, those behind expired unsent and asked again after 0.2 s, at once again. A step now asks when no other call is out; the most urgent job asks first.

The new case of dispatcher_test fails on the code before: 5 questions out at once, 1 expected.

--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -71,7 +71,6 @@
 
 /// Tickets of one step.
 struct StepAdvice {
-    bool isAsked = false;
     TimePoint nextAskAt;
     TimePoint validUntil;
     std::vector<std::string> endpoints;
@@ -262,6 +261,8 @@
     std::map<std::string, RunningMean> m_runTimeRatio;
     TimePoint m_nextCopyPlanAt;
     std::map<TaskKey, StepAdvice> m_advice;
+    /// A call of the advice service has no answer yet.
+    bool m_isAdviceOut = false;
     std::map<std::string, std::vector<Waiter>> m_waiters;
     std::vector<PlacedRun> m_placed;
     std::vector<EndedRun> m_ended;
--- a/src/jobs/dispatcher_placing.cpp
+++ b/src/jobs/dispatcher_placing.cpp
@@ -409,7 +409,8 @@
     auto& advice = m_advice[stepKey];
     if (!advice.endpoints.empty() && now + ticketMargin < advice.validUntil)
         return &advice;
-    if (advice.isAsked || now < advice.nextAskAt)
+    // The service answers one call at a time: one that waits behind others would use up its time limit before it is sent.
+    if (m_isAdviceOut || now < advice.nextAskAt)
         return nullptr;
     const auto& job = *plan.job;
     const auto& step = job.spec.steps[key.step];
@@ -426,18 +427,20 @@
     asked.reserve(byRoom.size());
     for (auto& [room, id] : byRoom)
         asked.push_back(std::move(id));
-    advice.isAsked = true;
+    m_isAdviceOut = true;
     const auto& terms = m_store.queueOf(job).advice;
     auto deadline = now + std::chrono::milliseconds(terms.decideMs + terms.perEndpointMs * asked.size()) + adviceMargin;
     TaskName name { job.spec.id, key.occurrence, key.step, 0 };
     m_adviceService.ask(name, std::move(asked), deadline, [this, stepKey, isAlive = m_isAlive](const AdviceReply& reply) {
-        auto it = *isAlive ? m_advice.find(stepKey) : m_advice.end();
-        if (!*isAlive || it == m_advice.end())
+        if (!*isAlive)
+            return;
+        m_isAdviceOut = false;
+        tryAllAgain();
+        auto it = m_advice.find(stepKey);
+        if (it == m_advice.end())
             return;
         auto& advice = it->second;
         auto now = m_clock.now();
-        advice.isAsked = false;
-        tryAllAgain();
         advice.nextAskAt = now + adviceRetry;
         if (!reply.allowed) {
             m_log.line("advice-missing").field("job", stepKey.job).field("step", stepKey.step);
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -334,3 +334,31 @@
     }
     CHECK(std::count_if(site.leader.store.jobs().begin(), site.leader.store.jobs().end(), [](const auto& it) { return it.second->isActive() && !it.second->hasStarted; }) > 10);
 }
+
+TEST_CASE("no question for advice is given up because it waits behind others in the leader's own queue", "[dispatcher]")
+{
+    Site site(19);
+    auto catalog = site.leader.store.catalog();
+    catalog.version = 2;
+    catalog.queues.front().isAdvised = true;
+    catalog.queues.front().advice = { 100, 10, 60000 };
+    site.leader.propose(PutCatalog { catalog });
+    for (int n = 0; n < 5; n++)
+        site.submit("j" + std::to_string(n), 1, false);
+    auto& questions = site.leader.advice.questions;
+    for (size_t n = 1; n <= 5; n++) {
+        site.run(seconds(1));
+        INFO("question " << n);
+        REQUIRE(questions.size() == n);
+        auto question = questions.back();
+        REQUIRE(site.world.clock.time < question.deadline);
+        AdviceReply reply;
+        reply.allowed.emplace();
+        for (const auto& it : question.endpoints)
+            reply.allowed->push_back({ it, "ticket" });
+        reply.validMs = 60000;
+        question.answer(reply);
+    }
+    site.run(seconds(3));
+    CHECK(std::all_of(site.leader.store.jobs().begin(), site.leader.store.jobs().end(), [](const auto& it) { return !it.second->isActive(); }));
+}
--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -726,9 +726,22 @@
     CallStats m_stats;
 };
 
-class NoAdvice final : public AdviceService {
+/// Keeps the questions until a test answers them.
+class SimAdvice final : public AdviceService {
 public:
-    void ask(const TaskName&, std::vector<std::string>, TimePoint, std::function<void(AdviceReply)>) override { }
+    struct Question {
+        TaskName step;
+        std::vector<std::string> endpoints;
+        TimePoint deadline;
+        std::function<void(AdviceReply)> answer;
+    };
+
+    void ask(const TaskName& step, std::vector<std::string> endpoints, TimePoint deadline, std::function<void(AdviceReply)> handler) override
+    {
+        questions.push_back({ step, std::move(endpoints), deadline, std::move(handler) });
+    }
+
+    std::vector<Question> questions;
 };
 
 /// A leader over a log that commits after a delay, and loses the tail of it when the leader changes.
@@ -773,10 +786,11 @@
         desc.term = m_term;
         desc.propose = [this](const Command& command) { propose(command); };
         desc.leaderContactAt = [this] { return isCut ? leaderContactAt : m_world.clock.time; };
-        dispatcher = std::make_unique<Dispatcher>(std::move(desc), store, m_world.clock, m_links, m_advice, m_log);
+        dispatcher = std::make_unique<Dispatcher>(std::move(desc), store, m_world.clock, m_links, advice, m_log);
     }
 
     JobStore store;
+    SimAdvice advice;
     std::unique_ptr<Dispatcher> dispatcher;
     bool isCut = false;
     TimePoint leaderContactAt;
@@ -797,7 +811,6 @@
 
     World& m_world;
     SimLinks m_links;
-    NoAdvice m_advice;
     EventLog m_log;
     uint64_t m_term = 0;
 };
