Count a request as open until its response has left for the kernel

A gateway ends once no request is open. A request now counts until the kernel has taken its response; the count is taken from the connections, so a dropped one needs no bookkeeping. Used by whoever asks HttpServer::openRequests().

--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -104,8 +104,8 @@
     void stopAccepting() { m_listener.close(); }
     /// Answers further requests with "Connection: close".
     void startDraining() { m_isDraining = true; }
-    /// Requests that have no response yet.
-    [[nodiscard]] size_t openRequests() const { return m_openRequests; }
+    /// Requests without a response that has left for the kernel.
+    [[nodiscard]] size_t openRequests() const;
 
 private:
     struct Connection;
@@ -120,7 +120,6 @@
     Handler m_handler;
     std::unordered_map<uint64_t, std::unique_ptr<Connection>> m_connections;
     uint64_t m_lastId = 0;
-    size_t m_openRequests = 0;
     bool m_isDraining = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     Listener m_listener;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,6 +4,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace vanillalift::net {
 
 struct HttpServer::Connection {
@@ -12,6 +14,8 @@
     /// Number of the request that waits for its response, 0 for none.
     uint64_t request = 0;
     bool isKept = true;
+
+    [[nodiscard]] bool isOpen() const { return request != 0 || stream->unsentBytes() != 0; }
 };
 
 HttpServer::HttpServer(EventLoop& loop, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler)
@@ -39,14 +43,11 @@
         Stream::Handlers { nullptr, [this, id](std::string_view bytes) { return receive(id, bytes); }, [this, id](StreamEnd) { drop(id); } });
 }
 
-void HttpServer::drop(uint64_t id)
+void HttpServer::drop(uint64_t id) { m_connections.erase(id); }
+
+size_t HttpServer::openRequests() const
 {
-    auto it = m_connections.find(id);
-    if (it == m_connections.end())
-        return;
-    if (it->second->request != 0)
-        m_openRequests--;
-    m_connections.erase(it);
+    return static_cast<size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto& it) { return it.second->isOpen(); }));
 }
 
 size_t HttpServer::receive(uint64_t id, std::string_view bytes)
@@ -59,7 +60,6 @@
     auto used = connection.parser.feed(bytes);
     if (connection.parser.hasFailed()) {
         connection.request = ++m_lastId;
-        m_openRequests++;
         connection.isKept = false;
         HttpResponse response { connection.parser.isTooLarge() ? 413 : 400, {}, {} };
         respond(id, connection.request, response);
@@ -68,7 +68,6 @@
     if (!connection.parser.hasMessage())
         return used;
     connection.request = ++m_lastId;
-    m_openRequests++;
     connection.isKept = connection.parser.shouldKeepAlive();
     auto respondOnce = [this, id, request = connection.request, isAlive = m_isAlive](const HttpResponse& response) {
         if (*isAlive)
@@ -85,7 +84,6 @@
         return;
     auto& connection = *it->second;
     connection.request = 0;
-    m_openRequests--;
     connection.isKept = connection.isKept && !m_isDraining;
     std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ' + http_status_str(static_cast<http_status>(response.status)) + "\r\n";
     for (const auto& header : response.headers)
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -2,11 +2,9 @@
 
 #include "net/frame_link_p.h"
 #include "net/http_p.h"
+#include "raw_client.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <thread>
 
 using namespace vanillalift;
 using namespace vanillalift::net;
@@ -140,6 +138,46 @@
     CHECK(channel.connections() == 1);
 }
 
+TEST_CASE("a process that ends once no request is open has sent its last response", "[net]")
+{
+    EventLoop loop;
+    SystemClock clock;
+    auto address = freeAddress();
+    HttpServer::Respond respond;
+    auto server = std::make_unique<HttpServer>(loop, address, 1000, 8, [&](const HttpRequest&, HttpServer::Respond it) { respond = std::move(it); });
+    RawClient client(address.port);
+    REQUIRE(client.send("GET /x HTTP/1.1\r\n\r\n"));
+    runUntil(loop, [&] { return respond != nullptr; });
+    runUntil(loop, [&] {
+        if (auto once = std::exchange(respond, nullptr))
+            once({ 200, {}, "last" });
+        return server->openRequests() == 0;
+    });
+    server.reset();
+    CHECK(client.readResponse().ends_with("last"));
+}
+
+TEST_CASE("a response that a slow client has not taken keeps its request open, and a dropped connection does not", "[net]")
+{
+    // More than the kernel holds for one connection.
+    const std::string large(64U << 20U, 'x');
+    EventLoop loop;
+    auto address = freeAddress();
+    HttpServer server(loop, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, large }); });
+    RawClient slow(address.port);
+    RawClient dropped(address.port);
+    REQUIRE(slow.send("GET /x HTTP/1.1\r\n\r\n"));
+    REQUIRE(dropped.send("GET /x HTTP/1.1\r\n\r\n"));
+    runUntil(loop, [&] { return server.openRequests() == 2; });
+    dropped.close();
+    runUntil(loop, [&] { return server.openRequests() == 1; });
+    std::string received;
+    std::thread reader([&] { received = slow.readResponse(); });
+    runUntil(loop, [&] { return server.openRequests() == 0; });
+    reader.join();
+    CHECK(received.ends_with(large));
+}
+
 TEST_CASE("frames arrive whole and in order, and an oversized one ends its link", "[net]")
 {
     EventLoop loop;
--- a/tests/raw_client.h
+++ b/tests/raw_client.h
@@ -43,6 +43,13 @@
 
     bool send(std::string_view text) const { return ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()); }
 
+    /// @returns whether there is nothing to read.
+    [[nodiscard]] bool isSilent() const
+    {
+        char first;
+        return recv(m_socket, &first, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+    }
+
     /// @returns one response with its body by Content-Length, or what came before the connection ended.
     std::string readResponse()
     {
@@ -50,7 +57,7 @@
             auto end = m_input.find("\r\n\r\n");
             if (end != std::string::npos) {
                 auto length = m_input.find("Content-Length: ");
-                size_t total = end + 4 + (length < end ? std::stoul(m_input.substr(length + 16)) : 0);
+                size_t total = end + 4 + (length < end ? std::stoul(m_input.substr(length + 16, end - length - 16)) : 0);
                 if (m_input.size() >= total) {
                     auto response = m_input.substr(0, total);
                     m_input.erase(0, total);
