Count a request that was read and not yet handled as open

Stream defers its callbacks: bytes are read from the kernel before the timers of a pass and handled after them. A gateway that looked for open requests in between ended with a whole request in its buffer. Connections with such bytes count as open until they are parsed; what follows a last response does not.

--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -104,7 +104,7 @@
     void stopAccepting() { m_listener.close(); }
     /// Answers further requests with "Connection: close".
     void startDraining() { m_isDraining = true; }
-    /// Requests without a response that has left for the kernel.
+    /// Requests without a response that has left for the kernel, and connections with bytes that are still to be parsed.
     [[nodiscard]] size_t openRequests() const;
 
 private:
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -15,7 +15,7 @@
     uint64_t request = 0;
     bool isKept = true;
 
-    [[nodiscard]] bool isOpen() const { return request != 0 || stream->unsentBytes() != 0; }
+    [[nodiscard]] bool isOpen() const { return request != 0 || stream->unsentBytes() != 0 || (isKept && stream->unreadBytes() != 0); }
 };
 
 HttpServer::HttpServer(EventLoop& loop, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler)
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -139,6 +139,8 @@
 
 size_t Stream::unsentBytes() const { return evbuffer_get_length(bufferevent_get_output(m_buffer.get())); }
 
+size_t Stream::unreadBytes() const { return evbuffer_get_length(bufferevent_get_input(m_buffer.get())); }
+
 void Stream::closeAfterWrite()
 {
     m_isClosing = true;
--- a/src/net/stream_p.h
+++ b/src/net/stream_p.h
@@ -62,6 +62,8 @@
     [[nodiscard]] bool isConnected() const { return m_isConnected; }
     /// Bytes accepted by write() that the kernel has not taken yet.
     [[nodiscard]] size_t unsentBytes() const;
+    /// Bytes read from the kernel that onBytes has not used yet.
+    [[nodiscard]] size_t unreadBytes() const;
     /// Ends the stream after the written bytes have left; onEnd is called then.
     void closeAfterWrite();
     /// Ends the stream at once and without a call of onEnd. It may be destroyed later, outside its own handlers.
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -178,6 +178,34 @@
     CHECK(received.ends_with(large));
 }
 
+TEST_CASE("a request that was read and not yet handled is not cut by a process that ends", "[net]")
+{
+    EventLoop loop;
+    SystemClock clock;
+    auto address = freeAddress();
+    HttpServer server(loop, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, "seen" }); });
+    RawClient client(address.port);
+    REQUIRE(client.send("GET /1 HTTP/1.1\r\n\r\n"));
+    runUntil(loop, [&] { return !client.isSilent(); });
+    REQUIRE(client.readResponse().ends_with("seen"));
+    // Armed for each pass of the loop, the timer runs between the read of the request and its handler.
+    bool wasSent = false;
+    bool wasOpen = false;
+    Timer* next = nullptr;
+    Timer timer(loop, [&] {
+        wasOpen = wasOpen || server.openRequests() != 0;
+        if (wasSent && !client.isSilent())
+            return loop.stop();
+        if (!std::exchange(wasSent, true))
+            CHECK(client.send("GET /2 HTTP/1.1\r\n\r\n"));
+        next->armAt(clock.now(), clock.now());
+    });
+    next = &timer;
+    timer.armAt(clock.now(), clock.now());
+    loop.run();
+    CHECK(wasOpen);
+}
+
 TEST_CASE("frames arrive whole and in order, and an oversized one ends its link", "[net]")
 {
     EventLoop loop;
