--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -2,7 +2,7 @@
 #include "core/event_log_p.h"
 #include "node/leader_client_p.h"
 #include "node/metrics_page_p.h"
-#include "platform/incoming_p.h"
+#include "platform/gateway_stop_p.h"
 #include "platform/program_p.h"
 
 #include <glog/logging.h>
@@ -15,10 +15,6 @@
 namespace {
 
 constexpr size_t reservedDescriptors = 400;
-/// The balancer takes the instance out of rotation after two missed readiness requests, one a second.
-constexpr std::chrono::milliseconds rotationWait { 2500 };
-/// Open requests are waited for no longer, counted from the signal.
-constexpr std::chrono::milliseconds drainWait { 5400 };
 constexpr std::chrono::milliseconds tickInterval { 50 };
 
 } // namespace
@@ -44,11 +40,10 @@
     log.stateLine("start").field("node", settings->node).field("version", std::string_view(VANILLALIFT_VERSION));
     node::LeaderClient leaders(loop, clock, log, { { "", settings->availabilityZone, "" }, settings->seeds, nullptr });
     bool isStopping = false;
-    TimePoint stoppedAt;
-    bool isDraining = false;
     platform::ClientApi::Desc desc { *settings->clients, *settings->readiness, settings->maxDescriptors - std::min(settings->maxDescriptors / 2, reservedDescriptors) };
     auto call = [&](node::Request request, TimePoint unsentDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaders.call(std::move(request), unsentDeadline, deadline, std::move(handler)); };
     platform::ClientApi clients(loop, clock, log, desc, call, [&] { return leaders.hasLeader() && !isStopping; });
+    platform::GatewayStop stop(clients);
     node::MetricsPage metrics(loop, { settings->clients->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
         visit("requests_accepted_total", "Requests answered with success.", static_cast<double>(clients.counters().accepted));
         visit("requests_refused_total", "Requests refused as not run.", static_cast<double>(clients.counters().refused));
@@ -64,11 +59,7 @@
     net::Timer timer(loop, [&] {
         auto now = clock.now();
         log.flush();
-        if (isStopping && !isDraining && now - stoppedAt >= rotationWait) {
-            isDraining = true;
-            clients.drain();
-        }
-        if (isStopping && ((isDraining && clients.openRequests() == 0) || now - stoppedAt >= drainWait))
+        if (stop.tick(now))
             return loop.stop();
         next->armAt(now + tickInterval, now);
     });
@@ -77,7 +68,7 @@
     loop.onSignal(SIGTERM, [&] {
         log.stateLine("stop").field("reason", std::string_view("SIGTERM"));
         isStopping = true;
-        stoppedAt = clock.now();
+        stop.begin(clock.now());
     });
     loop.onSignal(SIGHUP, [&] {
         auto changed = platform::loadPlatformSettings(settings->path);
