Answer what is open before a stopping gateway ends

They are now answered with what is known: 503 with Retry-After where no controller has the request, 504 where one may have it. Requests that come after that on a kept connection get 503 at once.

--- a/src/node/leader_client.cpp
+++ b/src/node/leader_client.cpp
@@ -52,12 +52,21 @@
 
 void LeaderClient::call(Request request, TimePoint unsentDeadline, TimePoint deadline, Handler handler)
 {
+    if (m_isClosed)
+        return handler({ std::nullopt, false });
     auto id = ++m_lastCall;
     auto& added = m_calls[id] = { std::move(request), unsentDeadline, deadline, std::move(handler), "", false, false };
     if (hasLeader())
         sendCall(id, added);
 }
 
+void LeaderClient::close()
+{
+    m_isClosed = true;
+    while (!m_calls.empty())
+        finish(m_calls.begin()->first, { std::nullopt, m_calls.begin()->second.wasSent });
+}
+
 bool LeaderClient::send(const std::string& name, const Message& message)
 {
     auto it = m_peers.find(name);
--- a/src/node/leader_client_p.h
+++ b/src/node/leader_client_p.h
@@ -38,6 +38,8 @@
 
     /// @param unsentDeadline by then the request is given up if no controller has received it.
     void call(Request request, TimePoint unsentDeadline, TimePoint deadline, Handler handler);
+    /// Ends all requests with what is known of them, and each further one at once.
+    void close();
     /// Adds addresses to connect to.
     void addSeeds(const std::vector<std::string>& seeds);
     /// Tells that this process leads, or no longer does.
@@ -92,6 +94,7 @@
     std::string m_leader;
     uint64_t m_leaderTerm = 0;
     bool m_isLocalLeader = false;
+    bool m_isClosed = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     net::Timer m_timer;
 };
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -2,6 +2,7 @@
 
 #include "net/frame_link_p.h"
 #include "net/http_p.h"
+#include "net_fixture.h"
 #include "raw_client.h"
 
 #include <thread>
@@ -13,35 +14,6 @@
 
 namespace {
 
-/// A port that nobody listens on.
-Address freeAddress()
-{
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in sin {};
-    sin.sin_family = AF_INET;
-    sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&sin), sizeof(sin)) == 0);
-    socklen_t n = sizeof(sin);
-    REQUIRE(getsockname(fd, reinterpret_cast<sockaddr*>(&sin), &n) == 0);
-    close(fd);
-    return { INADDR_LOOPBACK, ntohs(sin.sin_port) };
-}
-
-/// Runs the loop until the condition holds; a test that hangs is ended by CTest.
-void runUntil(EventLoop& loop, const std::function<bool()>& isDone)
-{
-    SystemClock clock;
-    Timer* next = nullptr;
-    Timer timer(loop, [&] {
-        if (isDone())
-            return loop.stop();
-        next->armAt(clock.now() + milliseconds(1), clock.now());
-    });
-    next = &timer;
-    timer.armAt(clock.now(), clock.now());
-    loop.run();
-}
-
 /// Sends bytes and collects what comes back until the peer closes.
 std::string exchange(EventLoop& loop, const Address& address, std::string_view bytes)
 {
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -43,7 +43,7 @@
     platform::ClientApi::Desc desc { *settings->clients, *settings->readiness, settings->maxDescriptors - std::min(settings->maxDescriptors / 2, reservedDescriptors) };
     auto call = [&](node::Request request, TimePoint unsentDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaders.call(std::move(request), unsentDeadline, deadline, std::move(handler)); };
     platform::ClientApi clients(loop, clock, log, desc, call, [&] { return leaders.hasLeader() && !isStopping; });
-    platform::GatewayStop stop(clients);
+    platform::GatewayStop stop(clients, leaders);
     node::MetricsPage metrics(loop, { settings->clients->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
         visit("requests_accepted_total", "Requests answered with success.", static_cast<double>(clients.counters().accepted));
         visit("requests_refused_total", "Requests refused as not run.", static_cast<double>(clients.counters().refused));
