Read what has arrived before a request to an endpoint is given up

On an expired deadline the channel now takes what has arrived first and gives up only then; CallStats::expired counts only what was given up. The bytes are read directly, as one more pass of the loop would not do: a pass reads 4 KB of a stream and runs 32 deferred callbacks, both constants of libevent.

A request that waits behind another is not written after its deadline, as it would be given up as unknown at once; it ends as not sent.

--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -50,6 +50,9 @@
 {
     if (m_queue.empty() || m_isInFlight)
         return;
+    // Left to the timer as not sent.
+    if (m_queue.front().deadline <= m_clock.now())
+        return;
     if (m_stream) {
         if (m_stream->isConnected())
             writeFirst();
@@ -144,7 +147,12 @@
 {
     auto now = m_clock.now();
     auto isAlive = m_isAlive;
-    if (m_isInFlight && m_queue.front().deadline <= now) {
+    auto isExpired = [&] { return m_isInFlight && m_queue.front().deadline <= now; };
+    if (isExpired())
+        m_stream->deliverArrived();
+    if (!*isAlive)
+        return;
+    if (isExpired()) {
         countExpired(now - m_queue.front().deadline);
         retire();
         fail(HttpFailure::Unknown);
@@ -166,6 +174,7 @@
     if (m_queue.empty() && m_stream && !m_stream->isConnected())
         retire();
     armTimer();
+    startNext();
 }
 
 } // namespace vanillalift::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace vanillalift::net {
 
@@ -97,6 +98,27 @@
     }
 }
 
+void Stream::deliverArrived()
+{
+    if (!m_isConnected || m_isAbandoned || !(bufferevent_get_enabled(m_buffer.get()) & EV_READ))
+        return;
+    auto fd = bufferevent_getfd(m_buffer.get());
+    auto* input = bufferevent_get_input(m_buffer.get());
+    // Only what is there now: a peer that goes on sending does not hold the caller.
+    int waiting = 0;
+    if (ioctl(fd, FIONREAD, &waiting) != 0)
+        waiting = 0;
+    evbuffer_unfreeze(input, 0);
+    for (int n = 0; waiting > 0; waiting -= n) {
+        n = evbuffer_read(input, fd, waiting);
+        // An end or an error is found again by the loop.
+        if (n <= 0)
+            break;
+    }
+    evbuffer_freeze(input, 0);
+    handleRead();
+}
+
 void Stream::handleEvent(short what)
 {
     if (what & BEV_EVENT_CONNECTED) {
--- a/src/net/stream_p.h
+++ b/src/net/stream_p.h
@@ -60,6 +60,9 @@
     /// Stops or resumes delivery of received bytes.
     void setReading(bool isReading);
     [[nodiscard]] bool isConnected() const { return m_isConnected; }
+    /// Hands over the bytes that have arrived, for decisions about a peer's silence: the loop may be late, and its timers run
+    /// before the deferred callbacks of their pass. The stream may be destroyed in it.
+    void deliverArrived();
     /// Bytes accepted by write() that the kernel has not taken yet.
     [[nodiscard]] size_t unsentBytes() const;
     /// Bytes read from the kernel that onBytes has not used yet.
--- a/tests/jobs/net_fixture.h
+++ b/tests/jobs/net_fixture.h
@@ -25,6 +25,16 @@
     return { INADDR_LOOPBACK, ntohs(sin.sin_port) };
 }
 
+/// A clock that a test can set forward.
+class LaterClock final : public Clock {
+public:
+    [[nodiscard]] TimePoint now() const override { return BootClock::now() + m_ahead; }
+    void advance(Duration by) { m_ahead += by; }
+
+private:
+    Duration m_ahead {};
+};
+
 /// Runs the loop until the condition holds; a test that hangs is ended by CTest.
 inline void runUntil(EventLoop& loop, const std::function<bool()>& isDone)
 {
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -4,7 +4,9 @@
 #include "net/http_p.h"
 #include "net_fixture.h"
 #include "raw_client.h"
+#include "raw_server.h"
 
+#include <future>
 #include <thread>
 
 using namespace vanillalift;
@@ -178,6 +180,51 @@
     CHECK(wasOpen);
 }
 
+TEST_CASE("an answer that arrived while the loop was late for its deadline is delivered", "[net]")
+{
+    // More than one pass of the loop reads.
+    const std::string body(20000, 'x');
+    std::promise<void> received;
+    std::promise<void> mayAnswer;
+    std::promise<void> answered;
+    RawServer server([&](RawConnection& connection, int) {
+        connection.readRequest();
+        received.set_value();
+        mayAnswer.get_future().wait();
+        connection.answer(body);
+        connection.waitUntilTaken();
+        answered.set_value();
+        connection.waitForClose();
+    });
+    EventLoop loop;
+    LaterClock clock;
+    CallStats stats;
+    HttpChannel channel(loop, clock, *parseAddress(server.address()), &stats);
+    std::vector<HttpResult> results;
+    auto collect = [&](HttpResult it) { results.push_back(std::move(it)); };
+    channel.send({ "POST", "/1", {}, {} }, clock.now() + seconds(60), collect);
+    auto wasReceived = received.get_future();
+    bool wasHeld = false;
+    runUntil(loop, [&] {
+        if (!wasHeld && wasReceived.wait_for(seconds(0)) == std::future_status::ready) {
+            wasHeld = true;
+            mayAnswer.set_value();
+            answered.get_future().wait();
+            clock.advance(seconds(100));
+            // Due at once, it also lets the channel look at the first one's deadline.
+            channel.send({ "POST", "/2", {}, {} }, clock.now() - seconds(1), collect);
+        }
+        return results.size() == 2;
+    });
+    REQUIRE(std::holds_alternative<HttpResponse>(results[0]));
+    CHECK(std::get<HttpResponse>(results[0]).body == body);
+    REQUIRE(std::holds_alternative<HttpFailure>(results[1]));
+    CHECK(std::get<HttpFailure>(results[1]) == HttpFailure::NotSent);
+    CHECK(stats.answered == 1);
+    CHECK(stats.expired == 1);
+    CHECK(channel.connections() == 1);
+}
+
 TEST_CASE("frames arrive whole and in order, and an oversized one ends its link", "[net]")
 {
     EventLoop loop;
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -42,6 +44,14 @@
 
     void write(const std::string& bytes) { (void)::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
 
+    /// Blocks until the client's kernel has all that was written.
+    void waitUntilTaken() const
+    {
+        int left = 1;
+        while (ioctl(m_fd, SIOCOUTQ, &left) == 0 && left > 0)
+            std::this_thread::yield();
+    }
+
     /// Writes a whole answer to the last request.
     void answer(const std::string& body) { write(head("200 OK", body.size()) + body); }
 
