Read what has arrived before a link counts as silent or a call as unanswered

LeaderClient's tick looked at when a frame was last handled. With the loop late by linkSilence, a link whose status was in the socket was closed, the leader forgotten and all requests held until the next connection; an answer that had arrived was taken for none by its deadline. Overdue links are now read first.

--- a/src/net/frame_link_p.h
+++ b/src/net/frame_link_p.h
@@ -24,6 +24,8 @@
 
     /// @returns false if the link's backlog is full or it is not connected; nothing was written then.
     bool send(std::string_view frame);
+    /// Hands over the frames that have arrived, see Stream::deliverArrived(). The link may be destroyed in it.
+    void deliverArrived() { m_stream->deliverArrived(); }
     /// Ends the link at once and without a call of onEnd.
     void abandon() { m_stream->abandon(); }
     [[nodiscard]] bool isConnected() const { return m_stream->isConnected(); }
--- a/src/node/leader_client.cpp
+++ b/src/node/leader_client.cpp
@@ -6,12 +6,6 @@
 
 namespace vanillalift::node {
 
-namespace {
-
-    constexpr std::chrono::milliseconds tickInterval { 25 };
-
-} // namespace
-
 LeaderClient::LeaderClient(net::EventLoop& loop, const Clock& clock, EventLog& log, Desc desc)
     : m_loop(loop)
     , m_clock(clock)
@@ -79,6 +73,7 @@
 {
     auto now = m_clock.now();
     m_retired.clear();
+    readOverdue(now);
     std::vector<std::string> silent;
     for (auto& [name, peer] : m_peers) {
         if (!peer.link && peer.isWanted && now >= peer.retryAt)
@@ -98,6 +93,24 @@
     m_timer.armAt(now + tickInterval, now);
 }
 
+void LeaderClient::readOverdue(TimePoint now)
+{
+    std::set<std::string> overdue;
+    for (const auto& [name, peer] : m_peers) {
+        if (peer.link && now - peer.heardAt > config::linkSilence)
+            overdue.insert(name);
+    }
+    for (const auto& [id, call] : m_calls) {
+        if (now >= call.deadline)
+            overdue.insert(call.sentTo);
+    }
+    for (const auto& name : overdue) {
+        auto it = m_peers.find(name);
+        if (it != m_peers.end() && it->second.link)
+            it->second.link->deliverArrived();
+    }
+}
+
 void LeaderClient::connect(const std::string& name, Peer& peer)
 {
     auto now = m_clock.now();
--- a/src/node/leader_client_p.h
+++ b/src/node/leader_client_p.h
@@ -17,6 +17,8 @@
 /// after a change of leader, so all requests are idempotent.
 class LeaderClient {
 public:
+    static constexpr std::chrono::milliseconds tickInterval { 25 };
+
     struct Outcome {
         /// Nothing if there was no answer in time.
         std::optional<Reply> reply;
@@ -73,6 +75,7 @@
     };
 
     void tick();
+    void readOverdue(TimePoint now);
     void connect(const std::string& name, Peer& peer);
     void closeLink(const std::string& name, const char* reason);
     void receive(const std::string& name, std::string_view frame);
