Read what has arrived before a replica counts the others as silent

A controller whose loop was late by an election timeout stood for election with the leader's heartbeat in its socket, and a late leader stepped down with its followers' answers in the sockets. The driver now has the controller read its links before it lets the core judge by such a deadline.

The controller's part, which reads its inbound links, has no test of its own.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -82,6 +82,7 @@
 {
     LogDriver::Handlers handlers;
     handlers.send = [this](raft::Message message) { sendRaft(std::move(message)); };
+    handlers.readArrived = [this] { readArrived(); };
     handlers.apply = [this](uint64_t, std::string_view command) {
         LoadMeter::Span span(m_load, LoopPart::Apply);
         m_store.apply(command);
@@ -168,6 +169,18 @@
     }
 }
 
+void Controller::readArrived()
+{
+    std::vector<uint64_t> links;
+    for (const auto& [id, it] : m_inbound)
+        links.push_back(id);
+    for (auto id : links) {
+        auto it = m_inbound.find(id);
+        if (it != m_inbound.end())
+            it->second.link->deliverArrived();
+    }
+}
+
 void Controller::answerCall(uint64_t link, Call call)
 {
     handleLocal(std::move(call.request), [this, link, id = call.id](const Reply& reply) {
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -64,6 +64,7 @@
 
     void accept(evutil_socket_t fd);
     void receive(uint64_t id, std::string_view frame);
+    void readArrived();
     void answerCall(uint64_t link, Call call);
     void handleLocal(Request request, std::function<void(Reply)> respond);
     void changeRole(const ReplicaStatus& status);
--- a/src/replica/log_driver.cpp
+++ b/src/replica/log_driver.cpp
@@ -103,7 +103,7 @@
     , m_desc(std::move(desc))
     , m_handlers(std::move(handlers))
     , m_core(m_desc.core, storage.takeRecovered(), clock.now())
-    , m_timer(loop, [this] { step(Tick {}); })
+    , m_timer(loop, [this] { tick(); })
     , m_inputTimer(loop, [this] { runPending(); })
     , m_writer(loop, std::move(storage), [this](const StorageResult<void>& result) { finishWrite(result); })
 {
@@ -136,6 +136,14 @@
 {
     if (m_isStepping || m_inputs.empty())
         return;
+    tick();
+}
+
+void LogDriver::tick()
+{
+    auto silentAt = isLeader() ? m_core.quorumContactAt() + m_desc.core.electionBase : m_core.nextDeadline();
+    if (m_clock.now() >= silentAt)
+        m_handlers.readArrived();
     step(Tick {});
 }
 
--- a/src/replica/log_driver_p.h
+++ b/src/replica/log_driver_p.h
@@ -51,6 +51,8 @@
 
     struct Handlers {
         std::function<void(raft::Message)> send;
+        /// Passes on the messages that have arrived. Called before the others count as silent, as the loop may be late.
+        std::function<void()> readArrived;
         /// Called for each committed command, before the outcome of its proposal.
         std::function<void(uint64_t index, std::string_view command)> apply;
         std::function<void(std::string_view snapshot)> restore;
@@ -89,6 +91,7 @@
 private:
     using Deferred = std::variant<raft::Message, raft::Persist>;
 
+    void tick();
     void step(raft::Input input);
     void perform(raft::Action& action);
     void startWrite();
