--- a/src/node/leader_client_p.h
+++ b/src/node/leader_client_p.h
@@ -17,6 +17,8 @@
 /// after a change of leader, so all requests are idempotent.
 class LeaderClient {
 public:
+    static constexpr std::chrono::milliseconds tickInterval { 25 };
+
     struct Outcome {
         /// Nothing if there was no answer in time.
         std::optional<Reply> reply;
@@ -38,6 +40,8 @@
 
     /// @param unsentDeadline by then the request is given up if no controller has received it.
     void call(Request request, TimePoint unsentDeadline, TimePoint deadline, Handler handler);
+    /// Ends all requests with what is known of them, and each further one at once.
+    void close();
     /// Adds addresses to connect to.
     void addSeeds(const std::vector<std::string>& seeds);
     /// Tells that this process leads, or no longer does.
@@ -71,6 +75,7 @@
     };
 
     void tick();
+    void readOverdue(TimePoint now);
     void connect(const std::string& name, Peer& peer);
     void closeLink(const std::string& name, const char* reason);
     void receive(const std::string& name, std::string_view frame);
@@ -92,6 +97,7 @@
     std::string m_leader;
     uint64_t m_leaderTerm = 0;
     bool m_isLocalLeader = false;
+    bool m_isClosed = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     net::Timer m_timer;
 };
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -2,11 +2,12 @@
 
 #include "net/frame_link_p.h"
 #include "net/http_p.h"
+#include "net_fixture.h"
+#include "raw_client.h"
+#include "raw_server.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <future>
+#include <thread>
 
 using namespace vanillalift;
 using namespace vanillalift::net;
@@ -15,35 +16,6 @@
 
 namespace {
 
-/// A port that nobody listens on.
-Address freeAddress()
-{
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in sin {};
-    sin.sin_family = AF_INET;
-    sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&sin), sizeof(sin)) == 0);
-    socklen_t n = sizeof(sin);
-    REQUIRE(getsockname(fd, reinterpret_cast<sockaddr*>(&sin), &n) == 0);
-    close(fd);
-    return { INADDR_LOOPBACK, ntohs(sin.sin_port) };
-}
-
-/// Runs the loop until the condition holds; a test that hangs is ended by CTest.
-void runUntil(EventLoop& loop, const std::function<bool()>& isDone)
-{
-    SystemClock clock;
-    Timer* next = nullptr;
-    Timer timer(loop, [&] {
-        if (isDone())
-            return loop.stop();
-        next->armAt(clock.now() + milliseconds(1), clock.now());
-    });
-    next = &timer;
-    timer.armAt(clock.now(), clock.now());
-    loop.run();
-}
-
 /// Sends bytes and collects what comes back until the peer closes.
 std::string exchange(EventLoop& loop, const Address& address, std::string_view bytes)
 {
@@ -140,6 +112,119 @@
     CHECK(channel.connections() == 1);
 }
 
+TEST_CASE("a process that ends once no request is open has sent its last response", "[net]")
+{
+    EventLoop loop;
+    SystemClock clock;
+    auto address = freeAddress();
+    HttpServer::Respond respond;
+    auto server = std::make_unique<HttpServer>(loop, address, 1000, 8, [&](const HttpRequest&, HttpServer::Respond it) { respond = std::move(it); });
+    RawClient client(address.port);
+    REQUIRE(client.send("GET /x HTTP/1.1\r\n\r\n"));
+    runUntil(loop, [&] { return respond != nullptr; });
+    runUntil(loop, [&] {
+        if (auto once = std::exchange(respond, nullptr))
+            once({ 200, {}, "last" });
+        return server->openRequests() == 0;
+    });
+    server.reset();
+    CHECK(client.readResponse().ends_with("last"));
+}
+
+TEST_CASE("a response that a slow client has not taken keeps its request open, and a dropped connection does not", "[net]")
+{
+    // More than the kernel holds for one connection.
+    const std::string large(64U << 20U, 'x');
+    EventLoop loop;
+    auto address = freeAddress();
+    HttpServer server(loop, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, large }); });
+    RawClient slow(address.port);
+    RawClient dropped(address.port);
+    REQUIRE(slow.send("GET /x HTTP/1.1\r\n\r\n"));
+    REQUIRE(dropped.send("GET /x HTTP/1.1\r\n\r\n"));
+    runUntil(loop, [&] { return server.openRequests() == 2; });
+    dropped.close();
+    runUntil(loop, [&] { return server.openRequests() == 1; });
+    std::string received;
+    std::thread reader([&] { received = slow.readResponse(); });
+    runUntil(loop, [&] { return server.openRequests() == 0; });
+    reader.join();
+    CHECK(received.ends_with(large));
+}
+
+TEST_CASE("a request that was read and not yet handled is not cut by a process that ends", "[net]")
+{
+    EventLoop loop;
+    SystemClock clock;
+    auto address = freeAddress();
+    HttpServer server(loop, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, "seen" }); });
+    RawClient client(address.port);
+    REQUIRE(client.send("GET /1 HTTP/1.1\r\n\r\n"));
+    runUntil(loop, [&] { return !client.isSilent(); });
+    REQUIRE(client.readResponse().ends_with("seen"));
+    // Armed for each pass of the loop, the timer runs between the read of the request and its handler.
+    bool wasSent = false;
+    bool wasOpen = false;
+    Timer* next = nullptr;
+    Timer timer(loop, [&] {
+        wasOpen = wasOpen || server.openRequests() != 0;
+        if (wasSent && !client.isSilent())
+            return loop.stop();
+        if (!std::exchange(wasSent, true))
+            CHECK(client.send("GET /2 HTTP/1.1\r\n\r\n"));
+        next->armAt(clock.now(), clock.now());
+    });
+    next = &timer;
+    timer.armAt(clock.now(), clock.now());
+    loop.run();
+    CHECK(wasOpen);
+}
+
+TEST_CASE("an answer that arrived while the loop was late for its deadline is delivered", "[net]")
+{
+    // More than one pass of the loop reads.
+    const std::string body(20000, 'x');
+    std::promise<void> received;
+    std::promise<void> mayAnswer;
+    std::promise<void> answered;
+    RawServer server([&](RawConnection& connection, int) {
+        connection.readRequest();
+        received.set_value();
+        mayAnswer.get_future().wait();
+        connection.answer(body);
+        connection.waitUntilTaken();
+        answered.set_value();
+        connection.waitForClose();
+    });
+    EventLoop loop;
+    LaterClock clock;
+    CallStats stats;
+    HttpChannel channel(loop, clock, *parseAddress(server.address()), &stats);
+    std::vector<HttpResult> results;
+    auto collect = [&](HttpResult it) { results.push_back(std::move(it)); };
+    channel.send({ "POST", "/1", {}, {} }, clock.now() + seconds(60), collect);
+    auto wasReceived = received.get_future();
+    bool wasHeld = false;
+    runUntil(loop, [&] {
+        if (!wasHeld && wasReceived.wait_for(seconds(0)) == std::future_status::ready) {
+            wasHeld = true;
+            mayAnswer.set_value();
+            answered.get_future().wait();
+            clock.advance(seconds(100));
+            // Due at once, it also lets the channel look at the first one's deadline.
+            channel.send({ "POST", "/2", {}, {} }, clock.now() - seconds(1), collect);
+        }
+        return results.size() == 2;
+    });
+    REQUIRE(std::holds_alternative<HttpResponse>(results[0]));
+    CHECK(std::get<HttpResponse>(results[0]).body == body);
+    REQUIRE(std::holds_alternative<HttpFailure>(results[1]));
+    CHECK(std::get<HttpFailure>(results[1]) == HttpFailure::NotSent);
+    CHECK(stats.answered == 1);
+    CHECK(stats.expired == 1);
+    CHECK(channel.connections() == 1);
+}
+
 TEST_CASE("frames arrive whole and in order, and an oversized one ends its link", "[net]")
 {
     EventLoop loop;
