Encode and decode the replicated log's messages without a tree of values

Each message of the log, and each stored entry, was built as a tree of JSON values on its way to and from CBOR: an allocation an item, and three copies of each entry's bytes. At 860 messages a second each way that was a quarter of the leader's processor time for the log. Bytes are now written in place, and read from the library's parser item by item. Read more strictly than before: negative numbers, and flags for numbers, are refused.

Ruled out: msgpack as on the links between processes. It would be as cheap, but replicas of two versions could not form a majority during an upgrade.

--- a/src/replica/raft_codec.cpp
+++ b/src/replica/raft_codec.cpp
@@ -8,83 +8,243 @@
 
 namespace {
 
-    json binary(const std::string& data) { return json::binary(std::vector<uint8_t>(data.begin(), data.end())); }
+    /// Writes CBOR without building a tree of values first: the leader encodes each entry once for every replica.
+    class Writer {
+    public:
+        void array(size_t size) { head(4, size); }
+        void bytes(std::string_view it)
+        {
+            head(2, it.size());
+            m_bytes += it;
+        }
+        void add(const std::string& it)
+        {
+            head(3, it.size());
+            m_bytes += it;
+        }
+        void add(uint64_t it) { head(0, it); }
+        void add(bool it) { m_bytes.push_back(it ? '\xF5' : '\xF4'); }
+        template <typename... Values>
+        void addAll(const Values&... values) { (add(values), ...); }
+        std::string take() { return std::move(m_bytes); }
+
+    private:
+        /// The type of the next item and its value or size, in the shortest form.
+        void head(unsigned type, uint64_t value)
+        {
+            if (value < 24) {
+                m_bytes.push_back(static_cast<char>(type << 5U | value));
+                return;
+            }
+            unsigned sizeCode = value <= 0xFFU ? 0 : (value <= 0xFFFFU ? 1 : (value <= 0xFFFFFFFFU ? 2 : 3));
+            m_bytes.push_back(static_cast<char>(type << 5U | (24 + sizeCode)));
+            for (unsigned shift = 8U << sizeCode; shift > 0; shift -= 8)
+                m_bytes.push_back(static_cast<char>(value >> (shift - 8) & 0xFFU));
+        }
+
+        std::string m_bytes;
+    };
+
+    /// One item of a document; an array is followed by its items and an end.
+    struct Item {
+        enum class Kind : uint8_t { Number,
+            Flag,
+            Text,
+            Bytes,
+            Array,
+            End,
+            KindCount };
+        Kind kind = Kind::End;
+        uint64_t number = 0;
+        std::string text;
+    };
+
+    /// Takes the items of a document as the library's parser finds them.
+    class ItemList final : public nlohmann::json_sax<json> {
+    public:
+        std::vector<Item> take() { return std::move(m_items); }
+
+        bool null() override { return false; }
+        bool boolean(bool it) override { return add({ Item::Kind::Flag, it ? 1U : 0U, {} }); }
+        bool number_integer(json::number_integer_t /*it*/) override { return false; }
+        bool number_unsigned(json::number_unsigned_t it) override { return add({ Item::Kind::Number, it, {} }); }
+        bool number_float(json::number_float_t /*it*/, const json::string_t& /*text*/) override { return false; }
+        bool string(json::string_t& it) override { return add({ Item::Kind::Text, 0, std::move(it) }); }
+        bool binary(json::binary_t& it) override { return add({ Item::Kind::Bytes, 0, { it.begin(), it.end() } }); }
+        bool start_object(size_t /*size*/) override { return false; }
+        bool key(json::string_t& /*it*/) override { return false; }
+        bool end_object() override { return false; }
+        bool start_array(size_t /*size*/) override { return add({ Item::Kind::Array, 0, {} }); }
+        bool end_array() override { return add({ Item::Kind::End, 0, {} }); }
+        bool parse_error(size_t /*at*/, const std::string& /*token*/, const json::exception& /*error*/) override { return false; }
+
+    private:
+        bool add(Item it)
+        {
+            m_items.push_back(std::move(it));
+            return true;
+        }
+
+        std::vector<Item> m_items;
+    };
+
+    /// Throws std::out_of_range at an item that is not of the expected kind.
+    class Reader {
+    public:
+        explicit Reader(std::vector<Item> items)
+            : m_items(std::move(items))
+        {
+        }
 
-    std::string text(const json& value)
+        uint64_t number() { return next(Item::Kind::Number).number; }
+        bool flag() { return next(Item::Kind::Flag).number != 0; }
+        std::string text() { return std::move(next(Item::Kind::Text).text); }
+        std::string bytes() { return std::move(next(Item::Kind::Bytes).text); }
+        void open() { next(Item::Kind::Array); }
+        [[nodiscard]] bool isAtEnd() const { return m_items.at(m_next).kind == Item::Kind::End; }
+        /// Leaves the array. A newer version may have written more items than are known here.
+        void close()
+        {
+            for (size_t depth = 1; depth > 0; m_next++) {
+                auto kind = m_items.at(m_next).kind;
+                depth += kind == Item::Kind::Array ? 1 : 0;
+                depth -= kind == Item::Kind::End ? 1 : 0;
+            }
+        }
+
+    private:
+        Item& next(Item::Kind kind)
+        {
+            auto& it = m_items.at(m_next++);
+            if (it.kind != kind)
+                throw std::out_of_range("item kind");
+            return it;
+        }
+
+        std::vector<Item> m_items;
+        size_t m_next = 0;
+    };
+
+    /// Decodes with @p read; malformed input gives nothing.
+    template <typename Read>
+    auto decode(std::string_view bytes, Read read) -> std::optional<decltype(read(std::declval<Reader&>()))>
     {
-        const auto& bytes = value.get_binary();
-        return { bytes.begin(), bytes.end() };
+        ItemList items;
+        if (!json::sax_parse(bytes, &items, json::input_format_t::cbor))
+            return std::nullopt;
+        try {
+            Reader reader(items.take());
+            return read(reader);
+        } catch (const std::out_of_range&) {
+            return std::nullopt;
+        }
     }
 
-    json membersToJson(const ReplicaMembers& members)
+    /// Reads the items of an array into a list.
+    template <typename Read>
+    auto readAll(Reader& reader, Read read)
     {
-        auto value = json::array();
-        for (const auto& it : members)
-            value.push_back({ it.name, it.storageId, it.isVoter });
-        return value;
+        std::vector<decltype(read(reader))> list;
+        reader.open();
+        while (!reader.isAtEnd())
+            list.push_back(read(reader));
+        reader.close();
+        return list;
     }
 
-    ReplicaMembers membersFromJson(const json& value)
+    void write(Writer& writer, const ReplicaMembers& members)
     {
-        ReplicaMembers members;
-        for (const auto& it : value)
-            members.push_back({ it.at(0).get<std::string>(), it.at(1).get<std::string>(), it.at(2).get<bool>() });
-        return members;
+        writer.array(members.size());
+        for (const auto& it : members) {
+            writer.array(3);
+            writer.addAll(it.name, it.storageId, it.isVoter);
+        }
+    }
+
+    ReplicaMembers readMembers(Reader& reader)
+    {
+        return readAll(reader, [](Reader& r) {
+            r.open();
+            ReplicaMember member { r.text(), r.text(), r.flag() };
+            r.close();
+            return member;
+        });
     }
 
-    json entryToJson(const LogEntry& entry)
+    void write(Writer& writer, const LogEntry& entry)
     {
-        return { entry.index, entry.term, static_cast<int>(entry.kind), binary(entry.data) };
+        writer.array(4);
+        writer.addAll(entry.index, entry.term, static_cast<uint64_t>(entry.kind));
+        writer.bytes(entry.data);
     }
 
-    LogEntry entryFromJson(const json& value)
+    LogEntry readEntry(Reader& reader)
     {
-        auto kind = value.at(2).get<int>();
-        if (kind < 0 || kind >= static_cast<int>(EntryKind::EntryKindCount))
+        reader.open();
+        auto index = reader.number();
+        auto term = reader.number();
+        auto kind = reader.number();
+        if (kind >= static_cast<uint64_t>(EntryKind::EntryKindCount))
             throw std::out_of_range("entry kind");
-        return { value.at(0).get<uint64_t>(), value.at(1).get<uint64_t>(), static_cast<EntryKind>(kind), text(value.at(3)) };
+        LogEntry entry { index, term, static_cast<EntryKind>(kind), reader.bytes() };
+        reader.close();
+        return entry;
     }
 
-    json bodyToJson(const VoteRequest& it) { return { it.isPreVote, it.lastIndex, it.lastTerm, it.addressee }; }
-    json bodyToJson(const VoteReply& it) { return { it.isPreVote, it.granted, it.forTerm }; }
-    json bodyToJson(const AppendRequest& it)
+    void write(Writer& writer, const VoteRequest& it)
+    {
+        writer.array(4);
+        writer.addAll(it.isPreVote, it.lastIndex, it.lastTerm, it.addressee);
+    }
+    void write(Writer& writer, const VoteReply& it)
     {
-        auto entries = json::array();
+        writer.array(3);
+        writer.addAll(it.isPreVote, it.granted, it.forTerm);
+    }
+    void write(Writer& writer, const AppendRequest& it)
+    {
+        writer.array(5);
+        writer.addAll(it.round, it.previousIndex, it.previousTerm, it.commitIndex);
+        writer.array(it.entries.size());
         for (const auto& entry : it.entries)
-            entries.push_back(entryToJson(entry));
-        return { it.round, it.previousIndex, it.previousTerm, it.commitIndex, std::move(entries) };
+            write(writer, entry);
     }
-    json bodyToJson(const AppendReply& it) { return { it.round, it.matches, it.matchIndex, it.conflictTerm, it.conflictIndex }; }
-    json bodyToJson(const SnapshotChunk& it)
+    void write(Writer& writer, const AppendReply& it)
     {
-        return { it.round, it.index, it.snapshotTerm, membersToJson(it.members), it.offset, binary(it.data), it.isLast };
+        writer.array(5);
+        writer.addAll(it.round, it.matches, it.matchIndex, it.conflictTerm, it.conflictIndex);
     }
-    json bodyToJson(const SnapshotReply& it) { return { it.round, it.index, it.nextOffset, it.isInstalled }; }
-    json bodyToJson(const TimeoutNow& /*it*/) { return json::array(); }
-
-    AppendRequest appendFromJson(const json& v)
+    void write(Writer& writer, const SnapshotChunk& it)
     {
-        AppendRequest request { v.at(0), v.at(1), v.at(2), v.at(3), {} };
-        for (const auto& it : v.at(4))
-            request.entries.push_back(entryFromJson(it));
-        return request;
+        writer.array(7);
+        writer.addAll(it.round, it.index, it.snapshotTerm);
+        write(writer, it.members);
+        writer.add(it.offset);
+        writer.bytes(it.data);
+        writer.add(it.isLast);
     }
+    void write(Writer& writer, const SnapshotReply& it)
+    {
+        writer.array(4);
+        writer.addAll(it.round, it.index, it.nextOffset, it.isInstalled);
+    }
+    void write(Writer& writer, const TimeoutNow& /*it*/) { writer.array(0); }
 
-    MessageBody bodyFromJson(size_t kind, const json& v)
+    MessageBody readBody(Reader& r, uint64_t kind)
     {
         switch (kind) {
         case 0:
-            return VoteRequest { v.at(0), v.at(1), v.at(2), v.at(3) };
+            return VoteRequest { r.flag(), r.number(), r.number(), r.text() };
         case 1:
-            return VoteReply { v.at(0), v.at(1), v.at(2) };
+            return VoteReply { r.flag(), r.flag(), r.number() };
         case 2:
-            return appendFromJson(v);
+            return AppendRequest { r.number(), r.number(), r.number(), r.number(), readAll(r, readEntry) };
         case 3:
-            return AppendReply { v.at(0), v.at(1), v.at(2), v.at(3), v.at(4) };
+            return AppendReply { r.number(), r.flag(), r.number(), r.number(), r.number() };
         case 4:
-            return SnapshotChunk { v.at(0), v.at(1), v.at(2), membersFromJson(v.at(3)), v.at(4), text(v.at(5)), v.at(6) };
+            return SnapshotChunk { r.number(), r.number(), r.number(), readMembers(r), r.number(), r.bytes(), r.flag() };
         case 5:
-            return SnapshotReply { v.at(0), v.at(1), v.at(2), v.at(3) };
+            return SnapshotReply { r.number(), r.number(), r.number(), r.flag() };
         case 6:
             return TimeoutNow {};
         default:
@@ -92,67 +252,73 @@
         }
     }
 
-    std::string toBytes(const json& value)
-    {
-        std::string bytes;
-        json::to_cbor(value, nlohmann::detail::output_adapter<char>(bytes));
-        return bytes;
-    }
-
-    /// Decodes with @p read; malformed input gives nothing.
-    template <typename Read>
-    auto decode(std::string_view bytes, Read read) -> std::optional<decltype(read(json()))>
+    Message readMessage(Reader& reader)
     {
-        try {
-            return read(json::from_cbor(bytes.begin(), bytes.end()));
-        } catch (const std::exception&) {
-            return std::nullopt;
-        }
+        reader.open();
+        Message message { reader.text(), reader.text(), reader.text(), reader.number(), {} };
+        auto kind = reader.number();
+        reader.open();
+        message.body = readBody(reader, kind);
+        reader.close();
+        reader.close();
+        return message;
     }
 
 } // namespace
 
-std::string encodeMembers(const ReplicaMembers& members) { return toBytes(membersToJson(members)); }
-
-ReplicaMembers decodeMembers(const std::string& bytes)
+std::string encodeMembers(const ReplicaMembers& members)
 {
-    return decode(bytes, membersFromJson).value_or(ReplicaMembers {});
+    Writer writer;
+    write(writer, members);
+    return writer.take();
 }
 
-std::string encodeEntry(const LogEntry& entry) { return toBytes(entryToJson(entry)); }
+ReplicaMembers decodeMembers(const std::string& bytes) { return decode(bytes, readMembers).value_or(ReplicaMembers {}); }
+
+std::string encodeEntry(const LogEntry& entry)
+{
+    Writer writer;
+    write(writer, entry);
+    return writer.take();
+}
 
-std::optional<LogEntry> decodeEntry(std::string_view bytes) { return decode(bytes, entryFromJson); }
+std::optional<LogEntry> decodeEntry(std::string_view bytes) { return decode(bytes, readEntry); }
 
 std::string encodeSnapshot(const Snapshot& snapshot)
 {
-    return toBytes({ snapshot.index, snapshot.term, membersToJson(snapshot.members), binary(*snapshot.data) });
+    Writer writer;
+    writer.array(4);
+    writer.addAll(snapshot.index, snapshot.term);
+    write(writer, snapshot.members);
+    writer.bytes(*snapshot.data);
+    return writer.take();
 }
 
 std::optional<Snapshot> decodeSnapshot(std::string_view bytes)
 {
-    return decode(bytes, [](const json& v) {
-        return Snapshot { v.at(0), v.at(1), membersFromJson(v.at(2)), std::make_shared<std::string>(text(v.at(3))) };
+    return decode(bytes, [](Reader& r) {
+        r.open();
+        Snapshot snapshot { r.number(), r.number(), readMembers(r), std::make_shared<std::string>(r.bytes()) };
+        r.close();
+        return snapshot;
     });
 }
 
 std::string encodeMessages(const std::vector<Message>& messages)
 {
-    auto value = json::array();
+    Writer writer;
+    writer.array(messages.size());
     for (const auto& it : messages) {
-        auto body = std::visit([](const auto& body) { return bodyToJson(body); }, it.body);
-        value.push_back({ it.from, it.fromStorage, it.to, it.term, it.body.index(), std::move(body) });
+        writer.array(6);
+        writer.addAll(it.from, it.fromStorage, it.to, it.term, static_cast<uint64_t>(it.body.index()));
+        std::visit([&](const auto& body) { write(writer, body); }, it.body);
     }
-    return toBytes(value);
+    return writer.take();
 }
 
 std::optional<std::vector<Message>> decodeMessages(std::string_view bytes)
 {
-    return decode(bytes, [](const json& v) {
-        std::vector<Message> messages;
-        for (const auto& it : v)
-            messages.push_back({ it.at(0), it.at(1), it.at(2), it.at(3), bodyFromJson(it.at(4), it.at(5)) });
-        return messages;
-    });
+    return decode(bytes, [](Reader& reader) { return readAll(reader, readMessage); });
 }
 
 } // namespace vanillalift::raft
--- a/tests/raft_core_test.cpp
+++ b/tests/raft_core_test.cpp
@@ -4,6 +4,8 @@
 
 #include <vanillalift/config.h>
 
+#include <nlohmann/json.hpp>
+
 using namespace vanillalift;
 using namespace vanillalift::raft;
 
@@ -319,3 +321,69 @@
     CHECK_FALSE(decodeMessages(bytes.substr(0, bytes.size() - 1)));
     CHECK_FALSE(decodeMessages("x"));
 }
+
+// Guards against an upgrade after which replicas cannot read each other's messages, or what they had stored.
+TEST_CASE("messages and entries have the bytes that earlier versions write", "[raft]")
+{
+    using nlohmann::json;
+    auto asText = [](const std::vector<uint8_t>& bytes) { return std::string(bytes.begin(), bytes.end()); };
+    for (uint64_t n : { uint64_t { 0 }, uint64_t { 23 }, uint64_t { 24 }, uint64_t { 255 }, uint64_t { 256 }, uint64_t { 65535 }, uint64_t { 65536 }, uint64_t { 0xFFFFFFFF }, uint64_t { 0x100000000 }, UINT64_MAX }) {
+        std::string raw(std::min<uint64_t>(n, 70000), '\xFE');
+        auto binary = json::binary({ raw.begin(), raw.end() });
+        auto entry = json::array({ n, 1, 1, binary });
+        auto members = json::array({ json::array({ "a", "s", true }), json::array({ "b", "", false }) });
+        std::vector<Message> messages {
+            { "a", "s", "b", n, VoteRequest { true, n, 2, "t" } },
+            { "a", "s", "b", n, VoteReply { false, true, n } },
+            { "a", "s", "b", n, AppendRequest { 1, n, 3, 4, { { n, 1, EntryKind::Command, raw }, { n, 1, EntryKind::Command, raw } } } },
+            { "a", "s", "b", n, AppendReply { n, true, 2, 3, 4 } },
+            { "a", "s", "b", n, SnapshotChunk { 1, 2, n, { { "a", "s", true }, { "b", "", false } }, 4, raw, false } },
+            { "a", "s", "b", n, SnapshotReply { 1, n, 3, true } },
+            { "a", "s", "b", n, TimeoutNow {} },
+        };
+        std::vector<json> bodies {
+            json::array({ true, n, 2, "t" }),
+            json::array({ false, true, n }),
+            json::array({ 1, n, 3, 4, json::array({ entry, entry }) }),
+            json::array({ n, true, 2, 3, 4 }),
+            json::array({ 1, 2, n, members, 4, binary, false }),
+            json::array({ 1, n, 3, true }),
+            json::array(),
+        };
+        auto expected = json::array();
+        for (size_t kind = 0; kind < bodies.size(); kind++)
+            expected.push_back(json::array({ "a", "s", "b", n, kind, bodies[kind] }));
+        auto bytes = asText(json::to_cbor(expected));
+        CHECK((encodeMessages(messages) == bytes));
+        auto decoded = decodeMessages(bytes);
+        REQUIRE(decoded);
+        CHECK((encodeMessages(*decoded) == bytes));
+
+        bytes = asText(json::to_cbor(entry));
+        CHECK((encodeEntry({ n, 1, EntryKind::Command, raw }) == bytes));
+        CHECK((decodeEntry(bytes) == LogEntry { n, 1, EntryKind::Command, raw }));
+        Snapshot snapshot { n, 2, { { "a", "s", true }, { "b", "", false } }, std::make_shared<std::string>(raw) };
+        bytes = asText(json::to_cbor(json::array({ n, 2, members, binary })));
+        CHECK((encodeSnapshot(snapshot) == bytes));
+        REQUIRE(decodeSnapshot(bytes));
+        CHECK((encodeSnapshot(*decodeSnapshot(bytes)) == bytes));
+    }
+}
+
+// Guards against reading past the end of a message, or taking one kind of item for another.
+TEST_CASE("messages with items missing or of another kind are refused, those with more items are read", "[raft]")
+{
+    using nlohmann::json;
+    auto read = [](const json& body) {
+        auto bytes = json::to_cbor(json::array({ json::array({ "a", "s", "b", 1, 3, body }) }));
+        return decodeMessages({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+    };
+    CHECK(read(json::array({ 1, true, 2, 3, 4 })));
+    CHECK(read(json::array({ 1, true, 2, 3, 4, "newer", json::array({ 1 }) })));
+    CHECK_FALSE(read(json::array({ 1, true, 2, 3 })));
+    CHECK_FALSE(read(json::array({ "1", true, 2, 3, 4 })));
+    CHECK_FALSE(read(json::array({ 1, true, -2, 3, 4 })));
+    CHECK_FALSE(read(json::array({ 1, true, 2, nullptr, 4 })));
+    CHECK_FALSE(read(json::object({ { "round", 1 } })));
+    CHECK_FALSE(read(1));
+}
