Replay a log in slices, between which the event loop runs

The driver now applies 128 KB a turn of the loop and keeps the rest for the next turns. A leader is ready, and a proposal has its outcome, once all entries up to it are applied, as before.

The effect on elections on a site was not measured.

--- a/src/replica/log_driver.cpp
+++ b/src/replica/log_driver.cpp
@@ -12,6 +12,8 @@
 
     /// Time after which a write that a full disk refused is tried again.
     constexpr std::chrono::milliseconds fullDiskRetry { 100 };
+    /// Bytes of commands applied in one turn of the event loop: a log that is replayed stops no heartbeat.
+    constexpr size_t maxAppliedBytesPerTurn = 128U << 10U;
 
 } // namespace
 
@@ -105,6 +107,7 @@
     , m_core(m_desc.core, storage.takeRecovered(), clock.now())
     , m_timer(loop, [this] { step(Tick {}); })
     , m_inputTimer(loop, [this] { runPending(); })
+    , m_applyTimer(loop, [this] { step(Tick {}); })
     , m_writer(loop, std::move(storage), [this](const StorageResult<void>& result) { finishWrite(result); })
 {
     if (m_core.snapshot().index != 0) {
@@ -154,8 +157,11 @@
         publishRole();
         for (auto& it : actions)
             perform(it);
+        applySome();
     }
     m_isStepping = false;
+    if (!m_unapplied.empty())
+        m_applyTimer.armAt(m_clock.now(), m_clock.now());
     startWrite();
     compactIfDue();
     m_timer.armAt(m_core.nextDeadline(), m_clock.now());
@@ -170,27 +176,49 @@
             m_unsent.push_back(std::move(send->message));
         else
             m_handlers.send(std::move(send->message));
-    } else if (auto* apply = std::get_if<Apply>(&action)) {
-        m_applied = apply->entry.index;
-        if (apply->entry.kind == EntryKind::Command) {
-            m_appliedBytes += apply->entry.data.size();
-            m_handlers.apply(apply->entry.index, apply->entry.data);
-        }
-        if (apply->proposalId != 0)
-            m_handlers.resolve(apply->proposalId, apply->entry.index);
-        // The first entry of the term may be the one that makes this leader ready.
-        if (isLeader() && m_applied == m_termStart)
-            m_handlers.roleChanged(m_core.status());
+    } else if (auto* committed = std::get_if<Apply>(&action)) {
+        m_unapplied.push_back(std::move(*committed));
     } else if (auto* restore = std::get_if<Restore>(&action)) {
         m_applied = restore->snapshot.index;
         m_appliedBytes = 0;
         m_handlers.restore(*restore->snapshot.data);
+        // The snapshot holds what they would have changed.
+        for (const auto& it : std::exchange(m_unapplied, {})) {
+            if (it.proposalId != 0)
+                m_handlers.resolve(it.proposalId, it.entry.index);
+        }
     } else if (auto* respond = std::get_if<Respond>(&action)) {
         if (const auto* error = std::get_if<ProposeError>(&respond->response))
             m_handlers.resolve(respond->id, tl::unexpected(error->code));
     }
 }
 
+void LogDriver::applySome()
+{
+    size_t bytes = 0;
+    while (!m_unapplied.empty() && bytes < maxAppliedBytesPerTurn) {
+        auto next = std::move(m_unapplied.front());
+        m_unapplied.pop_front();
+        bytes += next.entry.data.size();
+        apply(next);
+    }
+}
+
+void LogDriver::apply(const Apply& committed)
+{
+    const auto& entry = committed.entry;
+    m_applied = entry.index;
+    if (entry.kind == EntryKind::Command) {
+        m_appliedBytes += entry.data.size();
+        m_handlers.apply(entry.index, entry.data);
+    }
+    if (committed.proposalId != 0)
+        m_handlers.resolve(committed.proposalId, entry.index);
+    // The first entry of the term may be the one that makes this leader ready.
+    if (isLeader() && m_applied == m_termStart)
+        m_handlers.roleChanged(m_core.status());
+}
+
 void LogDriver::startWrite()
 {
     if (m_isWriting || m_unwritten.empty())
--- a/src/replica/log_driver_p.h
+++ b/src/replica/log_driver_p.h
@@ -91,6 +91,8 @@
 
     void step(raft::Input input);
     void perform(raft::Action& action);
+    void apply(const raft::Apply& committed);
+    void applySome();
     void startWrite();
     void finishWrite(const raft::StorageResult<void>& result);
     void publishRole();
@@ -110,6 +112,8 @@
     uint64_t m_lastProposal = 0;
     bool m_isStepping = false;
     std::deque<raft::Input> m_inputs;
+    /// Committed entries that wait for their turn.
+    std::deque<raft::Apply> m_unapplied;
     std::vector<raft::Persist> m_unwritten;
     /// Messages that wait for the writes before them.
     std::vector<raft::Message> m_unsent;
@@ -120,6 +124,7 @@
     uint64_t m_writeTerm = 0;
     net::Timer m_timer;
     net::Timer m_inputTimer;
+    net::Timer m_applyTimer;
     StorageWriter m_writer;
 };
 
