Unpack the commands of an entry, and the parts of a frame, in one arena

Each command was unpacked in two arenas of 8 KB and each frame in up to four, with a copy of every text before the one into its value.

No test of its own: nothing changes but the cost. job_store_test, dispatcher_test and dispatcher_history_test pass.

--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -59,11 +59,16 @@
 void JobStore::apply(std::string_view entry)
 {
     size_t offset = 0;
+    msgpack::zone zone;
+    // Values are copied out of the entry once, when they are converted.
+    auto refersToEntry = [](msgpack::type::object_type, size_t, void*) { return true; };
+    auto next = [&] { return msgpack::unpack(zone, entry.data(), entry.size(), offset, refersToEntry); };
     while (offset < entry.size()) {
-        auto kind = msgpack::unpack(entry.data(), entry.size(), offset);
-        auto body = msgpack::unpack(entry.data(), entry.size(), offset);
-        auto command = unpackCommand(kind.get().as<uint32_t>(), body.get());
-        CHECK(command) << "unknown command " << kind.get().as<uint32_t>() << ": written by a newer version";
+        zone.clear();
+        auto kind = next().as<uint32_t>();
+        auto body = next();
+        auto command = unpackCommand(kind, body);
+        CHECK(command) << "unknown command " << kind << ": written by a newer version";
         std::visit([this](auto& it) { apply(it); }, *command);
     }
 }
--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -46,20 +46,25 @@
         template <typename T>
         T next()
         {
-            m_object = msgpack::unpack(m_bytes.data(), m_bytes.size(), m_offset);
-            return m_object.get().as<T>();
+            return unpack().as<T>();
         }
         template <typename Variant>
         std::optional<Variant> nextAlternative(size_t index)
         {
-            m_object = msgpack::unpack(m_bytes.data(), m_bytes.size(), m_offset);
-            return unpackAlternative<Variant>(index, m_object.get());
+            return unpackAlternative<Variant>(index, unpack());
         }
 
     private:
+        msgpack::object unpack()
+        {
+            // The values are copied out of the frame once, when they are converted.
+            auto refersToFrame = [](msgpack::type::object_type, size_t, void*) { return true; };
+            return msgpack::unpack(m_zone, m_bytes.data(), m_bytes.size(), m_offset, refersToFrame);
+        }
+
         std::string_view m_bytes;
         size_t m_offset = 0;
-        msgpack::object_handle m_object;
+        msgpack::zone m_zone;
     };
 
 } // namespace
