Do not count the applying of a commit as handling of frames as well

A span now counts without the spans within it.

The new test fails without the change (117 ms of links instead of 7).

--- a/src/node/load_meter.cpp
+++ b/src/node/load_meter.cpp
@@ -16,11 +16,19 @@
 LoadMeter::Span::Span(LoadMeter& meter, LoopPart part)
     : m_meter(meter)
     , m_part(part)
+    , m_outer(std::exchange(meter.m_innermost, this))
     , m_startedAt(meter.m_clock.now())
 {
 }
 
-LoadMeter::Span::~Span() { m_meter.m_report.parts.at(static_cast<size_t>(m_part)) += m_meter.m_clock.now() - m_startedAt; }
+LoadMeter::Span::~Span()
+{
+    auto time = m_meter.m_clock.now() - m_startedAt;
+    m_meter.m_report.parts.at(static_cast<size_t>(m_part)) += time - m_innerTime;
+    m_meter.m_innermost = m_outer;
+    if (m_outer)
+        m_outer->m_innerTime += time;
+}
 
 void LoadMeter::noteTick(TimePoint dueAt)
 {
--- a/src/node/load_meter_p.h
+++ b/src/node/load_meter_p.h
@@ -28,7 +28,8 @@
 public:
     explicit LoadMeter(const Clock& clock);
 
-    /// Adds the time until its destruction to a part.
+    /// Adds the time until its destruction to a part, without that of spans within it: a commit is applied while the frame
+    /// that completes it is handled.
     class Span {
     public:
         Span(LoadMeter& meter, LoopPart part);
@@ -39,7 +40,9 @@
     private:
         LoadMeter& m_meter;
         LoopPart m_part;
+        Span* m_outer;
         TimePoint m_startedAt;
+        Duration m_innerTime {};
     };
 
     /// A periodic timer's handler runs.
@@ -61,6 +64,7 @@
 private:
     const Clock& m_clock;
     Report m_report;
+    Span* m_innermost = nullptr;
     Duration m_processorTimeBefore;
     uint64_t m_lateTicks = 0;
 };
--- /dev/null
+++ b/tests/jobs/load_meter_test.cpp
@@ -0,0 +1,42 @@
+#include <catch2/catch.hpp>
+
+#include "node/load_meter_p.h"
+
+using namespace vanillalift;
+using namespace vanillalift::node;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct ManualClock final : Clock {
+    TimePoint time = TimePoint() + milliseconds(1000);
+    [[nodiscard]] TimePoint now() const override { return time; }
+};
+
+} // namespace
+
+TEST_CASE("time spent applying a commit does not count as handling the frame that completed it", "[load]")
+{
+    ManualClock clock;
+    LoadMeter meter(clock);
+    {
+        LoadMeter::Span frame(meter, LoopPart::Links);
+        clock.time += milliseconds(1);
+        {
+            LoadMeter::Span apply(meter, LoopPart::Apply);
+            clock.time += milliseconds(10);
+            LoadMeter::Span snapshot(meter, LoopPart::Snapshot);
+            clock.time += milliseconds(100);
+        }
+        clock.time += milliseconds(2);
+    }
+    {
+        LoadMeter::Span frame(meter, LoopPart::Links);
+        clock.time += milliseconds(4);
+    }
+    auto report = meter.take();
+    auto part = [&](LoopPart it) { return report.parts.at(static_cast<size_t>(it)); };
+    CHECK(part(LoopPart::Links) == milliseconds(7));
+    CHECK(part(LoopPart::Apply) == milliseconds(10));
+    CHECK(part(LoopPart::Snapshot) == milliseconds(100));
+}
