--- a/tests/jobs/log_driver_test.cpp
+++ b/tests/jobs/log_driver_test.cpp
@@ -25,10 +25,7 @@
         REQUIRE(storage->sync());
         LogDriver::Handlers handlers;
         handlers.send = [](const Message&) {};
-<<<<<<< HEAD
         handlers.readArrived = [] {};
-=======
->>>>>>> log
         handlers.apply = [this](uint64_t index, std::string_view) { applied.push_back(index); };
         handlers.restore = [](std::string_view) {};
         handlers.snapshot = [] { return std::string(); };
