Weigh waiting tasks by occurrence, and not on each tick beside a scheduled job

Tasks are also tried again as soon as an endpoint is heard again, or is no longer to be taken down, not after 0.1 s. The interval of retries is a setting of the dispatcher, so that tests can do without it: it hid whether changes are noticed. The new case of dispatcher_overload_test guards the weighing by change itself, which the one before did not (the endpoints there were full).

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -173,7 +173,7 @@
 
 void Dispatcher::noteReleased(const EndpointSession& session, const Run& run)
 {
-    for (auto& [service, waiting] : m_waitingTasks) {
+    for (auto& [service, waiting] : m_placing) {
         if (service == session.endpoint.service || (waiting.isLimited && !run.workspace.empty()))
             waiting.hasChanged = true;
     }
@@ -181,7 +181,7 @@
 
 void Dispatcher::tryAllAgain()
 {
-    for (auto& [service, waiting] : m_waitingTasks)
+    for (auto& [service, waiting] : m_placing)
         waiting.hasChanged = true;
 }
 
@@ -265,6 +265,8 @@
     if (isSameLife) {
         if (beat.sequence <= session->lastBeatSequence && session->lastBeatSequence != 0)
             return onRecorded();
+        if (!isReachable(*session, now))
+            tryAllAgain();
         session->lastBeatSequence = beat.sequence;
         session->lastBeatAt = now;
         if (beat.clockMs)
@@ -296,8 +298,13 @@
 
 void Dispatcher::setLeaving(const std::set<std::string>& endpointIds)
 {
-    for (auto& [id, session] : m_sessions)
-        session->isLeaving = endpointIds.contains(id);
+    bool hasReturned = false;
+    for (auto& [id, session] : m_sessions) {
+        bool wasLeaving = std::exchange(session->isLeaving, endpointIds.contains(id));
+        hasReturned = hasReturned || (wasLeaving && !session->isLeaving);
+    }
+    if (hasReturned)
+        tryAllAgain();
 }
 
 void Dispatcher::keepFresh(const std::string& endpointId)
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -27,6 +27,9 @@
     Duration maxLease = std::chrono::seconds(10);
     /// How long an endpoint takes to stop a run, at most.
     Duration stopTimeout = std::chrono::seconds(1);
+    /// Time after which tasks without a place are tried again although nothing is known to have changed: an endpoint may have
+    /// become usable by the passing of time alone.
+    Duration placeRetry = std::chrono::milliseconds(100);
 };
 
 struct DispatcherStats {
@@ -65,6 +68,8 @@
     /// Tasks whose placement is proposed and not committed.
     std::set<TaskKey> committing;
     bool isDirty = true;
+    /// When an occurrence comes near or is due.
+    TimePoint refreshAt = TimePoint::max();
     /// When a line says next why its tasks wait.
     TimePoint nextWaitLineAt;
 };
@@ -87,6 +92,7 @@
     /// Does all that is due: both of the following.
     void tick();
     void serveEndpoints();
+    /// Places waiting tasks and hands ends to the log.
     void placeTasks();
 
     /// What an endpoint says of itself.
@@ -177,6 +183,8 @@
     void serveSession(EndpointSession& session);
     void serveRuns(EndpointSession& session, TimePoint now);
     void serveRun(EndpointSession& session, Run& run, TimePoint now);
+    /// Has runs placed elsewhere that the endpoint, which cannot be reached, has not been told of.
+    static void giveUpWaitingStarts(EndpointSession& session);
     /// Sends the orders that have waited for others of the endpoint.
     void serveNext(const std::string& endpointId);
     void sendHold(EndpointSession& session);
@@ -207,8 +215,8 @@
     [[nodiscard]] static bool isReachable(const EndpointSession& session, TimePoint now);
 
     // Placing (dispatcher_placing.cpp)
-    /// Tasks of one service that found no place. They are tried again once something has changed.
-    struct WaitingTasks {
+    /// Of one service: its tasks without a place are tried again once something has changed.
+    struct PlacingState {
         bool hasChanged = true;
         /// Some wait for their workspace's limit.
         bool isLimited = false;
@@ -216,10 +224,10 @@
     };
     class FailedNeeds;
     void place();
-    void placeService(const std::string& service, WaitingTasks& waiting);
+    void placeService(const std::string& service, PlacingState& waiting);
     /// @param room largest room of any of the usable endpoints, by resource.
     std::vector<JobPlan*> plansThatMayFit(const std::string& service, const Resources& room, size_t endpoints);
-    void placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, FailedNeeds& failed, WaitingTasks& waiting);
+    void placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, FailedNeeds& failed, PlacingState& waiting);
     /// Room of an endpoint, and part of a workspace's limit, has become free.
     void noteReleased(const EndpointSession& session, const Run& run);
     void tryAllAgain();
@@ -251,7 +259,7 @@
     /// EndpointSession::staleForgetUntil of endpoints that were removed.
     std::map<std::string, TimePoint> m_staleForgetUntil;
     std::map<uint64_t, JobPlan> m_plans;
-    std::map<std::string, WaitingTasks> m_waitingTasks;
+    std::map<std::string, PlacingState> m_placing;
     std::map<std::string, Resources> m_workspaceUse;
     /// Recent arrivals by service.
     std::map<std::string, ArrivalRate> m_arrivals;
--- a/src/jobs/dispatcher_placing.cpp
+++ b/src/jobs/dispatcher_placing.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace vanillalift::jobs {
 
@@ -14,12 +15,12 @@
 
     /// A job that takes longer than this many times its objective counts for nothing.
     constexpr int lateFactor = 3;
+    /// Needs that fitted nowhere, of which each pass remembers the smallest.
     constexpr size_t maxFailedNeeds = 16;
-    /// Time after which tasks without a place are tried again although nothing is known to have changed: an endpoint may have
-    /// become usable by the passing of time alone.
-    constexpr std::chrono::milliseconds placeRetry { 100 };
     /// Work of an occurrence counts as demand this long before it is due: an instance takes 1.5 s to move.
     constexpr std::chrono::milliseconds occurrenceLead { 2000 };
+    /// A due time is looked at again after this time at the latest: the wall clock may have been set.
+    constexpr std::chrono::milliseconds dueRecheck { 1000 };
     /// Time between two lines about a job whose tasks find no place.
     constexpr std::chrono::milliseconds waitLineInterval { 3000 };
     /// Time for which a step's advice is not asked again after a failure.
@@ -56,6 +57,7 @@
 void Dispatcher::refreshPlan(JobPlan& plan)
 {
     plan.isDirty = false;
+    plan.refreshAt = TimePoint::max();
     plan.ready.clear();
     plan.smallestNeed = { std::numeric_limits<int64_t>::max(), std::numeric_limits<int64_t>::max(), std::numeric_limits<int64_t>::max() };
     plan.dueWorkMs = plan.dueMemoryMs = 0;
@@ -68,8 +70,10 @@
         if (job.spec.occurrences != 0) {
             auto dueInMs = job.spec.firstAtMs + static_cast<int64_t>(occurrence) * job.spec.periodMs - wallClockMs();
             bool isSoon = dueInMs <= std::chrono::milliseconds(occurrenceLead).count();
-            // Looked at again until it is due.
-            plan.isDirty = plan.isDirty || dueInMs > 0;
+            if (dueInMs > 0) {
+                auto nextInMs = isSoon ? dueInMs : dueInMs - std::chrono::milliseconds(occurrenceLead).count();
+                plan.refreshAt = m_clock.now() + std::min<Duration>(std::chrono::milliseconds(nextInMs), dueRecheck);
+            }
             if (!isSoon)
                 break;
             plan.dueWorkMs += estimate.workMs;
@@ -131,16 +135,16 @@
 {
     auto now = m_clock.now();
     for (auto& [serial, plan] : m_plans) {
-        if (!plan.isDirty)
+        if (!plan.isDirty && now < plan.refreshAt)
             continue;
         refreshPlan(plan);
         if (!plan.ready.empty())
-            m_waitingTasks[m_store.queueOf(*plan.job).service].hasChanged = true;
+            m_placing[m_store.queueOf(*plan.job).service].hasChanged = true;
     }
-    for (auto& [service, waiting] : m_waitingTasks) {
+    for (auto& [service, waiting] : m_placing) {
         if (!waiting.hasChanged && now < waiting.retryAt)
             continue;
-        waiting = { false, false, now + placeRetry };
+        waiting = { .hasChanged = false, .isLimited = false, .retryAt = now + m_desc.placeRetry };
         placeService(service, waiting);
     }
     flushPlacements();
@@ -160,7 +164,7 @@
     return plans;
 }
 
-void Dispatcher::placeService(const std::string& service, WaitingTasks& waiting)
+void Dispatcher::placeService(const std::string& service, PlacingState& waiting)
 {
     auto now = m_clock.now();
     std::vector<PlacementCandidate> candidates;
@@ -199,12 +203,12 @@
         placeJob(m_plans.at(serial), candidates, sessions, failed, waiting);
 }
 
-void Dispatcher::placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, FailedNeeds& failed, WaitingTasks& waiting)
+void Dispatcher::placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, FailedNeeds& failed, PlacingState& waiting)
 {
     std::vector<TaskKey> left;
     bool isGangPlaced = false;
-    // What one task of a step lacks, the others lack as well.
-    const StepSpec* failedStep = nullptr;
+    // What one task of a step lacks, the others of the same occurrence lack as well.
+    std::optional<std::pair<uint32_t, uint32_t>> failedStep;
     for (const auto& key : std::exchange(plan.ready, {})) {
         const auto& step = plan.job->spec.steps[key.step];
         if (step.isGang) {
@@ -216,13 +220,14 @@
             continue;
         }
         auto need = countedNeed(step);
-        if (failedStep == &step || failed.covers(need)) {
+        auto stepOfOccurrence = std::pair(key.occurrence, key.step);
+        if (failedStep == stepOfOccurrence || failed.covers(need)) {
             left.push_back(key);
             continue;
         }
         if (!isWithinLimit(*plan.job, step, 1)) {
             waiting.isLimited = true;
-            failedStep = &step;
+            failedStep = stepOfOccurrence;
             left.push_back(key);
             continue;
         }
@@ -233,7 +238,7 @@
         bool isCopy = !plan.job->findTask(key)->placements.empty();
         if (isCopy)
             continue;
-        failedStep = &step;
+        failedStep = stepOfOccurrence;
         if (!isConstrained(step) && !m_store.queueOf(*plan.job).isAdvised)
             failed.add(need);
     }
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -191,11 +191,11 @@
 /// Deterministic state that every control instance builds from the same log. Belongs to one thread.
 class JobStore {
 public:
-    /// @param observer may be nullptr.
     JobStore() = default;
     JobStore(const JobStore&) = delete;
     JobStore& operator=(const JobStore&) = delete;
 
+    /// @param observer may be nullptr.
     void setObserver(StoreObserver* observer) { m_observer = observer; }
 
     /// Applies all commands of one entry. Commands that no longer fit the state change nothing.
--- a/tests/jobs/dispatcher_overload_test.cpp
+++ b/tests/jobs/dispatcher_overload_test.cpp
@@ -215,3 +215,38 @@
     }
     CHECK(dispatcher.stats().placementTrials == before);
 }
+
+TEST_CASE("tasks that lack more than room are not weighed on each tick", "[dispatcher][overload]")
+{
+    bool isScheduled = GENERATE(false, true);
+    Site site(1);
+    site.submit("lasting", 12, true);
+    site.run(seconds(2));
+    REQUIRE(site.runningTasks() == 12);
+    for (const auto* id : { "a", "b" }) {
+        JobSpec spec;
+        spec.id = id;
+        StepSpec step;
+        step.taskCount = 3;
+        step.need = { 1000, 100, 0 };
+        step.estimateMs = 800;
+        step.requiredLabel = "nowhere";
+        spec.steps = { step };
+        if (isScheduled) {
+            spec.occurrences = 5;
+            spec.firstAtMs = wallClockMs() - 1000;
+            spec.periodMs = 3600000;
+        }
+        site.submit(spec);
+    }
+    site.run(seconds(1));
+    auto& dispatcher = *site.leader.dispatcher;
+    REQUIRE(dispatcher.stats().readyTasks == 6);
+    auto before = dispatcher.stats().placementTrials;
+    for (int n = 0; n < 9; n++) {
+        site.world.clock.time += milliseconds(10);
+        dispatcher.tick();
+    }
+    // One retry, of one task of each step at four endpoints.
+    CHECK(dispatcher.stats().placementTrials - before <= 8);
+}
