Let the lease of an endpoint end while a start is repeated there without an answer

The leader's log: starts at two endpoints that had crashed behind a proxy failed as unknown and were repeated each 60 ms, 45 to 97 a second, for ten seconds after the faults were over; 2 of 6 endpoints could be used. Each repeat carried a new lease and so moved the moment at which the endpoint's runs count as ended, though its status requests had no answer either; their room and the endpoint were out of use until it was replaced, and for good if it never is. This is a way of its own to LOST: an accepted job with nothing running.

A start is sent only while status requests are answered, as leases are granted only then.

--- a/src/jobs/dispatcher_orders.cpp
+++ b/src/jobs/dispatcher_orders.cpp
@@ -81,8 +81,12 @@
         return queueEnd(session, run, RunEnd::NotStarted, "");
     if (!session.mayOrder())
         return;
-    if (isStarting && !run.mustStop)
-        return sendStart(session, run);
+    // A start carries a lease, and an endpoint that does not answer gets no longer one.
+    if (isStarting && !run.mustStop) {
+        if (session.unansweredHolds == 0)
+            sendStart(session, run);
+        return;
+    }
     if (isStarting || (run.phase == RunPhase::Running && run.mustStop))
         return sendStop(session, run);
     if (run.phase == RunPhase::Running && run.pacePercent != run.wantedPacePercent && !run.isPaceOut)
--- a/tests/jobs/dispatcher_room_test.cpp
+++ b/tests/jobs/dispatcher_room_test.cpp
@@ -249,3 +249,19 @@
     }
     CHECK(away == tasks);
 }
+
+TEST_CASE("a start that is repeated without an answer does not prolong the endpoint's lease for good", "[dispatcher][room]")
+{
+    // Connections to it are still made, as to a process that stands still.
+    Site site(1, 1);
+    site.run(seconds(2));
+    auto placed = site.leader.dispatcher->stats().placements;
+    site.submit("a", 4);
+    while (site.leader.dispatcher->stats().placements == placed)
+        site.run(milliseconds(1));
+    site.endpoint("e0").isCut = true;
+    site.addEndpoint("e1");
+    site.run(config::endpointLease + seconds(2));
+    const auto& job = site.job("a");
+    CHECK((!job.isActive() || job.occurrences[0].steps[0].tasks[0].placements.front().endpoint == "e1"));
+}
