Maintain spare instances before idle ones of pools

The wave took idle instances by their load, which is 0 for both, so the order was that of the wave's list.

Change: spare instances come first. The platform maintains them (seen: listed as under maintenance in the spare pool, then up), their maintenance is not billed as pool time, and no pool misses them.

Test: job_decisions_test, seen failing with the order of before (11 of 11 instances were not spare).

--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -152,6 +152,8 @@
         progress.hasReturned = true;
     described.isDown = (isMaintained && !progress.hasReturned) || (wasRequested && !isMaintained);
     described.isBlocked = known != m_instances.end() && known->second.instance.state != InstanceState::Up && known->second.instance.state != InstanceState::Down;
+    const auto* pool = known == m_instances.end() ? nullptr : m_store.catalog().serviceNamed(known->second.instance.pool);
+    described.isSpare = pool && pool->isSpare;
     described.isDraining = progress.drainingSince != TimePoint {};
     described.drainingSince = progress.drainingSince;
     if (const auto* session = sessionOf(name)) {
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -496,6 +496,20 @@
     CHECK(planWave(instances, times, now).drain.size() >= 52);
 }
 
+TEST_CASE("a wave takes spare instances before idle ones of pools, which may need them for a peak", "[wave]")
+{
+    // Load: on scale-1 of hvtw-lift-large, 64 of 434 instances of the pool in its peak were down while over 50 spare ones were up.
+    auto instances = makeWaveInstances(40);
+    for (size_t n = 20; n < 40; n++)
+        instances[n].isSpare = true;
+    WaveConstraints times { now + seconds(20), seconds(2), 20 };
+    auto actions = planWave(instances, times, now);
+    REQUIRE_FALSE(actions.drain.empty());
+    REQUIRE(actions.drain.size() <= 20);
+    for (auto n : actions.drain)
+        CHECK(instances[n].isSpare);
+}
+
 TEST_CASE("instances with long-running tasks are drained from the beginning of a wave", "[wave]")
 {
     // Guards against draining them last, which made the last one late on quiet-1 of hvtw-lift.
