Keep idle instances while a peak starts in another pool

At 1 s the pool in its peak asked for 111 instances and got them, and in the same second 119 idle ones of the other pools became spare; at 2 s it asked for 265, and those 119 were in a move of 1.5 s.

Change: no instance becomes spare while the demand of any pool rises and is at least two instances and 4 % of the fleet, the threshold of a peak's onset in the forecast.

Test: job_decisions_test, seen failing before (6 of 12 idle instances became spare).

--- a/src/jobs/pool_plan.cpp
+++ b/src/jobs/pool_plan.cpp
@@ -22,6 +22,16 @@
     /// more instances do not help.
     constexpr size_t maxInstancesForWaiting = 8;
 
+    /// A peak may be starting while the demand of a pool rises and is at least this many instances and this share of the fleet.
+    constexpr double minPeakInstances = 2;
+    constexpr double minPeakFleetShare = 0.04;
+
+    bool isPeakStarting(std::span<const Pool> pools, size_t fleetSize)
+    {
+        auto threshold = std::max(minPeakInstances, minPeakFleetShare * static_cast<double>(fleetSize));
+        return std::any_of(pools.begin(), pools.end(), [&](const Pool& it) { return it.load.isRising && it.load.arriving >= threshold; });
+    }
+
     struct Balance {
         double desired = 0;
         size_t present = 0;
@@ -137,7 +147,8 @@
         totalShortage--;
     }
 
-    if (!sparePool || !mayBecomeSpare)
+    // The pool in its peak may need every idle instance next, and one that becomes spare is lacking for two moves instead of one.
+    if (!sparePool || !mayBecomeSpare || isPeakStarting(pools, instances.size()))
         return actions;
     for (size_t n = 0; n < instances.size(); n++) {
         const auto& it = instances[n];
--- a/src/jobs/pool_plan_p.h
+++ b/src/jobs/pool_plan_p.h
@@ -77,8 +77,8 @@
 double desiredInstances(const PoolLoad& load);
 
 /// Plans moves of instances between pools whose demand peaks at different times. Pools with a shortage get idle instances
-/// from pools with a surplus, or else from the spare pool; instances that stay idle move to the spare pool. Instances with
-/// long-running tasks are not moved.
+/// from pools with a surplus, or else from the spare pool; instances that stay idle move to the spare pool, unless a peak is
+/// starting in some pool. Instances with long-running tasks are not moved.
 /// @param mayBecomeSpare whether idle instances may move to the spare pool.
 PoolActions planPools(std::span<const Pool> pools, std::span<const PoolInstance> instances, bool mayBecomeSpare, TimePoint now);
 
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -279,6 +279,27 @@
     CHECK(fleet.movesTo(planPools(fleet.pools, fleet.instances, true, now), 2) > 0);
 }
 
+TEST_CASE("no instance becomes spare while a peak starts in another pool", "[pools]")
+{
+    // Load: 1 s after the first request of scale-1 of hvtw-lift-large, the pool in its peak had 111 of the 265 instances that it
+    // needed a second later, and 119 idle ones of the other pools became spare.
+    Fleet fleet;
+    fleet.add(0, 12);
+    fleet.add(1, 1, false);
+    fleet.pools[1].load.arriving = 4;
+    fleet.pools[1].load.runnable = 1;
+    fleet.pools[1].load.isRising = true;
+    auto actions = planPools(fleet.pools, fleet.instances, true, now);
+    CHECK(fleet.movesTo(actions, 1) > 0);
+    CHECK(fleet.movesTo(actions, 2) == 0);
+    // A rise of a few tasks is no peak.
+    fleet.pools[1].load.arriving = 0.5;
+    CHECK(fleet.movesTo(planPools(fleet.pools, fleet.instances, true, now), 2) > 0);
+    fleet.pools[1].load.arriving = 4;
+    fleet.pools[1].load.isRising = false;
+    CHECK(fleet.movesTo(planPools(fleet.pools, fleet.instances, true, now), 2) > 0);
+}
+
 TEST_CASE("the estimate of arriving work follows the onset of a peak quickly, and is averaged later", "[pools]")
 {
     // Load: none, then suddenly 100 cores.
