Send the platform no request that a newer leader may contradict

It could: the instance manager of a controller was ticked without a look at its leadership, and requests to the platform waited in the queues of four connections for up to 3 s. A leader that ran again after a pause planned moves from its old view first, since its tick is due before the replicated log's timer; it saw its instances idle for as long as the pause and sent them to the spare pool. The platform compares fencing tokens for each instance separately, so it accepts that for an instance that the new leader has only placed tasks on, and stops them.

Change: the manager acts only while no other controller can have been elected (last contact with a majority plus the minimum election timeout, and not while leadership is handed over), and each request carries that time as send deadline: one that still waits for its connection or its turn then fails as not sent.

--- a/include/vanillalift/endpoint_link.h
+++ b/include/vanillalift/endpoint_link.h
@@ -214,8 +214,9 @@
     /// Reads one page of the instances.
     /// @param pageToken empty for the first page.
     virtual void list(const std::string& pageToken, TimePoint deadline, std::function<void(std::optional<std::vector<Instance>>, std::string nextPage)> handler) = 0;
-    virtual void move(const std::string& instance, const std::string& pool, uint64_t fencingToken, TimePoint deadline, std::function<void(InstanceReplyStatus)> handler) = 0;
-    virtual void maintain(const std::string& instance, uint64_t wave, uint64_t fencingToken, TimePoint deadline, std::function<void(InstanceReplyStatus)> handler) = 0;
+    /// @param sendDeadline when the caller's leadership may end: the request must not leave this process later.
+    virtual void move(const std::string& instance, const std::string& pool, uint64_t fencingToken, TimePoint sendDeadline, TimePoint deadline, std::function<void(InstanceReplyStatus)> handler) = 0;
+    virtual void maintain(const std::string& instance, uint64_t wave, uint64_t fencingToken, TimePoint sendDeadline, TimePoint deadline, std::function<void(InstanceReplyStatus)> handler) = 0;
 };
 
 } // namespace vanillalift::jobs
--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -34,13 +34,14 @@
 
 } // namespace
 
-InstanceManager::InstanceManager(InstanceManagerDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, InstanceService& service, std::function<void(Command)> propose, const Clock& clock, EventLog& log)
+InstanceManager::InstanceManager(InstanceManagerDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, InstanceService& service, std::function<void(Command)> propose, std::function<TimePoint()> authorityEndsAt, const Clock& clock, EventLog& log)
     : m_desc(desc)
     , m_term(term)
     , m_store(store)
     , m_dispatcher(dispatcher)
     , m_service(service)
     , m_propose(std::move(propose))
+    , m_authorityEndsAt(std::move(authorityEndsAt))
     , m_clock(clock)
     , m_log(log)
     , m_tokensUpdatedAt(clock.now())
@@ -64,7 +65,7 @@
 void InstanceManager::tick()
 {
     auto now = m_clock.now();
-    if (!m_desc.isEnabled || now < m_nextTickAt)
+    if (!m_desc.isEnabled || now < m_nextTickAt || now >= m_authorityEndsAt())
         return;
     m_nextTickAt = now + tickInterval;
     bool hasOpenWave = std::any_of(m_store.waves().begin(), m_store.waves().end(), [](const auto& it) { return !it.second.isComplete(); });
@@ -216,7 +217,7 @@
     if (state == m_store.waves().end() || !state->second.isRequested(name) || now < progress.nextCallAt || !takeCallToken())
         return;
     progress.nextCallAt = now + callTimeout + callRetryDelay;
-    m_service.maintain(name, wave, m_term, now + callTimeout, [this, wave, name, isAlive = m_isAlive](InstanceReplyStatus status) {
+    m_service.maintain(name, wave, m_term, m_authorityEndsAt(), now + callTimeout, [this, wave, name, isAlive = m_isAlive](InstanceReplyStatus status) {
         if (!*isAlive)
             return;
         auto now = m_clock.now();
--- a/src/jobs/instance_manager_p.h
+++ b/src/jobs/instance_manager_p.h
@@ -26,7 +26,9 @@
 /// Runs on the leader: carries out maintenance waves and moves instances between pools. One object serves one leader term.
 class InstanceManager {
 public:
-    InstanceManager(InstanceManagerDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, InstanceService& service, std::function<void(Command)> propose, const Clock& clock, EventLog& log);
+    /// @param authorityEndsAt returns the time until which no other controller can be the leader. The platform checks fencing tokens
+    /// for each instance separately, so it accepts a late request of a previous leader for an instance that no newer one has used.
+    InstanceManager(InstanceManagerDesc desc, uint64_t term, JobStore& store, Dispatcher& dispatcher, InstanceService& service, std::function<void(Command)> propose, std::function<TimePoint()> authorityEndsAt, const Clock& clock, EventLog& log);
     ~InstanceManager();
 
     void tick();
@@ -96,6 +98,7 @@
     Dispatcher& m_dispatcher;
     InstanceService& m_service;
     std::function<void(Command)> m_propose;
+    std::function<TimePoint()> m_authorityEndsAt;
     const Clock& m_clock;
     EventLog& m_log;
     std::map<std::string, ListedInstance> m_instances;
--- a/src/jobs/instance_manager_pools.cpp
+++ b/src/jobs/instance_manager_pools.cpp
@@ -161,7 +161,7 @@
         return;
     auto& move = m_moves[name];
     move.isCallPending = true;
-    m_service.move(name, move.pool, m_term, m_clock.now() + callTimeout, [this, name, isAlive = m_isAlive](InstanceReplyStatus status) {
+    m_service.move(name, move.pool, m_term, m_authorityEndsAt(), m_clock.now() + callTimeout, [this, name, isAlive = m_isAlive](InstanceReplyStatus status) {
         auto it = *isAlive ? m_moves.find(name) : m_moves.end();
         if (!*isAlive || it == m_moves.end())
             return;
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -19,13 +19,13 @@
 
 HttpChannel::~HttpChannel() { *m_isAlive = false; }
 
-void HttpChannel::send(HttpRequest request, TimePoint deadline, Handler handler)
+void HttpChannel::send(HttpRequest request, TimePoint sendDeadline, TimePoint deadline, Handler handler)
 {
     std::string head = request.method + ' ' + request.target + " HTTP/1.1\r\n";
     for (const auto& it : request.headers)
         head += it.name + ": " + it.value + "\r\n";
     head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n";
-    m_queue.push_back({ std::move(head), std::move(request.body), deadline, std::move(handler) });
+    m_queue.push_back({ std::move(head), std::move(request.body), std::min(sendDeadline, deadline), deadline, std::move(handler) });
     armTimer();
     startNext();
 }
@@ -41,9 +41,9 @@
 {
     if (m_queue.empty())
         return m_timer.disarm();
-    auto earliest = m_queue.front().deadline;
-    for (const auto& it : m_queue)
-        earliest = std::min(earliest, it.deadline);
+    auto earliest = m_isInFlight ? m_queue.front().deadline : m_queue.front().sendDeadline;
+    for (size_t n = 1; n < m_queue.size(); n++)
+        earliest = std::min(earliest, m_queue[n].sendDeadline);
     m_timer.armAt(earliest, m_clock.now());
 }
 
@@ -52,7 +52,7 @@
     if (m_queue.empty() || m_isInFlight)
         return;
     // The timer fails expired requests as not sent.
-    if (m_queue.front().deadline <= m_clock.now())
+    if (m_queue.front().sendDeadline <= m_clock.now())
         return;
     if (m_stream) {
         if (m_stream->isConnected())
@@ -75,6 +75,7 @@
     m_stream->write(item.head + item.body);
     item.head.clear();
     item.body.clear();
+    armTimer();
 }
 
 size_t HttpChannel::receive(std::string_view bytes)
@@ -161,14 +162,14 @@
             return;
     }
     // If connecting took until the first request's deadline, gives up the attempt; the next request opens a new connection.
-    if (m_stream && !m_stream->isConnected() && !m_queue.empty() && m_queue.front().deadline <= now)
+    if (m_stream && !m_stream->isConnected() && !m_queue.empty() && m_queue.front().sendDeadline <= now)
         closeStream();
     for (size_t n = m_isInFlight ? 1 : 0; n < m_queue.size();) {
-        if (m_queue[n].deadline > now) {
+        if (m_queue[n].sendDeadline > now) {
             n++;
             continue;
         }
-        countExpired(now - m_queue[n].deadline);
+        countExpired(now - m_queue[n].sendDeadline);
         auto handler = std::move(m_queue[n].handler);
         m_queue.erase(m_queue.begin() + static_cast<std::ptrdiff_t>(n));
         handler(HttpFailure::NotSent);
@@ -190,9 +191,9 @@
 {
 }
 
-void HttpChannelPool::send(HttpRequest request, TimePoint deadline, HttpChannel::Handler handler)
+void HttpChannelPool::send(HttpRequest request, TimePoint sendDeadline, TimePoint deadline, HttpChannel::Handler handler)
 {
-    leastLoaded().send(std::move(request), deadline, std::move(handler));
+    leastLoaded().send(std::move(request), sendDeadline, deadline, std::move(handler));
 }
 
 HttpChannel& HttpChannelPool::leastLoaded()
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -137,7 +137,10 @@
     ~HttpChannel();
 
     /// @param deadline when the request fails if it has no response. If it has been sent by then, the connection is closed.
-    void send(HttpRequest request, TimePoint deadline, Handler handler);
+    void send(HttpRequest request, TimePoint deadline, Handler handler) { send(std::move(request), deadline, deadline, std::move(handler)); }
+    /// @param sendDeadline when the request fails as NotSent if it still waits for its connection or for earlier requests: the
+    /// permission on which it was made ends then.
+    void send(HttpRequest request, TimePoint sendDeadline, TimePoint deadline, Handler handler);
     /// Number of queued requests, including the one in flight.
     [[nodiscard]] size_t pending() const { return m_queue.size(); }
     /// @returns whether the current connection is open and has delivered a response before.
@@ -149,6 +152,7 @@
     struct PendingRequest {
         std::string head;
         std::string body;
+        TimePoint sendDeadline;
         TimePoint deadline;
         Handler handler;
     };
@@ -186,7 +190,8 @@
     /// @param stats see HttpChannel.
     HttpChannelPool(EventLoop& loop, const Clock& clock, const Address& address, size_t maxChannels, CallStats* stats = nullptr);
 
-    void send(HttpRequest request, TimePoint deadline, HttpChannel::Handler handler);
+    void send(HttpRequest request, TimePoint deadline, HttpChannel::Handler handler) { send(std::move(request), deadline, deadline, std::move(handler)); }
+    void send(HttpRequest request, TimePoint sendDeadline, TimePoint deadline, HttpChannel::Handler handler);
 
 private:
     HttpChannel& leastLoaded();
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -210,6 +210,14 @@
 
 bool Controller::hasLeaderAuthority() const { return m_driver->isReadyLeader() && m_clock.now() - m_driver->core().lastQuorumContactAt() < config::quorumContactTimeout; }
 
+TimePoint Controller::soleLeaderUntil() const
+{
+    // A leader that transfers its leadership causes an election at once.
+    if (!m_driver->isReadyLeader() || m_onStopped)
+        return {};
+    return m_driver->core().lastQuorumContactAt() + config::controlElectionTimeout;
+}
+
 void Controller::sendStatus()
 {
     m_nextStatusAt = m_clock.now() + config::linkStatusInterval;
@@ -250,7 +258,7 @@
     desc.stopTimeout = m_desc.stopTimeout;
     m_dispatcher = std::make_unique<jobs::Dispatcher>(std::move(desc), m_store, m_clock, *m_dependencies.endpoints, *m_dependencies.advice, m_log);
     m_instanceManager = std::make_unique<jobs::InstanceManager>(
-        m_desc.instances, status.term, m_store, *m_dispatcher, *m_dependencies.instances, [this](const jobs::Command& command) { m_batcher.propose(command); }, m_clock, m_log);
+        m_desc.instances, status.term, m_store, *m_dispatcher, *m_dependencies.instances, [this](const jobs::Command& command) { m_batcher.propose(command); }, [this] { return soleLeaderUntil(); }, m_clock, m_log);
     JobService::Desc serviceDesc { [this] { return hasLeaderAuthority(); }, [this](const JoinRequest& request) { handleJoin(request); } };
     m_service = std::make_unique<JobService>(std::move(serviceDesc), m_store, *m_dispatcher, m_batcher, m_clock, m_log);
     m_leaderClient.setLocalLeader(true, status.term);
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -74,6 +74,8 @@
     void sendStatus();
     [[nodiscard]] ControllerStatus status() const;
     [[nodiscard]] bool hasLeaderAuthority() const;
+    /// @returns the time until which no other controller can have been elected; the epoch if this one is not the leader.
+    [[nodiscard]] TimePoint soleLeaderUntil() const;
     void sendRaftMessage(raft::Message message);
     void joinGroup();
     void handleJoin(const JoinRequest& request);
--- a/tests/jobs/instance_keeper_test.cpp
+++ b/tests/jobs/instance_keeper_test.cpp
@@ -26,7 +26,7 @@
         m_world.eventQueue.after(milliseconds(5), [handler, found] { handler(found, ""); });
     }
 
-    void move(const std::string& instance, const std::string& pool, uint64_t, TimePoint, std::function<void(InstanceReplyStatus)> handler) override
+    void move(const std::string& instance, const std::string& pool, uint64_t, TimePoint, TimePoint, std::function<void(InstanceReplyStatus)> handler) override
     {
         auto& it = instances.at(instance);
         auto status = it.state == InstanceState::Moving ? InstanceReplyStatus::Busy : InstanceReplyStatus::Accepted;
@@ -45,7 +45,7 @@
         m_world.eventQueue.after(milliseconds(5), [handler, status] { handler(status); });
     }
 
-    void maintain(const std::string& instance, uint64_t, uint64_t, TimePoint, std::function<void(InstanceReplyStatus)> handler) override
+    void maintain(const std::string& instance, uint64_t, uint64_t, TimePoint, TimePoint, std::function<void(InstanceReplyStatus)> handler) override
     {
         auto it = instances.find(instance);
         bool isUp = it != instances.end() && it->second.state == InstanceState::Up;
@@ -102,7 +102,7 @@
         };
         InstanceManagerDesc desc { true, seconds(2), milliseconds(1500), 60 };
         manager = std::make_unique<InstanceManager>(
-            desc, 1, site.leader.store, *site.leader.dispatcher, platform, [this](const Command& command) { site.leader.propose(command); }, site.world.clock, log);
+            desc, 1, site.leader.store, *site.leader.dispatcher, platform, [this](const Command& command) { site.leader.propose(command); }, [this] { return authorityEndsAt; }, site.world.clock, log);
         tick();
         site.run(seconds(2));
     }
@@ -122,6 +122,7 @@
     Site site;
     FakePlatform platform;
     EventLog log;
+    TimePoint authorityEndsAt = TimePoint::max();
     std::unique_ptr<InstanceManager> manager;
 };
 
@@ -180,3 +181,25 @@
         CHECK(site.leader.store.waves().at(1).isComplete());
     }
 }
+
+// Guards against a process that was paused while another controller was elected, and that moves instances when it runs again: the
+// platform stops what the new leader has started there. It checks fencing tokens for each instance separately.
+TEST_CASE("a leader sends no request to the platform once another one may have been elected", "[keeper]")
+{
+    PooledSite pooled(8);
+    auto& site = pooled.site;
+    for (int n = 0; n < 4; n++)
+        site.submit("a" + std::to_string(n), 4);
+    site.run(milliseconds(600));
+    REQUIRE(pooled.platform.moves.empty());
+    pooled.authorityEndsAt = site.world.clock.time;
+    // By now the idle instances would have become spare, and the wave would have begun.
+    site.leader.propose(PutWave { { 1, { "m-e0", "m-e1" }, wallClockMs() + 20000, 1 } });
+    site.run(seconds(6));
+    CHECK(pooled.platform.moves.empty());
+    for (const auto& [name, it] : pooled.platform.instances)
+        CHECK(it.state == InstanceState::Up);
+    pooled.authorityEndsAt = TimePoint::max();
+    site.run(seconds(6));
+    CHECK_FALSE(pooled.platform.moves.empty());
+}
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -104,6 +104,23 @@
     CHECK(std::holds_alternative<HttpResponse>(f.call(channel, "/x", "again")));
 }
 
+// Guards against a request that a paused process sends when it runs again, although the permission for it has run out.
+TEST_CASE("a queued request is not sent after its send deadline, even if a response would be accepted later", "[net]")
+{
+    Fixture f;
+    HttpChannel channel(f.loop, f.clock, f.address);
+    std::vector<HttpResult> results;
+    auto handler = [&](HttpResult it) { results.push_back(std::move(it)); };
+    auto now = f.clock.now();
+    channel.send({ "POST", "/silent", {}, "" }, now + milliseconds(300), handler);
+    channel.send({ "POST", "/x", {}, "late" }, now + milliseconds(100), now + std::chrono::seconds(20), handler);
+    runUntil(f.loop, [&] { return !results.empty(); });
+    REQUIRE(std::holds_alternative<HttpFailure>(results[0]));
+    CHECK(std::get<HttpFailure>(results[0]) == HttpFailure::NotSent);
+    runUntil(f.loop, [&] { return results.size() == 2; });
+    CHECK(std::none_of(f.requests.begin(), f.requests.end(), [](const auto& it) { return it.body == "late"; }));
+}
+
 TEST_CASE("a channel keeps its connection open between requests", "[net]")
 {
     Fixture f;
