Report a job as unknown only while no newer leader can know it

A leader acts for up to 1 s after its last contact with a majority, and another controller can be elected 0.5 s after it. A client whose gateway still reached the old one was told in that half second that no such job exists (410), on a read or a cancellation, although the new leader had accepted the job: a cancellation answered like that leaves the job running.

Change: without certainty the request is answered as for a controller that does not lead, and the gateway sends it to the leader. The same for waves. What such a leader says of queues and keys can still be half a second old, within the time in which a configuration has to be in force.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -259,7 +259,7 @@
     m_dispatcher = std::make_unique<jobs::Dispatcher>(std::move(desc), m_store, m_clock, *m_dependencies.endpoints, *m_dependencies.advice, m_log);
     m_instanceManager = std::make_unique<jobs::InstanceManager>(
         m_desc.instances, status.term, m_store, *m_dispatcher, *m_dependencies.instances, [this](const jobs::Command& command) { m_batcher.propose(command); }, [this] { return soleLeaderUntil(); }, m_clock, m_log);
-    JobService::Desc serviceDesc { [this] { return hasLeaderAuthority(); }, [this](const JoinRequest& request) { handleJoin(request); } };
+    JobService::Desc serviceDesc { [this] { return hasLeaderAuthority(); }, [this] { return m_clock.now() < soleLeaderUntil(); }, [this](const JoinRequest& request) { handleJoin(request); } };
     m_service = std::make_unique<JobService>(std::move(serviceDesc), m_store, *m_dispatcher, m_batcher, m_clock, m_log);
     m_leaderClient.setLocalLeader(true, status.term);
 }
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -55,6 +55,11 @@
     m_batcher.propose(command, [respond](bool isCommitted) { respond(makeReply(isCommitted ? ReplyStatus::Done : ReplyStatus::NotLeader)); });
 }
 
+void JobService::respondUnknown(ReplyStatus status, const Respond& respond) const
+{
+    respond(makeReply(m_desc.isSoleLeader() ? status : ReplyStatus::NotLeader));
+}
+
 void JobService::handle(ClientRequest& request, const Respond& respond)
 {
     const auto& catalog = m_store.catalog();
@@ -105,7 +110,7 @@
     }
     const auto* job = m_store.findJob(id);
     if (!job)
-        return respond(makeReply(ReplyStatus::NoSuchJob));
+        return respondUnknown(ReplyStatus::NoSuchJob, respond);
     reply.state = jobState(*job);
     respond(reply);
 }
@@ -114,7 +119,7 @@
 {
     const auto* job = m_store.findJob(id);
     if (!job)
-        return respond(makeReply(ReplyStatus::NoSuchJob));
+        return respondUnknown(ReplyStatus::NoSuchJob, respond);
     if (!job->isActive())
         return respond(makeReply(ReplyStatus::Done));
     m_log.line("cancel").field("job", id);
@@ -167,7 +172,7 @@
 {
     auto it = m_store.waves().find(request.number);
     if (it == m_store.waves().end())
-        return respond(makeReply(ReplyStatus::NoSuchWave));
+        return respondUnknown(ReplyStatus::NoSuchWave, respond);
     Reply reply;
     reply.isWaveComplete = it->second.isComplete();
     respond(reply);
--- a/src/node/job_service_p.h
+++ b/src/node/job_service_p.h
@@ -17,8 +17,10 @@
     using Respond = std::function<void(Reply)>;
 
     struct Desc {
-        /// Whether this controller is certainly the leader now.
+        /// Whether this controller had contact with a majority recently enough to act as the leader.
         std::function<bool()> hasLeaderAuthority;
+        /// Whether no other controller can have been elected since. Until then, something unknown here exists nowhere.
+        std::function<bool()> isSoleLeader;
         std::function<void(const JoinRequest&)> handleJoin;
     };
 
@@ -41,6 +43,8 @@
     void read(const jobs::Queue& queue, const std::string& id, const Respond& respond);
     void cancel(const std::string& id, const Respond& respond);
     void propose(const jobs::Command& command, const Respond& respond);
+    /// Reports something as unknown; if a newer leader may know it, asks the sender to try again there.
+    void respondUnknown(ReplyStatus status, const Respond& respond) const;
 
     Desc m_desc;
     jobs::JobStore& m_store;
