Refuse messages that claim more than they contain, or an unknown state

Whoever connects to the port of a controller or answers a gateway on a link can send a container of 2^32 - 1 elements in six bytes; the decoder allocated memory for all of them, and std::bad_alloc was not caught. A reply with a job state that this build does not know read past an array of names.

Change: containers have at most as many elements as the frame has bytes left, nesting is bounded, and unknown statuses, states and verbs are refused like other malformed messages (logged, the link stays).

--- a/src/node/messages.cpp
+++ b/src/node/messages.cpp
@@ -2,10 +2,26 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace vanillalift::node {
 
 namespace {
 
+    /// Nesting of containers in a message; the deepest one is a job's steps in a call.
+    constexpr size_t maxNesting = 16;
+
+    bool isKnown(const Request& request)
+    {
+        const auto* fromClient = std::get_if<ClientRequest>(&request);
+        return !fromClient || fromClient->verb < ClientVerb::ClientVerbCount;
+    }
+
+    bool isKnown(const Reply& reply)
+    {
+        return reply.status < ReplyStatus::ReplyStatusCount && (!reply.state || *reply.state < JobState::JobStateCount);
+    }
+
     template <typename Variant, size_t candidate = 0>
     std::optional<Variant> unpackAlternative(size_t index, const msgpack::object& object)
     {
@@ -59,7 +75,10 @@
         {
             // Keep references into the frame: the conversion to the C++ types makes the only copy of a value.
             auto keepReference = [](msgpack::type::object_type, size_t, void*) { return true; };
-            return msgpack::unpack(m_zone, m_bytes.data(), m_bytes.size(), m_offset, keepReference);
+            // Each element takes at least a byte, and memory is allocated for as many as a container claims to have.
+            auto most = m_bytes.size() - std::min(m_offset, m_bytes.size());
+            msgpack::unpack_limit limit(most, most, most, most, most, maxNesting);
+            return msgpack::unpack(m_zone, m_bytes.data(), m_bytes.size(), m_offset, keepReference, nullptr, limit);
         }
 
         std::string_view m_bytes;
@@ -93,13 +112,16 @@
             auto id = reader.next<uint64_t>();
             auto requestIndex = reader.next<uint32_t>();
             auto request = reader.nextAlternative<Request>(requestIndex);
-            if (!request)
+            if (!request || !isKnown(*request))
                 return std::nullopt;
             return Call { id, std::move(*request) };
         }
         case 4: {
             auto id = reader.next<uint64_t>();
-            return CallReply { id, reader.next<Reply>() };
+            auto reply = reader.next<Reply>();
+            if (!isKnown(reply))
+                return std::nullopt;
+            return CallReply { id, std::move(reply) };
         }
         default:
             return std::nullopt;
