Bound the leader's connections to endpoints

Each endpoint keeps up to four connections for good (one for status requests, three for start, stop and throttle requests), and half of the descriptors were kept for incoming connections, of which a controller has some 600. Without a descriptor every connection fails at once and is tried again after 0.3 s for each endpoint.

Change: the channels to endpoints share a budget, 0.6 of the descriptors that are not reserved. Beyond it the connection that has been idle longest is closed; if all are in use, requests wait until their send deadlines.

Test: net_test, seen failing with the limit ignored (mutation).

--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -7,17 +7,91 @@
 
 namespace vanillalift::net {
 
-HttpChannel::HttpChannel(EventLoop& loop, const Clock& clock, const Address& address, CallStats* stats)
+ConnectionBudget::ConnectionBudget(EventLoop& loop, const Clock& clock, size_t limit)
+    : m_clock(clock)
+    , m_limit(limit)
+    , m_timer(loop, [this] { serveWaiting(); })
+{
+}
+
+bool ConnectionBudget::acquire(HttpChannel& channel)
+{
+    if (m_open >= m_limit && !m_idle.empty())
+        m_idle.front()->closeIdle();
+    if (m_open >= m_limit) {
+        if (std::find(m_waiting.begin(), m_waiting.end(), &channel) == m_waiting.end())
+            m_waiting.push_back(&channel);
+        return false;
+    }
+    m_open++;
+    return true;
+}
+
+void ConnectionBudget::release(HttpChannel& channel)
+{
+    m_open--;
+    removeIdle(channel);
+    wakeWaiting();
+}
+
+void ConnectionBudget::addIdle(HttpChannel& channel)
+{
+    removeIdle(channel);
+    m_idlePositions[&channel] = m_idle.insert(m_idle.end(), &channel);
+    wakeWaiting();
+}
+
+void ConnectionBudget::removeIdle(HttpChannel& channel)
+{
+    auto position = m_idlePositions.extract(&channel);
+    if (!position.empty())
+        m_idle.erase(position.mapped());
+}
+
+void ConnectionBudget::remove(HttpChannel& channel)
+{
+    removeIdle(channel);
+    m_waiting.remove(&channel);
+}
+
+void ConnectionBudget::wakeWaiting()
+{
+    // Not served at once: the caller may be in the middle of a callback of its stream.
+    auto now = m_clock.now();
+    if (!m_waiting.empty())
+        m_timer.armAt(now, now);
+}
+
+void ConnectionBudget::serveWaiting()
+{
+    // A channel that finds no connection again is appended once more.
+    for (auto count = m_waiting.size(); count > 0 && !m_waiting.empty() && (m_open < m_limit || !m_idle.empty()); count--) {
+        auto* channel = m_waiting.front();
+        m_waiting.pop_front();
+        channel->startNext();
+    }
+}
+
+HttpChannel::HttpChannel(EventLoop& loop, const Clock& clock, const Address& address, CallStats* stats, ConnectionBudget* budget)
     : m_loop(loop)
     , m_clock(clock)
     , m_address(address)
     , m_stats(stats)
+    , m_budget(budget)
     , m_parser(HttpParser::Kind::Response, { config::maxHttpHeadBytes, config::maxHttpBodyBytes })
     , m_timer(loop, [this] { handleTimer(); })
 {
 }
 
-HttpChannel::~HttpChannel() { *m_isAlive = false; }
+HttpChannel::~HttpChannel()
+{
+    *m_isAlive = false;
+    if (!m_budget)
+        return;
+    m_budget->remove(*this);
+    if (m_stream)
+        m_budget->release(*this);
+}
 
 void HttpChannel::send(HttpRequest request, TimePoint sendDeadline, TimePoint deadline, Handler handler)
 {
@@ -34,9 +108,18 @@
 {
     if (m_stream)
         m_stream->abort();
+    if (m_stream && m_budget)
+        m_budget->release(*this);
     m_closedStream = std::move(m_stream);
 }
 
+void HttpChannel::closeIdle()
+{
+    // No callback of this stream is running, so its descriptor can be freed at once.
+    closeStream();
+    m_closedStream.reset();
+}
+
 void HttpChannel::armTimer()
 {
     if (m_queue.empty())
@@ -59,6 +142,8 @@
             writeNextRequest();
         return;
     }
+    if (m_budget && !m_budget->acquire(*this))
+        return;
     m_connectionCount++;
     if (m_stats)
         m_stats->connects++;
@@ -71,6 +156,8 @@
 void HttpChannel::writeNextRequest()
 {
     m_isInFlight = true;
+    if (m_budget)
+        m_budget->removeIdle(*this);
     auto& item = m_queue.front();
     m_stream->write(item.head + item.body);
     item.head.clear();
@@ -113,6 +200,8 @@
         return;
     armTimer();
     startNext();
+    if (m_budget && m_queue.empty() && m_stream)
+        m_budget->addIdle(*this);
 }
 
 void HttpChannel::fail(HttpFailure failure) { finish(failure); }
@@ -182,12 +271,13 @@
     startNext();
 }
 
-HttpChannelPool::HttpChannelPool(EventLoop& loop, const Clock& clock, const Address& address, size_t maxChannels, CallStats* stats)
+HttpChannelPool::HttpChannelPool(EventLoop& loop, const Clock& clock, const Address& address, size_t maxChannels, CallStats* stats, ConnectionBudget* budget)
     : m_loop(loop)
     , m_clock(clock)
     , m_address(address)
     , m_maxChannels(maxChannels)
     , m_stats(stats)
+    , m_budget(budget)
 {
 }
 
@@ -201,7 +291,7 @@
     auto it = std::min_element(m_channels.begin(), m_channels.end(), [](const auto& left, const auto& right) { return left->pending() < right->pending(); });
     if (it != m_channels.end() && ((*it)->pending() == 0 || m_channels.size() >= m_maxChannels))
         return **it;
-    m_channels.push_back(std::make_unique<HttpChannel>(m_loop, m_clock, m_address, m_stats));
+    m_channels.push_back(std::make_unique<HttpChannel>(m_loop, m_clock, m_address, m_stats, m_budget));
     return *m_channels.back();
 }
 
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -7,6 +7,7 @@
 #include <http_parser.h>
 
 #include <deque>
+#include <list>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -128,12 +129,46 @@
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
 
 /// Sends requests to one address over one keep-alive connection, in order and one at a time.
+class HttpChannel;
+
+/// Bounds the connections of a group of channels, which leaves descriptors for the rest of the process. A channel that needs another one
+/// closes the connection that has been idle longest; if all are in use, its requests wait for one until their send deadlines.
+class ConnectionBudget {
+public:
+    ConnectionBudget(EventLoop& loop, const Clock& clock, size_t limit);
+
+    /// Reserves a connection. @returns false if all are in use; the channel is then asked to try again once one is not.
+    bool acquire(HttpChannel& channel);
+    /// The channel has closed its connection.
+    void release(HttpChannel& channel);
+    /// The channel has no request for its open connection.
+    void addIdle(HttpChannel& channel);
+    void removeIdle(HttpChannel& channel);
+    /// Forgets a channel that is destroyed.
+    void remove(HttpChannel& channel);
+    [[nodiscard]] size_t open() const { return m_open; }
+
+private:
+    void wakeWaiting();
+    void serveWaiting();
+
+    const Clock& m_clock;
+    size_t m_limit;
+    size_t m_open = 0;
+    /// Longest idle first.
+    std::list<HttpChannel*> m_idle;
+    std::unordered_map<HttpChannel*, std::list<HttpChannel*>::iterator> m_idlePositions;
+    std::list<HttpChannel*> m_waiting;
+    Timer m_timer;
+};
+
 class HttpChannel {
 public:
     using Handler = std::function<void(HttpResult)>;
 
     /// @param stats counters, which channels may share, or nullptr.
-    HttpChannel(EventLoop& loop, const Clock& clock, const Address& address, CallStats* stats = nullptr);
+    /// @param budget bound on the connections of several channels, or nullptr.
+    HttpChannel(EventLoop& loop, const Clock& clock, const Address& address, CallStats* stats = nullptr, ConnectionBudget* budget = nullptr);
     ~HttpChannel();
 
     /// @param deadline when the request fails if it has no response. If it has been sent by then, the connection is closed.
@@ -148,6 +183,11 @@
     /// Number of connections opened so far, including failed attempts.
     [[nodiscard]] uint64_t connections() const { return m_connectionCount; }
 
+    /// Sends the next request if the channel is free.
+    void startNext();
+    /// Closes the connection of a channel without requests.
+    void closeIdle();
+
 private:
     struct PendingRequest {
         std::string head;
@@ -157,7 +197,6 @@
         Handler handler;
     };
 
-    void startNext();
     void closeStream();
     void writeNextRequest();
     size_t receive(std::string_view bytes);
@@ -172,6 +211,7 @@
     const Clock& m_clock;
     Address m_address;
     CallStats* m_stats;
+    ConnectionBudget* m_budget;
     std::deque<PendingRequest> m_queue;
     bool m_isInFlight = false;
     bool m_hasReceivedResponse = false;
@@ -187,8 +227,8 @@
 /// Pool of channels to one address. Requests are queued only when all channels are busy.
 class HttpChannelPool {
 public:
-    /// @param stats see HttpChannel.
-    HttpChannelPool(EventLoop& loop, const Clock& clock, const Address& address, size_t maxChannels, CallStats* stats = nullptr);
+    /// @param stats, budget see HttpChannel.
+    HttpChannelPool(EventLoop& loop, const Clock& clock, const Address& address, size_t maxChannels, CallStats* stats = nullptr, ConnectionBudget* budget = nullptr);
 
     void send(HttpRequest request, TimePoint deadline, HttpChannel::Handler handler) { send(std::move(request), deadline, deadline, std::move(handler)); }
     void send(HttpRequest request, TimePoint sendDeadline, TimePoint deadline, HttpChannel::Handler handler);
@@ -201,6 +241,7 @@
     Address m_address;
     size_t m_maxChannels;
     CallStats* m_stats;
+    ConnectionBudget* m_budget;
     std::vector<std::unique_ptr<HttpChannel>> m_channels;
 };
 
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -121,6 +121,42 @@
     CHECK(std::none_of(f.requests.begin(), f.requests.end(), [](const auto& it) { return it.body == "late"; }));
 }
 
+// Guards against a leader that runs out of descriptors: with 3,006 endpoints it had 4,912 connections, 4,096 descriptors, and
+// served 0.025 of its requests (sweep of hvtw-lift-large).
+TEST_CASE("channels with a common budget close idle connections for others, and wait while all are in use", "[net]")
+{
+    Fixture f;
+    CallStats stats;
+    ConnectionBudget budget(f.loop, f.clock, 2);
+    std::vector<std::unique_ptr<HttpChannel>> channels;
+    for (int n = 0; n < 5; n++)
+        channels.push_back(std::make_unique<HttpChannel>(f.loop, f.clock, f.address, &stats, &budget));
+    for (int round = 0; round < 3; round++) {
+        size_t answered = 0;
+        size_t mostOpen = 0;
+        auto deadline = f.clock.now() + std::chrono::seconds(20);
+        for (auto& it : channels)
+            it->send({ "POST", "/x", {}, "b" }, deadline, [&](const HttpResult& result) { answered += std::holds_alternative<HttpResponse>(result) ? 1 : 0; });
+        runUntil(f.loop, [&] {
+            mostOpen = std::max(mostOpen, budget.open());
+            return answered == channels.size();
+        });
+        CHECK(mostOpen <= 2);
+    }
+    // While both connections wait for responses, a third request is not sent, and they are not closed for it.
+    std::vector<HttpFailure> failures;
+    auto now = f.clock.now();
+    auto fail = [&](const HttpResult& it) { failures.push_back(std::get<HttpFailure>(it)); };
+    channels[0]->send({ "POST", "/silent", {}, "" }, now + milliseconds(400), fail);
+    channels[1]->send({ "POST", "/silent", {}, "" }, now + milliseconds(400), fail);
+    channels[2]->send({ "POST", "/x", {}, "third" }, now + milliseconds(200), fail);
+    runUntil(f.loop, [&] { return failures.size() == 3; });
+    CHECK(failures == std::vector { HttpFailure::NotSent, HttpFailure::Unknown, HttpFailure::Unknown });
+    CHECK(std::none_of(f.requests.begin(), f.requests.end(), [](const auto& it) { return it.body == "third"; }));
+    channels.clear();
+    CHECK(budget.open() == 0);
+}
+
 TEST_CASE("a channel keeps its connection open between requests", "[net]")
 {
     Fixture f;
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -8,6 +8,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <csignal>
 #include <unistd.h>
 
@@ -15,13 +16,22 @@
 
 namespace {
 
-// File descriptors reserved for files, links and calls to endpoints.
-constexpr size_t reservedDescriptors = 2000;
+/// File descriptors for files, for links to other processes and for connections that are being closed.
+constexpr size_t reservedDescriptors = 700;
+/// Share of the other descriptors for connections to endpoints: the rest is for those that endpoints and operators open.
+constexpr double endpointConnectionShare = 0.6;
 constexpr size_t minConnections = 64;
 
-size_t connectionLimit(size_t maxDescriptors)
+struct ConnectionLimits {
+    size_t toEndpoints = minConnections;
+    size_t incoming = minConnections;
+};
+
+ConnectionLimits connectionLimits(size_t maxDescriptors)
 {
-    return maxDescriptors > reservedDescriptors + minConnections ? maxDescriptors - reservedDescriptors : minConnections;
+    auto available = maxDescriptors - std::min(maxDescriptors, reservedDescriptors);
+    auto toEndpoints = static_cast<size_t>(static_cast<double>(available) * endpointConnectionShare);
+    return { std::max(toEndpoints, minConnections), std::max(available - toEndpoints, minConnections) };
 }
 
 /// The port of the control interface is the same on all instances.
@@ -58,12 +68,13 @@
         LOG(ERROR) << raft::describe(storage.error());
         return 1;
     }
-    platform::HttpEndpointLinks endpoints(loop, clock);
+    auto limits = connectionLimits(settings->maxDescriptors);
+    platform::HttpEndpointLinks endpoints(loop, clock, limits.toEndpoints);
     platform::HttpAdviceService advice(loop, clock, settings->adviceAddress);
     platform::HttpInstanceService instances(loop, clock, settings->instanceServiceAddress, settings->node);
     node::Controller controller(loop, clock, log, settings->controller, { &endpoints, &advice, &instances }, std::move(*storage));
     auto forwardCall = [&](node::Request request, TimePoint deadline, node::LeaderClient::Handler handler) { controller.call(std::move(request), deadline, std::move(handler)); };
-    platform::ControlApi control(loop, clock, *settings->controlAddress, connectionLimit(settings->maxDescriptors), forwardCall, [&] { return controlAddress(controller.leader(), settings->controlAddress->port); });
+    platform::ControlApi control(loop, clock, *settings->controlAddress, limits.incoming, forwardCall, [&] { return controlAddress(controller.leader(), settings->controlAddress->port); });
     node::MetricsPage metrics(loop, { settings->controlAddress->ip, settings->metricsPort }, "vanillalift_controller_", [&](const auto& visit) { controller.visitMetrics(visit); });
     if (!control.isOpen() || !metrics.isOpen() || !controller.isOpen())
         return 1;
