--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-/// File descriptors for files, for links to other processes and for connections that are being closed.
-constexpr size_t reservedDescriptors = 700;
+/// File descriptors for files, for links of some 300 gateways and for connections that are being closed.
+constexpr size_t reservedDescriptors = 1100;
 /// Share of the other descriptors for connections to endpoints: the rest is for those that endpoints and operators open.
 constexpr double endpointConnectionShare = 0.6;
 constexpr size_t minConnections = 64;
