--- a/src/jobs/pool_plan.cpp
+++ b/src/jobs/pool_plan.cpp
@@ -147,7 +147,7 @@
         totalShortage--;
     }
 
-    // The pool in its peak may need every idle instance next, and one that becomes spare is lacking for two moves instead of one.
+    // The pool in its peak may need every idle instance next: one that becomes spare first arrives there after two moves.
     if (!sparePool || !mayBecomeSpare || isPeakStarting(pools, instances.size()))
         return actions;
     for (size_t n = 0; n < instances.size(); n++) {
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -137,7 +137,8 @@
 public:
     ConnectionBudget(EventLoop& loop, const Clock& clock, size_t limit);
 
-    /// Reserves a connection. @returns false if all are in use; the channel is then asked to try again once one is not.
+    /// Reserves a connection.
+    /// @returns false if all are in use; startNext() of the channel is then called once one is not.
     bool acquire(HttpChannel& channel);
     /// The channel has closed its connection.
     void release(HttpChannel& channel);
@@ -173,8 +174,8 @@
 
     /// @param deadline when the request fails if it has no response. If it has been sent by then, the connection is closed.
     void send(HttpRequest request, TimePoint deadline, Handler handler) { send(std::move(request), deadline, deadline, std::move(handler)); }
-    /// @param sendDeadline when the request fails as NotSent if it still waits for its connection or for earlier requests: the
-    /// permission on which it was made ends then.
+    /// @param sendDeadline when the request fails as NotSent if it still waits for its connection or for earlier requests, for
+    /// example because the sender may not be the leader any longer.
     void send(HttpRequest request, TimePoint sendDeadline, TimePoint deadline, Handler handler);
     /// Number of queued requests, including the one in flight.
     [[nodiscard]] size_t pending() const { return m_queue.size(); }
@@ -183,7 +184,7 @@
     /// Number of connections opened so far, including failed attempts.
     [[nodiscard]] uint64_t connections() const { return m_connectionCount; }
 
-    /// Sends the next request if the channel is free.
+    /// Sends the next request unless one is in flight; opens a connection if there is none.
     void startNext();
     /// Closes the connection of a channel without requests.
     void closeIdle();
--- a/src/node/job_service_p.h
+++ b/src/node/job_service_p.h
@@ -19,7 +19,7 @@
     struct Desc {
         /// Whether this controller had contact with a majority recently enough to act as the leader.
         std::function<bool()> hasLeaderAuthority;
-        /// Whether no other controller can have been elected since. Until then, something unknown here exists nowhere.
+        /// Whether no other controller can have been elected: what is unknown here then exists nowhere.
         std::function<bool()> isSoleLeader;
         std::function<void(const JoinRequest&)> handleJoin;
     };
