--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -129,7 +129,9 @@
     CallStats stats;
     ConnectionBudget budget(f.loop, f.clock, 2);
     std::vector<std::unique_ptr<HttpChannel>> channels;
-    for (int n = 0; n < 5; n++)
+    constexpr size_t channelCount = 5;
+    channels.reserve(channelCount);
+    for (size_t n = 0; n < channelCount; n++)
         channels.push_back(std::make_unique<HttpChannel>(f.loop, f.clock, f.address, &stats, &budget));
     for (int round = 0; round < 3; round++) {
         size_t answered = 0;
