Log why runs are lost and which endpoints crashed under them

The log could not tell the three hypotheses apart: each run on an endpoint that was replaced, restarted, removed or without a lease ended as lost. run-end has the cause now, endpoint-lost is a line that the rate limit never drops, with the silence before and the runs that the endpoint had confirmed, and endpoints_lost_total counts them. No logic changes.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -201,14 +201,30 @@
 
 TaskName Dispatcher::taskNameOf(const Run& run) const { return { run.jobId, run.key.task.occurrence, run.key.task.step, run.key.task.index }; }
 
-void Dispatcher::queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint)
+void Dispatcher::queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint, std::string_view cause)
 {
     if (run.phase == RunPhase::Ended)
         return;
     releaseRun(session, run);
     session.uncommittedEnds++;
     m_pendingEnds.push_back({ run.key, end, checkpoint.empty() ? run.checkpoint : checkpoint });
-    m_log.line("run-end").field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("end", runEndName(end)).field("percent", run.percent);
+    m_log.line("run-end").field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("end", runEndName(end)).field("cause", cause).field("percent", run.percent);
+}
+
+void Dispatcher::logEndpointLoss(const EndpointSession& session, std::string_view cause)
+{
+    auto now = m_clock.now();
+    size_t live = 0;
+    size_t confirmed = 0;
+    for (const auto& [key, run] : session.runs) {
+        live += run.phase != RunPhase::Ended && run.phase != RunPhase::Committing ? 1 : 0;
+        confirmed += run.phase == RunPhase::Running && run.knownToEndpointAt != TimePoint {} ? 1 : 0;
+    }
+    if (live == 0)
+        return;
+    m_stats.endpointsLost++;
+    auto lastContactAt = std::max(session.lastReplyAt, session.lastHeartbeatAt);
+    m_log.stateLine("endpoint-lost").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("cause", cause).field("silent-ms", millisecondsUntil(now, lastContactAt)).field("failures", session.unansweredStatusRequests).field("runs", live).field("confirmed-runs", confirmed);
 }
 
 void Dispatcher::flushRunEnds()
@@ -339,6 +355,7 @@
         bool isNewIncarnation = session->endpoint.startedAtMs != endpoint.startedAtMs;
         bool hasNewAddress = session->endpoint.address != endpoint.address;
         if (isNewIncarnation) {
+            logEndpointLoss(*session, "restarted");
             session->resetIncarnation(m_clock.now());
             session->leaseEndsAt = m_clock.now() + m_desc.maxLease;
         }
@@ -360,6 +377,7 @@
 {
     auto* session = findSession(last.id);
     if (session) {
+        logEndpointLoss(*session, session->isRemovalPending ? "removed" : "replaced");
         m_log.line("endpoint-removed").field("endpoint", last.id).field("born", last.startedAtMs).field("runs", session->runs.size());
         for (auto& [key, run] : session->runs) {
             if (run.phase == RunPhase::Committing) {
@@ -369,7 +387,7 @@
             }
             if (run.phase != RunPhase::Ended)
                 m_stats.runsLost++;
-            queueRunEnd(*session, run, RunEnd::Lost, "");
+            queueRunEnd(*session, run, RunEnd::Lost, "", session->isRemovalPending ? "endpoint-removed" : "endpoint-replaced");
         }
         session->resetIncarnation(m_clock.now());
         std::erase_if(m_staleAckUntil, [now = m_clock.now()](const auto& it) { return it.second <= now; });
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -42,6 +42,8 @@
     uint64_t runsDone = 0;
     uint64_t runsFailed = 0;
     uint64_t runsLost = 0;
+    /// Endpoints that restarted, were replaced or removed while they had runs in progress.
+    uint64_t endpointsLost = 0;
     uint64_t placements = 0;
     /// Endpoints evaluated as candidates for a task, whether or not it was placed: the cost of placement.
     uint64_t endpointsEvaluated = 0;
@@ -174,7 +176,10 @@
     [[nodiscard]] TaskName taskNameOf(const Run& run) const;
 
     // Ends (dispatcher.cpp)
-    void queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint);
+    /// @param cause logged with the end.
+    void queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint, std::string_view cause);
+    /// Logs and counts an endpoint that ended while runs were in progress there.
+    void logEndpointLoss(const EndpointSession& session, std::string_view cause);
     void flushRunEnds();
 
     // Requests to endpoints, and leases (dispatcher_requests.cpp)
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -78,7 +78,7 @@
     bool isStarting = run.phase == RunPhase::Starting;
     // No start request has been sent.
     if (isStarting && run.mustStop && !run.hasUnansweredStart)
-        return queueRunEnd(session, run, RunEnd::NotStarted, "");
+        return queueRunEnd(session, run, RunEnd::NotStarted, "", "not-sent");
     if (!session.canSendRunRequest())
         return;
     // A start request carries a lease, and an endpoint that does not answer gets no renewal.
@@ -249,7 +249,7 @@
     if (!isEndProven)
         return;
     m_stats.runsLost++;
-    queueRunEnd(session, run, run.mustStop ? RunEnd::NotStarted : RunEnd::Lost, "");
+    queueRunEnd(session, run, run.mustStop ? RunEnd::NotStarted : RunEnd::Lost, "", "not-listed");
 }
 
 void Dispatcher::updateProgress(EndpointSession& session, Run& run, const RunningRunReport& report, TimePoint sentAt)
@@ -308,7 +308,7 @@
         m_stats.runsFailed++;
         recordFailure(session, "a task failed");
     }
-    queueRunEnd(session, *run, report.end, report.checkpoint);
+    queueRunEnd(session, *run, report.end, report.checkpoint, "reported");
 }
 
 void Dispatcher::recordFailure(EndpointSession& session, const char* reason)
@@ -405,7 +405,7 @@
         return;
     }
     if (!run->hasUnansweredStart) {
-        queueRunEnd(session, *run, RunEnd::NotStarted, "");
+        queueRunEnd(session, *run, RunEnd::NotStarted, "", "refused");
         flushRunEnds();
     }
 }
@@ -502,7 +502,7 @@
             continue;
         hasExpired = true;
         m_stats.runsLost++;
-        queueRunEnd(session, run, RunEnd::Lost, "");
+        queueRunEnd(session, run, RunEnd::Lost, "", "lease-ended");
     }
     if (!hasExpired)
         return;
