Test that a task which crashes each endpoint is given up (fails)

The simulated endpoints can crash as a process does now: connections are reset and refused, and another process follows at the address after 3.2 s.

--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -128,6 +128,12 @@
     }
 };
 
+/// Crashes under one task after which it may be started at most startsAfterCrashes times more.
+constexpr uint32_t maxCrashesOfTask = 3;
+constexpr uint32_t startsAfterCrashes = 2;
+/// Time from the start of a task that crashes its endpoint to the crash.
+constexpr milliseconds crashDelay { 10 };
+
 /// Resources and run time of a task on an endpoint of normal speed.
 struct TaskLoad {
     Resources need;
@@ -167,6 +173,13 @@
     /// Jobs whose tasks may run as two copies at the same time.
     std::set<std::string> copyableJobs;
     std::map<TaskName, uint32_t> failuresAcknowledged;
+    /// Tasks whose start crashes the endpoint's process.
+    std::set<TaskName> crashingTasks;
+    /// Process crashes while the task ran there, and starts of the task after maxCrashesOfTask of them.
+    std::map<TaskName, uint32_t> crashesUnder;
+    std::map<TaskName, uint32_t> startsAfterCrashLimit;
+    /// Time from a process crash to the start of the next process at the address.
+    Duration restartTime = milliseconds(3200);
     /// Loads of tasks that do not use their endpoint's default.
     std::map<TaskName, TaskLoad> taskLoads;
     /// Work of runs that ended as done, in thousandths of a core times milliseconds.
@@ -223,6 +236,14 @@
         used += demand;
         if (!used.fitsIn(description.capacity))
             m_world.violations.add("capacity exceeded: " + describe(request.task, request.run));
+        if (m_world.crashingTasks.contains(request.task)) {
+            if (m_world.crashesUnder[request.task] >= maxCrashesOfTask && ++m_world.startsAfterCrashLimit[request.task] > startsAfterCrashes)
+                m_world.violations.add("started again after endpoints have crashed under it: " + describe(request.task, request.run));
+            m_world.eventQueue.after(crashDelay, [this, incarnation = m_incarnation] {
+                if (incarnation == m_incarnation)
+                    crashProcess();
+            });
+        }
         if (m_world.submittedLongRunningJobs.contains(request.task.job))
             return { EndpointReplyStatus::Accepted, clockMs() };
         auto duration = (hasLoad ? load->second.duration : m_world.randomDelay(100, 1500)) * slowdown;
@@ -311,6 +332,22 @@
         m_incarnation++;
     }
 
+    /// Ends the process: connections are reset, and a new process under another id follows at the address after World::restartTime.
+    void crashProcess()
+    {
+        for (const auto& [task, run] : m_runs)
+            m_world.crashesUnder[task]++;
+        m_processCrashes++;
+        crash();
+        isDown = true;
+        m_world.eventQueue.after(m_world.restartTime, [this, crashes = m_processCrashes] {
+            if (crashes != m_processCrashes)
+                return;
+            isDown = false;
+            restartAs(description.id.substr(0, description.id.find('-')) + '-' + std::to_string(crashes));
+        });
+    }
+
     /// Restarts the endpoint process under the given id.
     void restartAs(const std::string& id)
     {
@@ -333,6 +370,7 @@
     }
 
     [[nodiscard]] uint64_t incarnation() const { return m_incarnation; }
+    [[nodiscard]] uint64_t processCrashes() const { return m_processCrashes; }
     /// Number of the newest ended run.
     [[nodiscard]] uint64_t lastEnd() const { return m_lastEnd; }
     /// Whether ended runs are listed that have not been acknowledged.
@@ -348,6 +386,8 @@
     int slowdown = 1;
     /// No message reaches the endpoint.
     bool isPartitioned = false;
+    /// No process runs at the address: connections to it are refused.
+    bool isDown = false;
 
 private:
     struct SimRun {
@@ -402,6 +442,7 @@
     uint64_t m_lastEndBeforeExpiry = 0;
     uint64_t m_lastSerial = 0;
     uint64_t m_incarnation = 0;
+    uint64_t m_processCrashes = 0;
     std::map<TaskName, SimRun> m_runs;
     std::map<TaskName, uint32_t> m_lastClosedRun;
     std::deque<EndedRunReport> m_unacknowledgedEnds;
@@ -486,17 +527,24 @@
         // A request is sent over a connection to the present process: a later incarnation at the address never receives it.
         auto* receiver = endpointAt(m_world, m_address);
         auto incarnation = receiver ? receiver->incarnation() : 0;
+        auto crashes = receiver ? receiver->processCrashes() : 0;
         bool isAnswerLost = isExecutedLate || m_world.chance(m_world.faults.lostAnswerProbability);
-        m_world.eventQueue.after(delay, [&world = m_world, id = m_id, it = receiver, incarnation, execute, answer, isAnswerLost] {
-            if (!it || it->isPartitioned || it->incarnation() != incarnation)
+        m_world.eventQueue.after(delay, [&world = m_world, id = m_id, it = receiver, incarnation, crashes, execute, answer, isAnswerLost] {
+            if (!it || it->isPartitioned)
+                return;
+            if (it->processCrashes() != crashes || it->isDown)
+                return answer(Reply { it->processCrashes() != crashes ? EndpointReplyStatus::Unknown : EndpointReplyStatus::NotSent });
+            if (it->incarnation() != incarnation)
                 return;
             Reply reply;
             if (it->description.id == id)
                 reply = execute(*it);
             else
                 reply.status = EndpointReplyStatus::WrongInstance;
-            if (!isAnswerLost)
-                world.eventQueue.after(world.randomDelay(1, 20), [answer, reply] { answer(reply); });
+            if (isAnswerLost)
+                return;
+            // A crash resets the connection, and an answer that has not arrived is lost with it.
+            world.eventQueue.after(world.randomDelay(1, 20), [answer, reply, it, crashes] { answer(it->processCrashes() == crashes ? reply : Reply { EndpointReplyStatus::Unknown }); });
         });
     }
 
@@ -932,7 +980,7 @@
     void sendHeartbeats()
     {
         for (const auto& [key, it] : world.endpoints) {
-            if (it->isPartitioned)
+            if (it->isPartitioned || it->isDown)
                 continue;
             Dispatcher::Heartbeat heartbeat { it->description, ++m_heartbeatSequence, it->clockMs(), std::nullopt };
             world.thread.post([this, heartbeat] {
