Give up a task that crashes the endpoints that start it

Cause: the outcome 'its endpoint crashed' did not exist. All that ended without a report was recorded as lost, and placed again without limit; a speculative copy even sooner than the crash is certain. Class of fault: a retry without a budget, where the retried work itself is the cause of the failure.

The log now records the runs that are in progress when an endpoint stops answering, and what became of them. An endpoint has crashed if a successor takes its place, no one asked it to end, and the lease of its runs had not ended before (or its connections were reset, not silent). The blame for a crash is divided among the runs there by how soon after their start it came, with a part for causes that are no task; endpoints lost together with most of their rack or zone count for no one. A task with three crashes and 1.4 of blame is given up and its job fails. Until then it runs apart: the more it is suspected, the fewer others share its endpoint; with two possible crashes it gets no copies, and if certainty would end it, it waits for it. Knowledge and open questions are in the replicated state.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -45,6 +45,7 @@
             planOf(*job);
         restorePlacements(*job);
     }
+    resolveOrphanedSuspects();
     flushRunEnds();
 }
 
@@ -82,6 +83,12 @@
         session->lastHeartbeatAt = m_clock.now();
         if (auto stale = m_staleAckUntil.extract(endpoint.id); !stale.empty())
             session->staleAckUntil = stale.mapped();
+        if (auto unstable = m_unstableUntil.find(endpoint.address); unstable != m_unstableUntil.end())
+            session->unstableUntil = unstable->second;
+        if (auto recorded = m_store.suspects().find(endpoint.id); recorded != m_store.suspects().end() && recorded->second.startedAtMs == endpoint.startedAtMs) {
+            for (const auto& it : recorded->second.runs)
+                session->suspects.insert(it.run.task);
+        }
     }
     session->endpoint = endpoint;
     session->link = m_links.open(endpoint);
@@ -148,9 +155,14 @@
     run.allowsSpeculativeCopy = step.allowsSpeculativeCopy && !step.isGang && !step.isLongRunning;
     run.latencyTargetMs = step.latencyTargetMs;
     run.estimateMs = step.estimateMs;
+    if (const auto* task = job.findTask(key.task))
+        run.crashes = task->possibleCrashes().crashes;
     run.placedAt = m_clock.now();
     run.progressAt = run.placedAt;
     session.used += run.need;
+    session.liveRuns++;
+    session.suspectRuns += run.crashes > 0 ? 1 : 0;
+    session.isolatedRuns += run.crashes >= isolationCrashes ? 1 : 0;
     session.latencySensitiveRuns += run.latencyTargetMs != 0 ? 1 : 0;
     session.bestEffortRuns += run.isBestEffort ? 1 : 0;
     if (!run.workspace.empty())
@@ -164,6 +176,9 @@
         return;
     run.phase = RunPhase::Ended;
     session.used -= run.need;
+    session.liveRuns--;
+    session.suspectRuns -= run.crashes > 0 ? 1 : 0;
+    session.isolatedRuns -= run.crashes >= isolationCrashes ? 1 : 0;
     session.latencySensitiveRuns -= run.latencyTargetMs != 0 ? 1 : 0;
     session.bestEffortRuns -= run.isBestEffort ? 1 : 0;
     if (!run.workspace.empty())
@@ -211,22 +226,6 @@
     m_log.line("run-end").field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("end", runEndName(end)).field("cause", cause).field("percent", run.percent);
 }
 
-void Dispatcher::logEndpointLoss(const EndpointSession& session, std::string_view cause)
-{
-    auto now = m_clock.now();
-    size_t live = 0;
-    size_t confirmed = 0;
-    for (const auto& [key, run] : session.runs) {
-        live += run.phase != RunPhase::Ended && run.phase != RunPhase::Committing ? 1 : 0;
-        confirmed += run.phase == RunPhase::Running && run.knownToEndpointAt != TimePoint {} ? 1 : 0;
-    }
-    if (live == 0)
-        return;
-    m_stats.endpointsLost++;
-    auto lastContactAt = std::max(session.lastReplyAt, session.lastHeartbeatAt);
-    m_log.stateLine("endpoint-lost").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("cause", cause).field("silent-ms", millisecondsUntil(now, lastContactAt)).field("failures", session.unansweredStatusRequests).field("runs", live).field("confirmed-runs", confirmed);
-}
-
 void Dispatcher::flushRunEnds()
 {
     if (!m_pendingEnds.empty())
@@ -245,6 +244,7 @@
         return;
     for (auto& [id, session] : m_sessions)
         updateSession(*session);
+    resolveDueCrashes();
 }
 
 void Dispatcher::placeTasks()
@@ -308,6 +308,8 @@
     if (!known)
         return onRecorded();
     m_waiters[endpointId].push_back({ endpointId, std::move(onRecorded) });
+    if (auto* session = findSession(endpointId))
+        session->removalReason = RemovalReason::Left;
     m_log.line("endpoint-leave").field("endpoint", endpointId).field("born", known->startedAtMs);
     m_desc.propose(RemoveEndpoint { endpointId, known->startedAtMs });
 }
@@ -323,6 +325,12 @@
         retryAllPlacements();
 }
 
+void Dispatcher::setTakenDown(const std::set<std::string>& endpointIds)
+{
+    for (auto& [id, session] : m_sessions)
+        session->isTakenDown = endpointIds.contains(id);
+}
+
 void Dispatcher::requestFreshStatus(const std::string& endpointId)
 {
     if (auto* session = findSession(endpointId))
@@ -355,7 +363,7 @@
         bool isNewIncarnation = session->endpoint.startedAtMs != endpoint.startedAtMs;
         bool hasNewAddress = session->endpoint.address != endpoint.address;
         if (isNewIncarnation) {
-            logEndpointLoss(*session, "restarted");
+            handleIncarnationEnd(*session, "restarted");
             session->resetIncarnation(m_clock.now());
             session->leaseEndsAt = m_clock.now() + m_desc.maxLease;
         }
@@ -377,7 +385,8 @@
 {
     auto* session = findSession(last.id);
     if (session) {
-        logEndpointLoss(*session, session->isRemovalPending ? "removed" : "replaced");
+        handleIncarnationEnd(*session, session->removalReason == RemovalReason::Left ? "left" : session->isRemovalPending ? "removed"
+                                                                                                                          : "replaced");
         m_log.line("endpoint-removed").field("endpoint", last.id).field("born", last.startedAtMs).field("runs", session->runs.size());
         for (auto& [key, run] : session->runs) {
             if (run.phase == RunPhase::Committing) {
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "arrival_rate_p.h"
+#include "crash_attribution_p.h"
 #include "endpoint_session_p.h"
 #include "job_estimate_p.h"
 #include "job_store_p.h"
@@ -44,6 +45,9 @@
     uint64_t runsLost = 0;
     /// Endpoints that restarted, were replaced or removed while they had runs in progress.
     uint64_t endpointsLost = 0;
+    /// Of these, endpoints that crashed by themselves, and jobs that were given up because of a task's crashes.
+    uint64_t endpointsCrashed = 0;
+    uint64_t jobsGivenUp = 0;
     uint64_t placements = 0;
     /// Endpoints evaluated as candidates for a task, whether or not it was placed: the cost of placement.
     uint64_t endpointsEvaluated = 0;
@@ -112,6 +116,8 @@
 
     /// Sets the endpoints whose instances a wave or a move will take down: no more tasks are placed there.
     void setCordoned(const std::set<std::string>& endpointIds);
+    /// Sets the endpoints whose instances the platform has been asked to take down: their end is no crash.
+    void setTakenDown(const std::set<std::string>& endpointIds);
     /// Shortens the endpoint's status request interval for a while.
     void requestFreshStatus(const std::string& endpointId);
     /// Stops a run, so that its task is placed elsewhere.
@@ -155,6 +161,7 @@
     void onRunPlaced(Job& job, const RunKey& run, const std::string& endpoint) override;
     void onRunEnded(Job& job, const EndedRun& run, const std::string& endpoint) override;
     void onWave(const WaveState& /*wave*/) override { }
+    void onSuspicion(Job& job, const TaskKey& task, bool isGivenUp) override;
 
 private:
     struct Waiter {
@@ -162,6 +169,13 @@
         std::function<void()> onRecorded;
     };
 
+    /// A crash that is not attributed yet.
+    struct PendingCrash {
+        EndpointLoss loss;
+        int64_t startedAtMs = 0;
+        TimePoint dueAt;
+    };
+
     // Takeover (dispatcher.cpp)
     void restoreState();
     void restorePlacements(Job& job);
@@ -178,8 +192,6 @@
     // Ends (dispatcher.cpp)
     /// @param cause logged with the end.
     void queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint, std::string_view cause);
-    /// Logs and counts an endpoint that ended while runs were in progress there.
-    void logEndpointLoss(const EndpointSession& session, std::string_view cause);
     void flushRunEnds();
 
     // Requests to endpoints, and leases (dispatcher_requests.cpp)
@@ -194,7 +206,7 @@
     /// Sends requests that were held back by the endpoint's limit of pending requests.
     void sendWaitingRequests(const std::string& endpointId);
     void sendStatusRequest(EndpointSession& session);
-    void receiveStatusReply(EndpointSession& session, TimePoint sentAt, const StatusReply& reply);
+    void receiveStatusReply(EndpointSession& session, TimePoint sentAt, TimePoint deadline, const StatusReply& reply);
     void reconcile(EndpointSession& session, TimePoint sentAt, const StatusReply& reply);
     void updateProgress(EndpointSession& session, Run& run, const RunningRunReport& report, TimePoint sentAt);
     void handleReportedEnd(EndpointSession& session, const EndedRunReport& report);
@@ -207,10 +219,28 @@
     void receiveStopReply(EndpointSession& session, const RunKey& key, const RunRequestReply& reply);
     void sendThrottle(EndpointSession& session, Run& run);
     void handleLeaseExpiry(EndpointSession& session);
-    void removeEndpoint(EndpointSession& session, const char* reason);
+    void removeEndpoint(EndpointSession& session, RemovalReason reason);
     void recordFailure(EndpointSession& session, const char* reason);
     void throttleBestEffortRuns(EndpointSession& session);
 
+    // Crashes of endpoints, and the tasks that may be their cause (dispatcher_crashes.cpp)
+    /// Records the runs that were in progress on an endpoint that does not answer.
+    void recordSuspects(EndpointSession& session);
+    void resolveSuspects(EndpointSession& session, bool hasCrashed);
+    /// Resolves suspects of endpoints that an earlier leader knew and that are gone.
+    void resolveOrphanedSuspects();
+    /// Handles the end of the endpoint's incarnation.
+    void handleIncarnationEnd(EndpointSession& session, std::string_view cause);
+    /// Forgets crashes under long-running tasks that have been in progress for long enough.
+    void forgetCrashes(EndpointSession& session);
+    [[nodiscard]] bool isSuspect(const Run& run) const;
+    /// @returns whether the endpoint's end was expected: it drains or has left, or its instance is moved or maintained.
+    [[nodiscard]] static bool isEndPlanned(const EndpointSession& session);
+    /// Decides about crashes once it is known whether other endpoints were lost at the same time.
+    void resolveDueCrashes();
+    [[nodiscard]] bool wasLostWithGroup(const EndpointLoss& loss) const;
+    [[nodiscard]] static EndpointLoss describeLoss(const EndpointSession& session, TimePoint now);
+
     // Speculative copies and speed estimates of endpoints (dispatcher_speculation.cpp)
     void planSpeculativeCopies();
     [[nodiscard]] Duration expectedRunTime(const Run& run);
@@ -265,6 +295,11 @@
     std::map<std::string, std::unique_ptr<EndpointSession>> m_sessions;
     /// EndpointSession::staleAckUntil of removed endpoints, by endpoint id.
     std::map<std::string, TimePoint> m_staleAckUntil;
+    /// Endpoints that ended recently without a plan.
+    std::vector<EndpointLoss> m_losses;
+    std::vector<PendingCrash> m_pendingCrashes;
+    /// EndpointSession::unstableUntil by address.
+    std::map<std::string, TimePoint> m_unstableUntil;
     std::map<uint64_t, JobPlan> m_plans;
     std::map<std::string, PlacementState> m_placementStates;
     std::map<std::string, Resources> m_workspaceUsage;
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -30,6 +30,15 @@
     /// Timeout of a request for advice, in addition to the decision time in the queue's settings.
     constexpr std::chrono::milliseconds adviceTimeoutMargin { 1500 };
 
+    void setRunCounts(PlacementCandidate& candidate, const EndpointSession& session)
+    {
+        candidate.latencySensitiveRuns = session.latencySensitiveRuns;
+        candidate.bestEffortRuns = session.bestEffortRuns;
+        candidate.liveRuns = session.liveRuns;
+        candidate.suspectRuns = session.suspectRuns;
+        candidate.isolatedRuns = session.isolatedRuns;
+    }
+
     bool isConstrained(const StepSpec& step) { return step.maxPerEndpoint != 0 || !step.requiredLabel.empty(); }
 
 } // namespace
@@ -103,6 +112,8 @@
             TaskKey key { job.serial, occurrence, step, index };
             if (plan.proposedTasks.contains(key))
                 continue;
+            if (isHeldBack(tasks[index].crashes, tasks[index].possibleCrashes()))
+                continue;
             const auto* run = onlyRunOf(key, tasks[index]);
             if (!tasks[index].isIdle() && !(run && run->wantsSpeculativeCopy))
                 continue;
@@ -178,8 +189,8 @@
         candidate.free = session->freeCapacity();
         candidate.recentFailures = session->consecutiveFailures;
         candidate.speed = session->speed.at(now);
-        candidate.latencySensitiveRuns = session->latencySensitiveRuns;
-        candidate.bestEffortRuns = session->bestEffortRuns;
+        setRunCounts(candidate, *session);
+        candidate.isUnstable = now < session->unstableUntil;
         maxFree = { std::max(maxFree.cpu, candidate.free.cpu), std::max(maxFree.memory, candidate.free.memory), std::max(maxFree.gpus, candidate.free.gpus) };
         candidates.push_back(candidate);
         sessions.push_back(session.get());
@@ -311,6 +322,7 @@
     const auto* task = job.findTask(key);
     PlacementHints hints;
     hints.avoid = task->lastFailedEndpoint;
+    hints.crashes = task->possibleCrashes().crashes;
     if (!task->placements.empty())
         hints.exclude = task->placements.front().endpoint;
     const StepAdvice* advice = nullptr;
@@ -334,8 +346,7 @@
     proposePlacement(plan, key, task->lastRun + 1, *sessions[*chosen], ticket);
     auto& candidate = candidates[*chosen];
     candidate.free = sessions[*chosen]->freeCapacity();
-    candidate.latencySensitiveRuns = sessions[*chosen]->latencySensitiveRuns;
-    candidate.bestEffortRuns = sessions[*chosen]->bestEffortRuns;
+    setRunCounts(candidate, *sessions[*chosen]);
     return true;
 }
 
@@ -344,7 +355,7 @@
     const auto& job = *plan.job;
     const auto& step = job.spec.steps[first.step];
     const auto& tasks = job.occurrences[first.occurrence].steps[first.step].tasks;
-    bool isGangIdle = std::all_of(tasks.begin(), tasks.end(), [](const Task& it) { return it.isIdle(); });
+    bool isGangIdle = std::all_of(tasks.begin(), tasks.end(), [](const Task& it) { return it.isIdle() && !isHeldBack(it.crashes, it.possibleCrashes()); });
     if (!isGangIdle || !isWithinLimit(job, step, step.taskCount))
         return false;
     uint32_t number = 0;
@@ -366,6 +377,7 @@
         preparePlacement(trial[n], *sessions[n], first, step);
     for (uint32_t index = 0; index < step.taskCount; index++) {
         hints.avoid = tasks[index].lastFailedEndpoint;
+        hints.crashes = tasks[index].possibleCrashes().crashes;
         hints.rack = step.prefersOneRack ? std::string_view(rack) : std::string_view();
         m_stats.endpointsEvaluated += trial.size();
         auto candidateIndex = choosePlacement(step, hints, trial);
@@ -385,6 +397,7 @@
         }
         proposePlacement(plan, { first.job, first.occurrence, first.step, index }, number + 1, session, ticket);
         candidates[chosen[index]].free = session.freeCapacity();
+        setRunCounts(candidates[chosen[index]], session);
     }
     return true;
 }
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -23,6 +23,10 @@
     constexpr std::chrono::milliseconds minStallTimeout { 2500 };
     /// Long-poll wait of a status request while a decision depends on the endpoint's current runs.
     constexpr std::chrono::milliseconds freshStatusWait { 60 };
+    /// Consecutive unanswered status requests from which the runs of an endpoint are recorded as suspects.
+    constexpr uint32_t unansweredForSuspicion = 2;
+
+    bool isUnanswered(EndpointReplyStatus status) { return status == EndpointReplyStatus::Unknown || status == EndpointReplyStatus::NotSent; }
 
 } // namespace
 
@@ -48,6 +52,8 @@
     if (isNeeded && !session.isStatusRequestPending && now >= session.nextStatusRequestAt && session.uncommittedEnds == 0)
         sendStatusRequest(session);
     sendDueRequests(session, now);
+    if (session.unansweredStatusRequests >= unansweredForSuspicion)
+        recordSuspects(session);
     if (now > session.leaseEndsAt + config::leaseMargin)
         handleLeaseExpiry(session);
 }
@@ -123,7 +129,7 @@
     session.statusRequestSentAt = now;
     m_stats.statusRequestsSent++;
     auto deadline = now + std::chrono::milliseconds(request.waitMs) + config::statusTimeout;
-    auto handle = [this, id = session.endpoint.id, startedAtMs = session.endpoint.startedAtMs, now, isAlive = m_isAlive](const StatusReply& reply) {
+    auto handle = [this, id = session.endpoint.id, startedAtMs = session.endpoint.startedAtMs, now, deadline, isAlive = m_isAlive](const StatusReply& reply) {
         auto* session = *isAlive ? findSession(id) : nullptr;
         if (!session)
             return;
@@ -134,19 +140,21 @@
             session->unansweredAckAt = now;
         if (isSameIncarnation)
             session->isAckPending = false;
-        receiveStatusReply(*session, now, reply);
+        receiveStatusReply(*session, now, deadline, reply);
     };
     session.link->requestStatus(request, deadline, std::move(handle));
 }
 
-void Dispatcher::receiveStatusReply(EndpointSession& session, TimePoint sentAt, const StatusReply& reply)
+void Dispatcher::receiveStatusReply(EndpointSession& session, TimePoint sentAt, TimePoint deadline, const StatusReply& reply)
 {
     auto now = m_clock.now();
     session.isStatusRequestPending = false;
     if (reply.status == EndpointReplyStatus::WrongInstance)
-        return removeEndpoint(session, "another incarnation answers at the address");
+        return removeEndpoint(session, RemovalReason::Replaced);
     if (reply.status != EndpointReplyStatus::Accepted) {
-        session.unansweredStatusRequests++;
+        if (session.unansweredStatusRequests++ == 0)
+            session.silentSince = now;
+        session.isConnectionLost = session.isConnectionLost || (isUnanswered(reply.status) && now < deadline);
         cancelUnsentStarts(session);
         if (reply.status == EndpointReplyStatus::Unknown)
             m_lastUnansweredAt = now;
@@ -160,6 +168,7 @@
     if (session.unansweredStatusRequests > 1)
         m_log.line("endpoint-regained").field("endpoint", session.endpoint.id).field("failures", session.unansweredStatusRequests);
     session.unansweredStatusRequests = 0;
+    session.isConnectionLost = false;
     session.lastReplyAt = now;
     session.nextStatusRequestAt = now;
     if (reply.startedAtMs && *reply.startedAtMs != session.endpoint.startedAtMs) {
@@ -175,6 +184,8 @@
     }
     if (reply.clockMs)
         session.addClockSample(*reply.clockMs, now);
+    resolveSuspects(session, false);
+    forgetCrashes(session);
     reconcile(session, sentAt, reply);
     if (hasLeaderAuthority())
         updateSession(session);
@@ -334,11 +345,15 @@
     session.pendingRunRequests++;
     run.resumedFrom = task->checkpoint;
     m_stats.startsSent++;
-    session.link->start(request, now + config::runRequestTimeout, [this, id = session.endpoint.id, key = run.key, isAlive = m_isAlive](const RunRequestReply& reply) {
+    auto deadline = now + config::runRequestTimeout;
+    session.link->start(request, deadline, [this, id = session.endpoint.id, key = run.key, deadline, isAlive = m_isAlive](const RunRequestReply& reply) {
         auto* session = *isAlive ? findSession(id) : nullptr;
         if (!session)
             return;
         session->pendingRunRequests--;
+        auto* run = findRun(*session, key);
+        if (run && reply.status == EndpointReplyStatus::Unknown && m_clock.now() < deadline)
+            run->wasStartInterrupted = true;
         receiveStartReply(*session, key, reply);
         sendWaitingRequests(id);
     });
@@ -391,7 +406,7 @@
         return;
     }
     if (reply.status == EndpointReplyStatus::WrongInstance)
-        return removeEndpoint(session, "another incarnation answers at the address");
+        return removeEndpoint(session, RemovalReason::Replaced);
     m_stats.startsRefused++;
     if (reply.status == EndpointReplyStatus::Unhealthy)
         recordFailure(session, "the endpoint rejects requests as unhealthy");
@@ -433,7 +448,7 @@
     if (!run)
         return;
     if (reply.status == EndpointReplyStatus::WrongInstance)
-        return removeEndpoint(session, "another incarnation answers at the address");
+        return removeEndpoint(session, RemovalReason::Replaced);
     if (reply.status != EndpointReplyStatus::Accepted) {
         run->nextRunRequestAt = now + config::unreachableRetryDelay;
         return;
@@ -495,7 +510,7 @@
     auto now = m_clock.now();
     bool isSilent = now - session.lastHeartbeatAt > config::endpointExpiry;
     if (isSilent && !session.isRemovalPending && session.unansweredStatusRequests > 0)
-        return removeEndpoint(session, "no heartbeat and no lease");
+        return removeEndpoint(session, RemovalReason::Silent);
     bool hasExpired = false;
     for (auto& [key, run] : session.runs) {
         if (run.phase == RunPhase::Ended || run.phase == RunPhase::Committing)
@@ -506,18 +521,22 @@
     }
     if (!hasExpired)
         return;
+    // Its runs ended with the lease, if not before. Nothing shows that its process has ended.
+    if (!session.isConnectionLost)
+        resolveSuspects(session, false);
     // When it comes back, its runs have to be reconciled with the store before it gets tasks.
     session.isReconciled = false;
     m_log.line("lease-ended").field("endpoint", session.endpoint.id).field("failures", session.unansweredStatusRequests);
 }
 
-void Dispatcher::removeEndpoint(EndpointSession& session, const char* reason)
+void Dispatcher::removeEndpoint(EndpointSession& session, RemovalReason reason)
 {
     if (session.isRemovalPending)
         return;
     session.isRemovalPending = true;
+    session.removalReason = reason;
     session.nextStatusRequestAt = m_clock.now() + config::endpointExpiry;
-    m_log.line("endpoint-gone").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("reason", reason);
+    m_log.line("endpoint-gone").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("reason", reason == RemovalReason::Replaced ? "another incarnation answers at the address" : "no heartbeat and no lease");
     m_desc.propose(RemoveEndpoint { session.endpoint.id, session.endpoint.startedAtMs });
 }
 
--- a/src/jobs/dispatcher_speculation.cpp
+++ b/src/jobs/dispatcher_speculation.cpp
@@ -35,6 +35,10 @@
             progress.isStopping = run.mustStop;
             if (!isSpeculativeCopyWorthwhile(progress, now))
                 continue;
+            const auto* job = m_store.findJobBySerial(key.task.job);
+            const auto* task = job ? job->findTask(key.task) : nullptr;
+            if (task && task->possibleCrashes().crashes >= isolationCrashes)
+                continue;
             run.wantsSpeculativeCopy = true;
             markDirty(key.task.job);
             m_log.line("copy").field("job", run.jobId).field("task", key.task).field("run", key.number).field("endpoint", id).field("silent-ms", millisecondsUntil(now, lastContactAt)).field("percent", run.percent).field("stopping", run.mustStop);
--- a/src/jobs/endpoint_session.cpp
+++ b/src/jobs/endpoint_session.cpp
@@ -80,6 +80,9 @@
         staleAckUntil = unansweredAckAt + maxRequestDelay;
     isAckPending = false;
     isReconciled = false;
+    isConnectionLost = false;
+    silentSince = {};
+    suspects.clear();
     reconciledAt = {};
     clock.reset();
     lastHeartbeatSequence = 0;
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace vanillalift::jobs {
@@ -42,8 +43,12 @@
     bool wantsSpeculativeCopy = false;
     uint32_t latencyTargetMs = 0;
     uint32_t estimateMs = 0;
+    /// Crashes under the task when the run was placed.
+    uint32_t crashes = 0;
     /// A start request timed out: the endpoint may still carry it out.
     bool hasUnansweredStart = false;
+    /// The connection of a start request broke before its deadline: the endpoint was running and has probably received it.
+    bool wasStartInterrupted = false;
     TimePoint unansweredSince;
     bool isRequestPending = false;
     /// The run has to be stopped here.
@@ -89,6 +94,17 @@
     TimePoint receivedAt;
 };
 
+/// Why the leader has asked for an endpoint's removal.
+enum class RemovalReason : uint8_t {
+    None,
+    /// It reported that it leaves.
+    Left,
+    /// Neither heartbeats nor replies arrive.
+    Silent,
+    /// Another incarnation answers at its address.
+    Replaced,
+};
+
 /// The leader's view of one endpoint.
 struct EndpointSession {
     Endpoint endpoint;
@@ -99,6 +115,11 @@
     /// Number of these runs that are latency-sensitive, and that are best-effort.
     uint32_t latencySensitiveRuns = 0;
     uint32_t bestEffortRuns = 0;
+    /// Number of these runs under whose tasks endpoints have crashed, and that therefore run apart from others.
+    uint32_t suspectRuns = 0;
+    uint32_t isolatedRuns = 0;
+    /// Number of runs that have not ended.
+    uint32_t liveRuns = 0;
     /// The endpoint has reported its runs in this leader's term, and they were compared with the store.
     bool isReconciled = false;
     /// When this first happened for the current incarnation.
@@ -116,6 +137,14 @@
     TimePoint statusRequestSentAt;
     TimePoint nextStatusRequestAt;
     uint32_t unansweredStatusRequests = 0;
+    /// When the first of these failed.
+    TimePoint silentSince;
+    /// One of these failed before its deadline: the connection was reset or refused, so the process may have ended.
+    bool isConnectionLost = false;
+    /// Tasks recorded as suspects since the endpoint stopped answering.
+    std::set<TaskKey> suspects;
+    /// An endpoint at the same address crashed recently: until then, tasks that are hit by crashes avoid it.
+    TimePoint unstableUntil;
     /// Until then the endpoint answers status requests after a short wait: a decision needs its current runs.
     TimePoint freshStatusUntil;
     /// Highest number of a run end that was processed, and the number up to which all ends are committed.
@@ -138,7 +167,10 @@
     SpeedEstimate speed;
     /// A wave or a move will take the instance down: no task is placed.
     bool isCordoned = false;
+    /// The platform has been asked to take the instance down.
+    bool isTakenDown = false;
     bool isRemovalPending = false;
+    RemovalReason removalReason = RemovalReason::None;
 
     /// @returns a lower bound of the endpoint's clock at a local time, in milliseconds; nothing without a clock sample.
     [[nodiscard]] std::optional<int64_t> clockAt(TimePoint time) const;
--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -306,8 +306,12 @@
 void InstanceManager::updateCordons()
 {
     std::set<std::string> cordoned;
+    std::set<std::string> takenDown;
     for (const auto& [key, progress] : m_progress) {
         auto wave = m_store.waves().find(key.first);
+        bool isRequested = progress.isRequested || (wave != m_store.waves().end() && wave->second.isRequested(key.second));
+        if (const auto* endpoint = isRequested && !progress.hasReturned ? endpointOf(key.second) : nullptr)
+            takenDown.insert(endpoint->id);
         bool isDue = wave != m_store.waves().end() && !wave->second.isMaintained(key.second);
         if (!isDue || progress.drainingSince == TimePoint {})
             continue;
@@ -316,10 +320,14 @@
     }
     for (const auto& [name, move] : m_moves) {
         const auto* endpoint = endpointOf(name);
-        if (endpoint && !(move.isAccepted && endpoint->service == move.pool))
-            cordoned.insert(endpoint->id);
+        if (!endpoint || (move.isAccepted && endpoint->service == move.pool))
+            continue;
+        cordoned.insert(endpoint->id);
+        if (!move.pool.empty())
+            takenDown.insert(endpoint->id);
     }
     m_dispatcher.setCordoned(cordoned);
+    m_dispatcher.setTakenDown(takenDown);
 }
 
 } // namespace vanillalift::jobs
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -298,6 +298,79 @@
 
 void JobStore::apply(PutReplica& command) { m_replicas[command.name] = { command.availabilityZone, command.isReplacement }; }
 
+void JobStore::forEachSuspect(SuspectRuns& suspects, const std::function<void(SuspectRun&, Job&, Task&)>& handler)
+{
+    for (auto& it : suspects.runs) {
+        auto* job = findJobBySerial(it.run.task.job);
+        if (auto* task = job ? job->findTask(it.run.task) : nullptr)
+            handler(it, *job, *task);
+    }
+}
+
+void JobStore::apply(RecordSuspects& command)
+{
+    auto endpoint = m_endpoints.find(command.endpoint);
+    if (endpoint == m_endpoints.end() || endpoint->second.startedAtMs != command.startedAtMs)
+        return;
+    auto& recorded = m_suspects[command.endpoint];
+    if (recorded.startedAtMs != command.startedAtMs)
+        recorded = { command.startedAtMs, endpoint->second.address, endpoint->second.instance, {} };
+    forEachSuspect(recorded, [](SuspectRun& it, Job&, Task& task) { task.openBlame -= std::min(task.openBlame, it.share); });
+    for (auto& it : command.runs) {
+        auto* job = findJobBySerial(it.run.task.job);
+        auto* task = job ? job->findTask(it.run.task) : nullptr;
+        bool isRecorded = std::any_of(recorded.runs.begin(), recorded.runs.end(), [&](const SuspectRun& known) { return known.run.task == it.run.task; });
+        if (!task || !job->isActive() || task->isDone || isRecorded)
+            continue;
+        recorded.runs.push_back(it);
+        task->openCrashes++;
+    }
+    std::vector<uint32_t> weights;
+    for (const auto& it : recorded.runs)
+        weights.push_back(it.weight);
+    auto shares = blameShares(weights);
+    for (size_t n = 0; n < shares.size(); n++)
+        recorded.runs[n].share = shares[n];
+    forEachSuspect(recorded, [this](SuspectRun& it, Job& job, Task& task) {
+        task.openBlame += it.share;
+        if (m_observer)
+            m_observer->onSuspicion(job, it.run.task, false);
+    });
+}
+
+void JobStore::apply(ResolveSuspects& command)
+{
+    auto known = m_suspects.find(command.endpoint);
+    if (known == m_suspects.end() || known->second.startedAtMs != command.startedAtMs)
+        return;
+    auto suspects = std::move(known->second);
+    m_suspects.erase(known);
+    forEachSuspect(suspects, [&](SuspectRun& it, Job& job, Task& task) {
+        task.openCrashes -= std::min<uint32_t>(task.openCrashes, 1);
+        task.openBlame -= std::min(task.openBlame, it.share);
+        if (command.hasCrashed)
+            task.crashes.add(it.share, it.weight);
+        bool isGivenUp = command.hasCrashed && job.isActive() && !task.isDone && isAtFault(task.crashes);
+        if (m_observer)
+            m_observer->onSuspicion(job, it.run.task, isGivenUp);
+        if (isGivenUp)
+            finish(job, JobPhase::Failed, command.resolvedAtMs);
+    });
+}
+
+void JobStore::apply(ForgetCrashes& command)
+{
+    for (const auto& it : command.tasks) {
+        auto* job = findJobBySerial(it.job);
+        auto* task = job ? job->findTask(it) : nullptr;
+        if (!task || task->crashes.crashes == 0)
+            continue;
+        task->crashes = {};
+        if (m_observer)
+            m_observer->onSuspicion(*job, it, false);
+    }
+}
+
 Job* JobStore::findJob(std::string_view id)
 {
     auto it = m_jobsById.find(std::string(id));
@@ -373,6 +446,7 @@
     msgpack::pack(buf, static_cast<uint64_t>(m_jobs.size()));
     for (const auto& [serial, job] : m_jobs)
         msgpack::pack(buf, *job);
+    msgpack::pack(buf, m_suspects);
     return { buf.data(), buf.size() };
 }
 
@@ -400,6 +474,10 @@
         m_jobsById[job->spec.id] = job.get();
         m_jobs[job->serial] = std::move(job);
     }
+    m_suspects.clear();
+    // Snapshots of earlier versions end here.
+    if (offset < snapshot.size())
+        next().get().convert(m_suspects);
 }
 
 } // namespace vanillalift::jobs
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "crash_attribution_p.h"
+
 #include <vanillalift/job.h>
 
 #include <functional>
@@ -92,8 +94,39 @@
     bool isReplacement = false;
     MSGPACK_DEFINE(name, availabilityZone, isReplacement)
 };
+/// A run that may have crashed its endpoint.
+struct SuspectRun {
+    RunKey run;
+    /// See suspicionWeight().
+    uint32_t weight = 0;
+    /// The part of the blame for the crash that falls to this run, in thousandths.
+    uint32_t share = 0;
+    MSGPACK_DEFINE(run, weight, share)
+};
+/// Records runs that were in progress on an endpoint when it stopped answering, in addition to those already recorded: one of
+/// them may be the cause.
+struct RecordSuspects {
+    std::string endpoint;
+    int64_t startedAtMs = 0;
+    std::vector<SuspectRun> runs;
+    MSGPACK_DEFINE(endpoint, startedAtMs, runs)
+};
+/// Ends the suspicion against the runs recorded for an endpoint's incarnation.
+struct ResolveSuspects {
+    std::string endpoint;
+    int64_t startedAtMs = 0;
+    /// The endpoint crashed while the runs were in progress, and by itself: not with its rack or availability zone.
+    bool hasCrashed = false;
+    int64_t resolvedAtMs = 0;
+    MSGPACK_DEFINE(endpoint, startedAtMs, hasCrashed, resolvedAtMs)
+};
+/// The tasks have run for so long that earlier crashes say nothing about them.
+struct ForgetCrashes {
+    std::vector<TaskKey> tasks;
+    MSGPACK_DEFINE(tasks)
+};
 
-using Command = std::variant<PutCatalog, PutEndpoint, RemoveEndpoint, PutJob, CancelJob, PlaceRuns, EndRuns, PutWave, MarkMaintained, PurgeJobs, PutReplica, RequestMaintenance>;
+using Command = std::variant<PutCatalog, PutEndpoint, RemoveEndpoint, PutJob, CancelJob, PlaceRuns, EndRuns, PutWave, MarkMaintained, PurgeJobs, PutReplica, RequestMaintenance, RecordSuspects, ResolveSuspects, ForgetCrashes>;
 
 /// Appends one serialized command to a log entry.
 void appendCommand(std::string& entry, const Command& command);
@@ -113,9 +146,16 @@
     std::vector<Placement> placements;
     /// Endpoint of the most recent failed run; the next run avoids it.
     std::string lastFailedEndpoint;
-    MSGPACK_DEFINE(isDone, failures, lastRun, checkpoint, placements, lastFailedEndpoint)
+    /// Crashes of endpoints that ran the task.
+    CrashRecord crashes;
+    /// Endpoints that stopped answering while they ran the task, and of which it is not known whether they have crashed; and the
+    /// task's part of the blame, in thousandths of a crash.
+    uint32_t openCrashes = 0;
+    uint32_t openBlame = 0;
+    MSGPACK_DEFINE(isDone, failures, lastRun, checkpoint, placements, lastFailedEndpoint, crashes, openCrashes, openBlame)
 
     [[nodiscard]] bool isIdle() const { return !isDone && placements.empty(); }
+    [[nodiscard]] CrashRecord possibleCrashes() const { return { crashes.crashes + openCrashes, crashes.blame + openBlame, crashes.lowestWeight }; }
 };
 
 struct Step {
@@ -165,6 +205,15 @@
     [[nodiscard]] bool isComplete() const { return maintained.size() >= wave.instances.size(); }
 };
 
+/// An endpoint that stopped answering, and the runs that were in progress there.
+struct SuspectRuns {
+    int64_t startedAtMs = 0;
+    std::string address;
+    std::string instance;
+    std::vector<SuspectRun> runs;
+    MSGPACK_DEFINE(startedAtMs, address, instance, runs)
+};
+
 struct ReplicaInfo {
     std::string availabilityZone;
     bool isReplacement = false;
@@ -186,6 +235,9 @@
     /// @param endpoint where the run was placed.
     virtual void onRunEnded(Job& job, const EndedRun& run, const std::string& endpoint) = 0;
     virtual void onWave(const WaveState& wave) = 0;
+    /// The task's crashes, or losses of endpoints that may be crashes, have changed.
+    /// @param isGivenUp the job has failed because of the task's crashes.
+    virtual void onSuspicion(Job& job, const TaskKey& task, bool isGivenUp) = 0;
 };
 
 /// Deterministic state machine that every control instance builds from the same log. Must be used from one thread only.
@@ -208,6 +260,8 @@
     [[nodiscard]] const std::map<uint64_t, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
     [[nodiscard]] const std::map<uint64_t, WaveState>& waves() const { return m_waves; }
     [[nodiscard]] const std::map<std::string, ReplicaInfo>& replicas() const { return m_replicas; }
+    /// @returns runs that are suspected of having crashed their endpoint, by endpoint id.
+    [[nodiscard]] const std::map<std::string, SuspectRuns>& suspects() const { return m_suspects; }
     [[nodiscard]] Job* findJob(std::string_view id);
     [[nodiscard]] const Job* findJob(std::string_view id) const;
     [[nodiscard]] Job* findJobBySerial(uint64_t serial);
@@ -234,6 +288,11 @@
     void apply(RequestMaintenance& command);
     void apply(PurgeJobs& command);
     void apply(PutReplica& command);
+    void apply(RecordSuspects& command);
+    void apply(ResolveSuspects& command);
+    void apply(ForgetCrashes& command);
+    /// Calls the function with each recorded run whose job and task are still in the state.
+    void forEachSuspect(SuspectRuns& suspects, const std::function<void(SuspectRun&, Job&, Task&)>& handler);
 
     void indexQueues();
     void endRun(const EndedRun& run, int64_t endedAtMs);
@@ -253,6 +312,7 @@
     std::unordered_map<std::string, Job*> m_jobsById;
     std::map<uint64_t, WaveState> m_waves;
     std::map<std::string, ReplicaInfo> m_replicas;
+    std::map<std::string, SuspectRuns> m_suspects;
     uint64_t m_lastSerial = 0;
 };
 
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -1,5 +1,7 @@
 #include "placement_p.h"
 
+#include "crash_attribution_p.h"
+
 #include <algorithm>
 
 namespace vanillalift::jobs {
@@ -7,14 +9,20 @@
 namespace {
 
     // Placement costs. Each outweighs the sum of those after it, with at most one interfering run.
-    constexpr double leavingCost = 1000;
-    constexpr double failedHereCost = 400;
+    constexpr double leavingCost = 8000;
+    constexpr double failedHereCost = 3600;
+    constexpr double suspectCost = 1600;
+    constexpr double unstableCost = 800;
+    /// For each run on the endpoint, if endpoints have crashed under the task.
+    constexpr double crowdCost = 10;
     constexpr double failureCost = 100;
     constexpr double remoteDataCost = 50;
     constexpr double interferenceCost = 20;
     constexpr double slownessCost = 10;
     /// Failures beyond this number add no cost.
     constexpr uint32_t maxCountedFailures = 3;
+    /// Runs beyond this number add no cost.
+    constexpr uint32_t maxCountedRuns = 30;
 
     bool isAllowed(const StepSpec& step, const PlacementHints& hints, const PlacementCandidate& it)
     {
@@ -38,6 +46,14 @@
         return share(it.free.cpu - need.cpu, capacity.cpu) + share(it.free.memory - need.memory, capacity.memory);
     }
 
+    /// @returns whether the task and the endpoint's runs are to be kept apart because endpoints have crashed under them.
+    bool isSharedWithSuspect(const PlacementHints& hints, const PlacementCandidate& it)
+    {
+        if (hints.crashes >= isolationCrashes)
+            return it.liveRuns > 0;
+        return it.isolatedRuns > 0 || (hints.crashes > 0 && it.suspectRuns > 0);
+    }
+
     double cost(const StepSpec& step, const PlacementHints& hints, const PlacementCandidate& it)
     {
         const auto& endpoint = *it.endpoint;
@@ -46,6 +62,10 @@
             sum += leavingCost;
         if (endpoint.id == hints.avoid)
             sum += failedHereCost;
+        if (isSharedWithSuspect(hints, it))
+            sum += suspectCost;
+        if (hints.crashes > 0)
+            sum += (it.isUnstable ? unstableCost : 0) + crowdCost * std::min(it.liveRuns, maxCountedRuns);
         sum += failureCost * std::min(it.recentFailures, maxCountedFailures);
         auto wantedRack = step.dataRack.empty() ? hints.rack : std::string_view(step.dataRack);
         if (!wantedRack.empty() && endpoint.rack != wantedRack)
--- a/src/jobs/placement_p.h
+++ b/src/jobs/placement_p.h
@@ -20,6 +20,12 @@
     /// Long-running tasks on the endpoint with a bound on their tail latency.
     uint32_t latencySensitiveRuns = 0;
     uint32_t bestEffortRuns = 0;
+    /// Runs on the endpoint, those of them under whose tasks endpoints have crashed, and those that run apart from others.
+    uint32_t liveRuns = 0;
+    uint32_t suspectRuns = 0;
+    uint32_t isolatedRuns = 0;
+    /// An endpoint at its address crashed recently.
+    bool isUnstable = false;
     /// The instance is about to be taken down or moved.
     bool isLeaving = false;
     /// Observed speed relative to other endpoints; 1 is equally fast, less is slower.
@@ -34,12 +40,16 @@
     std::string_view exclude;
     /// Rack of the step's other tasks, for steps that prefer a single rack.
     std::string_view rack;
+    /// Crashes of endpoints under the task.
+    uint32_t crashes = 0;
     /// Endpoint ids that the advice service allows; nullptr if the queue does not use the service.
     const std::vector<std::string>* allowed = nullptr;
 };
 
 /// Chooses the endpoint for a task among those where it fits: preferably one without recent failures, on the rack of its data, and
-/// with the least capacity left over (best fit). Latency-sensitive and best-effort tasks are kept apart where possible.
+/// with the least capacity left over (best fit). Latency-sensitive and best-effort tasks are kept apart where possible. Tasks under
+/// which endpoints have crashed are kept apart from each other, so that the next crash tells which of them is the cause; after
+/// isolationCrashes they are kept apart from all others too.
 /// @returns the index of the candidate, or nothing if no endpoint can take the task.
 std::optional<size_t> choosePlacement(const StepSpec& step, const PlacementHints& hints, std::span<const PlacementCandidate> candidates);
 
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -448,6 +448,8 @@
     visit("runs_failed_total", "Runs that failed in this term.", static_cast<double>(stats.runsFailed));
     visit("runs_lost_total", "Runs lost in this term because their endpoint or its lease ended.", static_cast<double>(stats.runsLost));
     visit("endpoints_lost_total", "Endpoints that ended in this term while they had runs in progress.", static_cast<double>(stats.endpointsLost));
+    visit("endpoints_crashed_total", "Of these, endpoints that crashed by themselves, not with their rack or availability zone.", static_cast<double>(stats.endpointsCrashed));
+    visit("jobs_given_up_total", "Jobs that failed in this term because a task crashed endpoints.", static_cast<double>(stats.jobsGivenUp));
     visit("placements_total", "Tasks placed in this term.", static_cast<double>(stats.placements));
     visit("placement_trials_total", "Endpoints evaluated for tasks in this term, whether or not the task was placed.", static_cast<double>(stats.endpointsEvaluated));
     visit("ready_tasks", "Tasks that wait for free capacity.", static_cast<double>(stats.readyTasks));
--- a/tests/jobs/crash_budget_test.cpp
+++ b/tests/jobs/crash_budget_test.cpp
@@ -12,6 +12,46 @@
 
 TaskName taskOf(const std::string& job, uint32_t index = 0) { return { job, 0, 0, index }; }
 
+/// Submits jobs of one task, all of which run for the given time.
+void submitLongTasks(Site& site, int count, Duration time)
+{
+    for (int n = 0; n < count; n++) {
+        auto id = "n" + std::to_string(n);
+        site.world.taskLoads[taskOf(id)] = { { 1000, 100, 0 }, time };
+        site.submit(id, 1);
+    }
+}
+
+/// Crashes the processes of some endpoints at the same time.
+void crashTogether(Site& site, size_t count)
+{
+    for (auto& [key, it] : site.world.endpoints) {
+        if (count-- == 0)
+            return;
+        it->crashProcess();
+    }
+}
+
+size_t countedCrashes(const Site& site)
+{
+    size_t n = 0;
+    for (const auto& [serial, job] : site.leader.store.jobs()) {
+        for (const auto& occurrence : job->occurrences) {
+            for (const auto& step : occurrence.steps) {
+                for (const auto& task : step.tasks)
+                    n += task.possibleCrashes().crashes;
+            }
+        }
+    }
+    return n;
+}
+
+size_t failedJobs(const Site& site)
+{
+    const auto& jobs = site.leader.store.jobs();
+    return static_cast<size_t>(std::count_if(jobs.begin(), jobs.end(), [](const auto& it) { return it.second->phase == JobPhase::Failed; }));
+}
+
 } // namespace
 
 TEST_CASE("a task that crashes each endpoint that starts it is given up, and its neighbors complete", "[dispatcher][crash]")
@@ -38,3 +78,145 @@
             CHECK(site.job("n" + std::to_string(n)).phase == JobPhase::Completed);
     }
 }
+
+TEST_CASE("crashes are remembered when the leader changes before they are certain", "[dispatcher][crash]")
+{
+    for (uint64_t seed = 1; seed <= seedCount; seed++) {
+        Site site(seed, 6);
+        site.world.crashingTasks.insert(taskOf("bad"));
+        site.submit("bad", 1);
+        site.run(milliseconds(20));
+        for (int n = 0; n < 20 && site.job("bad").isActive(); n++) {
+            auto crashes = site.world.crashesUnder[taskOf("bad")];
+            while (site.world.crashesUnder[taskOf("bad")] == crashes && site.job("bad").isActive())
+                site.run(milliseconds(10));
+            // The endpoint is silent for two status requests, and its successor has not reported itself yet.
+            site.run(seconds(1) + site.world.randomDelay(0, 1500));
+            site.leader.restart();
+            site.run(seconds(2));
+        }
+        INFO("seed " << seed << "\n"
+                     << site.world.violations.text());
+        CHECK(site.world.violations.found.empty());
+        CHECK(site.job("bad").phase == JobPhase::Failed);
+    }
+}
+
+TEST_CASE("tasks hit by ordinary crashes are not given up", "[dispatcher][crash]")
+{
+    for (uint64_t seed = 1; seed <= seedCount; seed++) {
+        Site site(seed, 8);
+        submitLongTasks(site, 24, seconds(3));
+        for (int n = 0; n < 60; n++) {
+            auto victim = site.world.endpoints.begin();
+            std::advance(victim, std::uniform_int_distribution<>(0, 7)(site.world.random));
+            if (!victim->second->isDown)
+                victim->second->crashProcess();
+            site.run(site.world.randomDelay(1000, 3000));
+        }
+        site.run(seconds(20));
+        INFO("seed " << seed);
+        CHECK(failedJobs(site) == 0);
+        for (const auto& [serial, job] : site.leader.store.jobs())
+            CHECK(job->phase == JobPhase::Completed);
+    }
+}
+
+TEST_CASE("tasks on endpoints that lose power together are not given up, however often that happens", "[dispatcher][crash]")
+{
+    // All endpoints, or one rack of them.
+    size_t lost = GENERATE(8, 4);
+    for (uint64_t seed = 1; seed <= seedCount; seed++) {
+        Site site(seed, 8);
+        size_t n = 0;
+        for (auto& [key, it] : site.world.endpoints)
+            it->description.rack = n++ < 4 ? "r1" : "r2";
+        submitLongTasks(site, 8, seconds(4));
+        for (int round = 0; round < 8; round++) {
+            site.run(seconds(2));
+            crashTogether(site, lost);
+            site.run(seconds(5));
+        }
+        CHECK(failedJobs(site) == 0);
+        site.run(seconds(20));
+        INFO("seed " << seed);
+        for (const auto& [serial, job] : site.leader.store.jobs())
+            CHECK(job->phase == JobPhase::Completed);
+    }
+}
+
+TEST_CASE("an endpoint that is only silent counts as no crash, even if its runs end with the lease", "[dispatcher][crash]")
+{
+    for (auto silence : { seconds(2), seconds(6), seconds(9) }) {
+        Site site(1, 4);
+        submitLongTasks(site, 8, seconds(60));
+        site.run(seconds(1));
+        for (int round = 0; round < 4; round++) {
+            for (auto& [key, it] : site.world.endpoints)
+                it->isPartitioned = it->used != Resources {};
+            site.run(silence);
+            for (auto& [key, it] : site.world.endpoints)
+                it->isPartitioned = false;
+            site.run(seconds(2));
+            CHECK(countedCrashes(site) == 0);
+        }
+        CHECK(failedJobs(site) == 0);
+    }
+}
+
+TEST_CASE("an endpoint that crashes behind a partition, after the lease of its runs, counts as no crash under them", "[dispatcher][crash]")
+{
+    Site site(1, 2);
+    submitLongTasks(site, 2, seconds(60));
+    site.run(seconds(1));
+    for (auto& [key, it] : site.world.endpoints)
+        it->isPartitioned = true;
+    site.run(config::endpointLease + seconds(1));
+    for (auto& [key, it] : site.world.endpoints) {
+        it->restartAs(it->description.id + "-next");
+        it->isPartitioned = false;
+    }
+    site.run(seconds(3));
+    CHECK(countedCrashes(site) == 0);
+}
+
+TEST_CASE("the end of an endpoint whose instance is taken down counts as no crash", "[dispatcher][crash]")
+{
+    Site site(1, 2);
+    submitLongTasks(site, 4, seconds(60));
+    site.run(seconds(1));
+    site.leader.dispatcher->setTakenDown({ "e0", "e1" });
+    crashTogether(site, 2);
+    site.run(seconds(8));
+    CHECK(countedCrashes(site) == 0);
+}
+
+TEST_CASE("a long-running task that has run for long between crashes is not given up", "[dispatcher][crash]")
+{
+    Site site(1, 3);
+    site.submit("a", 1, true);
+    for (int round = 0; round < 6; round++) {
+        site.run(seconds(15));
+        for (auto& [key, it] : site.world.endpoints) {
+            if (it->used != Resources {})
+                it->crashProcess();
+        }
+    }
+    site.run(seconds(5));
+    CHECK(site.job("a").isActive());
+    CHECK(site.runningTasks() == 1);
+}
+
+TEST_CASE("a long-running task that crashes each endpoint that starts it is given up", "[dispatcher][crash]")
+{
+    Site site(1, 6);
+    site.world.crashingTasks.insert(taskOf("bad", 1));
+    site.submit("bad", 2, true);
+    site.submit("good", 2, true);
+    site.run(seconds(30));
+    INFO(site.world.violations.text());
+    CHECK(site.world.violations.found.empty());
+    CHECK(site.job("bad").phase == JobPhase::Failed);
+    CHECK(site.job("good").isActive());
+    CHECK(site.runningTasks() == 2);
+}
