Attribute crashes across maintenance, changes of leader and full pools

Three causes:

- An endpoint whose instance a wave or a move waits for was taken for one that ends by plan.
Only a request that the platform has not refused counts now, and what an earlier term maintained is over once the endpoint has answered in this one.
The successor of a cordoned endpoint also took tasks until the next update of the cordons, 50 ms; it inherits the cordon now.
- A new leader judged an open suspicion by the presence of a successor, which may have left by then.
The state records the replacement.
- In a full pool the suspects of one crash were started together on the next free endpoint, so that no one of them stood out (blame 0.24 to 0.48 a crash).
A task with two possible crashes and some blame is started apart: nothing else for 0.5 s before and after it on that endpoint, which is reserved for it if none is quiet.
Suspects are recorded at once when a connection breaks.

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -10,6 +10,9 @@
     /// Crashes and blame from which a task is given up.
     constexpr uint32_t minCrashes = 3;
     constexpr uint32_t minBlame = fullBlame * 7 / 5;
+    /// Crashes and blame from which a task is started apart from others: below, others on its endpoints are more probable causes.
+    constexpr uint32_t isolationCrashes = 2;
+    constexpr uint32_t isolationBlame = fullBlame * 3 / 20;
     /// Possible crashes from which a task waits until they are certain, whatever its blame.
     constexpr uint32_t manyCrashes = 5;
     /// Times of starts and losses are known with about this accuracy.
@@ -51,6 +54,8 @@
 
 bool isAtFault(const CrashRecord& record) { return record.crashes >= minCrashes && record.blame >= minBlame; }
 
+bool needsIsolation(const CrashRecord& possible) { return possible.crashes >= isolationCrashes && possible.blame >= isolationBlame; }
+
 bool isHeldBack(const CrashRecord& known, const CrashRecord& possible)
 {
     return possible.crashes > known.crashes && (isAtFault(possible) || possible.crashes >= manyCrashes);
--- a/src/jobs/crash_attribution_p.h
+++ b/src/jobs/crash_attribution_p.h
@@ -30,8 +30,8 @@
 
 /// One whole crash, in units of CrashRecord::blame.
 constexpr uint32_t fullBlame = 1000;
-/// Crashes from which a task runs apart from others and gets no speculative copies, as a copy is placed before a crash is certain.
-constexpr uint32_t isolationCrashes = 2;
+/// Possible crashes from which a task gets no speculative copies: a copy is placed before a crash is certain.
+constexpr uint32_t maxCrashesForCopies = 2;
 
 /// @param age time that the run had been in progress when its endpoint was lost.
 /// @returns the weight of the suspicion against the run, relative to others on the endpoint: most faults show right after the start.
@@ -44,6 +44,9 @@
 /// these crashes.
 bool isAtFault(const CrashRecord& record);
 
+/// @returns whether the task is to be started apart from other starts, so that another crash tells whether it is the cause.
+bool needsIsolation(const CrashRecord& possible);
+
 /// @param possible the record if all losses of endpoints that may be crashes turn out to be crashes.
 /// @returns whether the task has to wait until that is known, since it would be given up.
 bool isHeldBack(const CrashRecord& known, const CrashRecord& possible);
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -83,6 +83,7 @@
         session->lastHeartbeatAt = m_clock.now();
         if (auto stale = m_staleAckUntil.extract(endpoint.id); !stale.empty())
             session->staleAckUntil = stale.mapped();
+        session->isCordoned = m_cordonedAddresses.contains(endpoint.address);
         if (auto unstable = m_unstableUntil.find(endpoint.address); unstable != m_unstableUntil.end())
             session->unstableUntil = unstable->second;
         if (auto recorded = m_store.suspects().find(endpoint.id); recorded != m_store.suspects().end() && recorded->second.startedAtMs == endpoint.startedAtMs) {
@@ -155,14 +156,16 @@
     run.allowsSpeculativeCopy = step.allowsSpeculativeCopy && !step.isGang && !step.isLongRunning;
     run.latencyTargetMs = step.latencyTargetMs;
     run.estimateMs = step.estimateMs;
-    if (const auto* task = job.findTask(key.task))
+    if (const auto* task = job.findTask(key.task)) {
         run.crashes = task->possibleCrashes().crashes;
+        run.isIsolated = needsIsolation(task->possibleCrashes());
+    }
     run.placedAt = m_clock.now();
     run.progressAt = run.placedAt;
     session.used += run.need;
     session.liveRuns++;
     session.suspectRuns += run.crashes > 0 ? 1 : 0;
-    session.isolatedRuns += run.crashes >= isolationCrashes ? 1 : 0;
+    recordStart(session, run);
     session.latencySensitiveRuns += run.latencyTargetMs != 0 ? 1 : 0;
     session.bestEffortRuns += run.isBestEffort ? 1 : 0;
     if (!run.workspace.empty())
@@ -178,7 +181,6 @@
     session.used -= run.need;
     session.liveRuns--;
     session.suspectRuns -= run.crashes > 0 ? 1 : 0;
-    session.isolatedRuns -= run.crashes >= isolationCrashes ? 1 : 0;
     session.latencySensitiveRuns -= run.latencyTargetMs != 0 ? 1 : 0;
     session.bestEffortRuns -= run.isBestEffort ? 1 : 0;
     if (!run.workspace.empty())
@@ -321,6 +323,7 @@
         bool wasCordoned = std::exchange(session->isCordoned, endpointIds.contains(id));
         isAnyUncordoned = isAnyUncordoned || (wasCordoned && !session->isCordoned);
     }
+    m_cordonedAddresses.clear();
     if (isAnyUncordoned)
         retryAllPlacements();
 }
@@ -402,6 +405,8 @@
         std::erase_if(m_staleAckUntil, [now = m_clock.now()](const auto& it) { return it.second <= now; });
         if (session->staleAckUntil > m_clock.now())
             m_staleAckUntil[last.id] = session->staleAckUntil;
+        if (session->isCordoned)
+            m_cordonedAddresses.insert(last.address);
         m_sessions.erase(last.id);
     }
     auto waiters = m_waiters.extract(last.id);
--- a/src/jobs/dispatcher_crashes.cpp
+++ b/src/jobs/dispatcher_crashes.cpp
@@ -13,6 +13,12 @@
     constexpr std::chrono::milliseconds suspicionPeriod { 10000 };
     /// Time for which an endpoint counts as unstable after a crash at its address.
     constexpr std::chrono::milliseconds unstablePeriod { 10000 };
+    /// Time after a start without another one on the endpoint: a crash meanwhile is attributed to that start.
+    constexpr std::chrono::milliseconds isolationPeriod { 500 };
+    /// Time for which an endpoint is kept for an isolated task that waits for it: isolationPeriod and a few attempts to place it.
+    constexpr std::chrono::milliseconds reservationPeriod { 900 };
+    /// At most one in this many endpoints of a pool is reserved for isolated tasks.
+    constexpr size_t maxReservedPart = 4;
     /// Time for which losses of endpoints are remembered, to recognize those of a rack or availability zone.
     constexpr std::chrono::milliseconds lossMemory { 30000 };
     /// Time after the end of an endpoint at which its crash is attributed: other endpoints that were lost with it are known by then.
@@ -68,9 +74,8 @@
         const auto* endpoint = m_store.findEndpoint(id);
         if (endpoint && endpoint->startedAtMs == suspects.startedAtMs)
             continue;
-        const auto* successor = endpoint ? endpoint : m_store.findEndpointByInstance(suspects.instance);
-        bool hasSuccessor = successor && successor->startedAtMs > suspects.startedAtMs;
-        m_desc.propose(ResolveSuspects { id, suspects.startedAtMs, hasSuccessor, wallClockMs() });
+        m_log.stateLine("endpoint-crash").field("endpoint", id).field("born", suspects.startedAtMs).field("replaced", suspects.isReplaced);
+        m_desc.propose(ResolveSuspects { id, suspects.startedAtMs, suspects.isReplaced, wallClockMs() });
     }
 }
 
@@ -127,7 +132,7 @@
     if (live > 0 || !session.suspects.empty()) {
         m_stats.endpointsLost++;
         auto lastContactAt = std::max(session.lastReplyAt, session.lastHeartbeatAt);
-        m_log.stateLine("endpoint-lost").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("cause", cause).field("crash", isCrash).field("silent-ms", millisecondsUntil(now, lastContactAt)).field("failures", session.unansweredStatusRequests).field("reset", session.isConnectionLost).field("runs", live).field("confirmed-runs", confirmed).field("suspects", session.suspects.size());
+        m_log.stateLine("endpoint-lost").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("cause", cause).field("crash", isCrash).field("draining", session.endpoint.isDraining).field("taken-down", session.isTakenDown).field("silent-ms", millisecondsUntil(now, lastContactAt)).field("failures", session.unansweredStatusRequests).field("reset", session.isConnectionLost).field("runs", live).field("confirmed-runs", confirmed).field("suspects", session.suspects.size());
     }
     if (!isCrash)
         return resolveSuspects(session, false);
@@ -165,7 +170,6 @@
         if (!isProven)
             continue;
         session.suspectRuns--;
-        session.isolatedRuns -= run.crashes >= isolationCrashes ? 1 : 0;
         run.crashes = 0;
         command.tasks.push_back(key.task);
     }
@@ -173,6 +177,30 @@
         m_desc.propose(std::move(command));
 }
 
+void Dispatcher::recordStart(EndpointSession& session, const Run& run)
+{
+    session.lastStartAt = m_clock.now();
+    if (run.isIsolated)
+        session.reservedUntil = std::max(session.reservedUntil, session.lastStartAt + isolationPeriod);
+}
+
+bool Dispatcher::isQuiet(const EndpointSession& session) const { return m_clock.now() - session.lastStartAt >= isolationPeriod; }
+
+void Dispatcher::reserveEndpoint(const StepSpec& step, PlacementHints hints, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions)
+{
+    m_waitingIsolatedTasks++;
+    auto reserved = static_cast<size_t>(std::count_if(candidates.begin(), candidates.end(), [](const auto& it) { return it.isReserved; }));
+    if (reserved >= std::min(m_waitingIsolatedTasks, std::max<size_t>(1, candidates.size() / maxReservedPart)))
+        return;
+    // Without the condition that the endpoint is quiet: it will be, as nothing else is started there.
+    hints.isIsolated = false;
+    auto chosen = choosePlacement(step, hints, candidates);
+    if (!chosen)
+        return;
+    candidates[*chosen].isReserved = true;
+    sessions[*chosen]->reservedUntil = m_clock.now() + reservationPeriod;
+}
+
 void Dispatcher::onSuspicion(Job& job, const TaskKey& task, bool isGivenUp)
 {
     markDirty(job.serial);
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -231,6 +231,11 @@
     void resolveOrphanedSuspects();
     /// Handles the end of the endpoint's incarnation.
     void handleIncarnationEnd(EndpointSession& session, std::string_view cause);
+    /// Isolated tasks: nothing else is started on their endpoint shortly before and after them.
+    void recordStart(EndpointSession& session, const Run& run);
+    [[nodiscard]] bool isQuiet(const EndpointSession& session) const;
+    /// Reserves an endpoint for an isolated task that waits for a quiet one.
+    void reserveEndpoint(const StepSpec& step, PlacementHints hints, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions);
     /// Forgets crashes under long-running tasks that have been in progress for long enough.
     void forgetCrashes(EndpointSession& session);
     [[nodiscard]] bool isSuspect(const Run& run) const;
@@ -298,6 +303,10 @@
     /// Endpoints that ended recently without a plan.
     std::vector<EndpointLoss> m_losses;
     std::vector<PendingCrash> m_pendingCrashes;
+    /// Isolated tasks that found no quiet endpoint in this placement pass of their service.
+    size_t m_waitingIsolatedTasks = 0;
+    /// Sessions that ended since the last setCordoned(): their successors at the same address are cordoned, too.
+    std::set<std::string> m_cordonedAddresses;
     /// EndpointSession::unstableUntil by address.
     std::map<std::string, TimePoint> m_unstableUntil;
     std::map<uint64_t, JobPlan> m_plans;
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -36,7 +36,6 @@
         candidate.bestEffortRuns = session.bestEffortRuns;
         candidate.liveRuns = session.liveRuns;
         candidate.suspectRuns = session.suspectRuns;
-        candidate.isolatedRuns = session.isolatedRuns;
     }
 
     bool isConstrained(const StepSpec& step) { return step.maxPerEndpoint != 0 || !step.requiredLabel.empty(); }
@@ -191,12 +190,15 @@
         candidate.speed = session->speed.at(now);
         setRunCounts(candidate, *session);
         candidate.isUnstable = now < session->unstableUntil;
+        candidate.isReserved = now < session->reservedUntil;
+        candidate.isQuiet = isQuiet(*session);
         maxFree = { std::max(maxFree.cpu, candidate.free.cpu), std::max(maxFree.memory, candidate.free.memory), std::max(maxFree.gpus, candidate.free.gpus) };
         candidates.push_back(candidate);
         sessions.push_back(session.get());
     }
     if (candidates.empty())
         return;
+    m_waitingIsolatedTasks = 0;
     auto plans = candidatePlans(service, maxFree, candidates.size());
     auto shares = fairShareRatios(plans);
     std::vector<SchedulableJob> ordered;
@@ -232,7 +234,10 @@
         }
         auto need = reservedNeed(step);
         auto stepOfOccurrence = std::pair(key.occurrence, key.step);
-        if (failedStep == stepOfOccurrence || failed.covers(need)) {
+        // An isolated task and others may find different endpoints, so the failure of one says nothing about the other.
+        const auto* task = plan.job->findTask(key);
+        bool isIsolated = needsIsolation(task->possibleCrashes());
+        if (!isIsolated && (failedStep == stepOfOccurrence || failed.covers(need))) {
             unplaced.push_back(key);
             continue;
         }
@@ -246,8 +251,8 @@
             continue;
         unplaced.push_back(key);
         // A speculative copy excludes its task's endpoint, so its failure says nothing about other tasks.
-        bool isCopy = !plan.job->findTask(key)->placements.empty();
-        if (isCopy)
+        bool isCopy = !task->placements.empty();
+        if (isCopy || isIsolated)
             continue;
         failedStep = stepOfOccurrence;
         if (!isConstrained(step) && !m_store.queueOf(*plan.job).isAdvised)
@@ -323,6 +328,7 @@
     PlacementHints hints;
     hints.avoid = task->lastFailedEndpoint;
     hints.crashes = task->possibleCrashes().crashes;
+    hints.isIsolated = needsIsolation(task->possibleCrashes());
     if (!task->placements.empty())
         hints.exclude = task->placements.front().endpoint;
     const StepAdvice* advice = nullptr;
@@ -336,6 +342,8 @@
         preparePlacement(candidates[n], *sessions[n], key, step);
     m_stats.endpointsEvaluated += candidates.size();
     auto chosen = choosePlacement(step, hints, candidates);
+    if (!chosen && hints.isIsolated)
+        reserveEndpoint(step, hints, candidates, sessions);
     if (!chosen)
         return false;
     std::string ticket;
@@ -347,6 +355,8 @@
     auto& candidate = candidates[*chosen];
     candidate.free = sessions[*chosen]->freeCapacity();
     setRunCounts(candidate, *sessions[*chosen]);
+    candidate.isQuiet = false;
+    candidate.isReserved = candidate.isReserved || hints.isIsolated;
     return true;
 }
 
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -23,7 +23,7 @@
     constexpr std::chrono::milliseconds minStallTimeout { 2500 };
     /// Long-poll wait of a status request while a decision depends on the endpoint's current runs.
     constexpr std::chrono::milliseconds freshStatusWait { 60 };
-    /// Consecutive unanswered status requests from which the runs of an endpoint are recorded as suspects.
+    /// Consecutive unanswered status requests from which the runs of an endpoint are recorded as suspects, if no connection was lost.
     constexpr uint32_t unansweredForSuspicion = 2;
 
     bool isUnanswered(EndpointReplyStatus status) { return status == EndpointReplyStatus::Unknown || status == EndpointReplyStatus::NotSent; }
@@ -52,7 +52,7 @@
     if (isNeeded && !session.isStatusRequestPending && now >= session.nextStatusRequestAt && session.uncommittedEnds == 0)
         sendStatusRequest(session);
     sendDueRequests(session, now);
-    if (session.unansweredStatusRequests >= unansweredForSuspicion)
+    if (session.isConnectionLost || session.unansweredStatusRequests >= unansweredForSuspicion)
         recordSuspects(session);
     if (now > session.leaseEndsAt + config::leaseMargin)
         handleLeaseExpiry(session);
@@ -383,6 +383,7 @@
             run->phase = RunPhase::Running;
             run->startedAt = now;
             run->progressAt = now;
+            recordStart(session, *run);
         }
         return;
     }
@@ -537,7 +538,7 @@
     session.removalReason = reason;
     session.nextStatusRequestAt = m_clock.now() + config::endpointExpiry;
     m_log.line("endpoint-gone").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("reason", reason == RemovalReason::Replaced ? "another incarnation answers at the address" : "no heartbeat and no lease");
-    m_desc.propose(RemoveEndpoint { session.endpoint.id, session.endpoint.startedAtMs });
+    m_desc.propose(RemoveEndpoint { session.endpoint.id, session.endpoint.startedAtMs, reason == RemovalReason::Replaced });
 }
 
 } // namespace vanillalift::jobs
--- a/src/jobs/dispatcher_speculation.cpp
+++ b/src/jobs/dispatcher_speculation.cpp
@@ -37,7 +37,7 @@
                 continue;
             const auto* job = m_store.findJobBySerial(key.task.job);
             const auto* task = job ? job->findTask(key.task) : nullptr;
-            if (task && task->possibleCrashes().crashes >= isolationCrashes)
+            if (task && task->possibleCrashes().crashes >= maxCrashesForCopies)
                 continue;
             run.wantsSpeculativeCopy = true;
             markDirty(key.task.job);
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -43,8 +43,9 @@
     bool wantsSpeculativeCopy = false;
     uint32_t latencyTargetMs = 0;
     uint32_t estimateMs = 0;
-    /// Crashes under the task when the run was placed.
+    /// Possible crashes under the task when the run was placed, and whether it is started apart from others because of them.
     uint32_t crashes = 0;
+    bool isIsolated = false;
     /// A start request timed out: the endpoint may still carry it out.
     bool hasUnansweredStart = false;
     /// The connection of a start request broke before its deadline: the endpoint was running and has probably received it.
@@ -115,11 +116,13 @@
     /// Number of these runs that are latency-sensitive, and that are best-effort.
     uint32_t latencySensitiveRuns = 0;
     uint32_t bestEffortRuns = 0;
-    /// Number of these runs under whose tasks endpoints have crashed, and that therefore run apart from others.
+    /// Number of these runs under whose tasks endpoints may have crashed, and of all of them.
     uint32_t suspectRuns = 0;
-    uint32_t isolatedRuns = 0;
-    /// Number of runs that have not ended.
     uint32_t liveRuns = 0;
+    /// No start is to be added until then: an isolated task has just been started, or is to be started.
+    TimePoint reservedUntil;
+    /// When a run was last placed or its start accepted.
+    TimePoint lastStartAt;
     /// The endpoint has reported its runs in this leader's term, and they were compared with the store.
     bool isReconciled = false;
     /// When this first happened for the current incarnation.
--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -217,6 +217,7 @@
     if (state == m_store.waves().end() || !state->second.isRequested(name) || now < progress.nextCallAt || !takeCallToken())
         return;
     progress.nextCallAt = now + callTimeout + callRetryDelay;
+    progress.wasRefused = false;
     m_service.maintain(name, wave, m_term, m_authorityEndsAt(), now + callTimeout, [this, wave, name, isAlive = m_isAlive](InstanceReplyStatus status) {
         if (!*isAlive)
             return;
@@ -232,6 +233,7 @@
             return;
         }
         progress.nextCallAt = now + callRetryDelay;
+        progress.wasRefused = status != InstanceReplyStatus::Unknown;
         // An instance that is down is still listed and can return. One that the platform neither lists nor accepts requests
         // for has been removed. A single list proves nothing, since it can omit an instance that changes pages meanwhile.
         bool isUnlisted = status == InstanceReplyStatus::Busy && known == m_instances.end() && !m_instances.empty();
@@ -310,8 +312,12 @@
     for (const auto& [key, progress] : m_progress) {
         auto wave = m_store.waves().find(key.first);
         bool isRequested = progress.isRequested || (wave != m_store.waves().end() && wave->second.isRequested(key.second));
-        if (const auto* endpoint = isRequested && !progress.hasReturned ? endpointOf(key.second) : nullptr)
-            takenDown.insert(endpoint->id);
+        bool isMaintained = wave != m_store.waves().end() && wave->second.isMaintained(key.second);
+        const auto* session = isRequested ? sessionOf(key.second) : nullptr;
+        // What was accepted in an earlier term has ended the endpoint before this term's first contact with it.
+        bool mayBeDown = isMaintained ? session && session->reconciledAt <= progress.acceptedAt : !progress.wasRefused;
+        if (session && mayBeDown)
+            takenDown.insert(session->endpoint.id);
         bool isDue = wave != m_store.waves().end() && !wave->second.isMaintained(key.second);
         if (!isDue || progress.drainingSince == TimePoint {})
             continue;
--- a/src/jobs/instance_manager_p.h
+++ b/src/jobs/instance_manager_p.h
@@ -53,6 +53,8 @@
         TimePoint acceptedAt;
         /// The instance was listed as up after its maintenance, or needs none.
         bool hasReturned = false;
+        /// The platform has refused the last request, so it has not taken the instance down.
+        bool wasRefused = false;
         /// Since when the platform has both refused the request and omitted the instance from its list; the epoch if it has not.
         TimePoint unlistedSince;
     };
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -99,7 +99,10 @@
             return;
         replaced.push_back(it);
     }
+    if (known != m_endpoints.end() && known->second.startedAtMs < added.startedAtMs)
+        markReplaced(known->second);
     for (const auto& it : replaced) {
+        markReplaced(it);
         m_endpoints.erase(it.id);
         m_isInstanceIndexStale = true;
         if (m_observer)
@@ -113,12 +116,21 @@
         m_observer->onEndpoint(m_endpoints[id]);
 }
 
+void JobStore::markReplaced(const Endpoint& endpoint)
+{
+    auto suspects = m_suspects.find(endpoint.id);
+    if (suspects != m_suspects.end() && suspects->second.startedAtMs == endpoint.startedAtMs)
+        suspects->second.isReplaced = true;
+}
+
 void JobStore::apply(RemoveEndpoint& command)
 {
     auto it = m_endpoints.find(command.id);
     if (it == m_endpoints.end() || it->second.startedAtMs != command.startedAtMs)
         return;
     auto last = std::move(it->second);
+    if (command.isReplaced)
+        markReplaced(last);
     m_endpoints.erase(it);
     m_isInstanceIndexStale = true;
     if (m_observer)
@@ -314,7 +326,7 @@
         return;
     auto& recorded = m_suspects[command.endpoint];
     if (recorded.startedAtMs != command.startedAtMs)
-        recorded = { command.startedAtMs, endpoint->second.address, endpoint->second.instance, {} };
+        recorded = { command.startedAtMs, {}, false };
     forEachSuspect(recorded, [](SuspectRun& it, Job&, Task& task) { task.openBlame -= std::min(task.openBlame, it.share); });
     for (auto& it : command.runs) {
         auto* job = findJobBySerial(it.run.task.job);
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -28,7 +28,9 @@
 struct RemoveEndpoint {
     std::string id;
     int64_t startedAtMs = 0;
-    MSGPACK_DEFINE(id, startedAtMs)
+    /// Another incarnation answers at its address.
+    bool isReplaced = false;
+    MSGPACK_DEFINE(id, startedAtMs, isReplaced)
 };
 struct PutJob {
     JobSpec spec;
@@ -208,10 +210,10 @@
 /// An endpoint that stopped answering, and the runs that were in progress there.
 struct SuspectRuns {
     int64_t startedAtMs = 0;
-    std::string address;
-    std::string instance;
     std::vector<SuspectRun> runs;
-    MSGPACK_DEFINE(startedAtMs, address, instance, runs)
+    /// Another incarnation has taken the endpoint's place.
+    bool isReplaced = false;
+    MSGPACK_DEFINE(startedAtMs, runs, isReplaced)
 };
 
 struct ReplicaInfo {
@@ -295,6 +297,7 @@
     void forEachSuspect(SuspectRuns& suspects, const std::function<void(SuspectRun&, Job&, Task&)>& handler);
 
     void indexQueues();
+    void markReplaced(const Endpoint& endpoint);
     void endRun(const EndedRun& run, int64_t endedAtMs);
     void markDone(Job& job, const TaskKey& key, int64_t endedAtMs);
     void countFailure(Job& job, Task& task, const TaskKey& key, int64_t endedAtMs);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -1,7 +1,5 @@
 #include "placement_p.h"
 
-#include "crash_attribution_p.h"
-
 #include <algorithm>
 
 namespace vanillalift::jobs {
@@ -29,6 +27,8 @@
         const auto& endpoint = *it.endpoint;
         if (!reservedNeed(step).fitsIn(it.free) || endpoint.id == hints.exclude)
             return false;
+        if (hints.isIsolated ? !it.isQuiet : it.isReserved)
+            return false;
         if (step.maxPerEndpoint != 0 && it.runsOfStep >= step.maxPerEndpoint)
             return false;
         if (!step.requiredLabel.empty() && std::find(endpoint.labels.begin(), endpoint.labels.end(), step.requiredLabel) == endpoint.labels.end())
@@ -46,14 +46,6 @@
         return share(it.free.cpu - need.cpu, capacity.cpu) + share(it.free.memory - need.memory, capacity.memory);
     }
 
-    /// @returns whether the task and the endpoint's runs are to be kept apart because endpoints have crashed under them.
-    bool isSharedWithSuspect(const PlacementHints& hints, const PlacementCandidate& it)
-    {
-        if (hints.crashes >= isolationCrashes)
-            return it.liveRuns > 0;
-        return it.isolatedRuns > 0 || (hints.crashes > 0 && it.suspectRuns > 0);
-    }
-
     double cost(const StepSpec& step, const PlacementHints& hints, const PlacementCandidate& it)
     {
         const auto& endpoint = *it.endpoint;
@@ -62,7 +54,7 @@
             sum += leavingCost;
         if (endpoint.id == hints.avoid)
             sum += failedHereCost;
-        if (isSharedWithSuspect(hints, it))
+        if (hints.crashes > 0 && it.suspectRuns > 0)
             sum += suspectCost;
         if (hints.crashes > 0)
             sum += (it.isUnstable ? unstableCost : 0) + crowdCost * std::min(it.liveRuns, maxCountedRuns);
--- a/src/jobs/placement_p.h
+++ b/src/jobs/placement_p.h
@@ -20,10 +20,13 @@
     /// Long-running tasks on the endpoint with a bound on their tail latency.
     uint32_t latencySensitiveRuns = 0;
     uint32_t bestEffortRuns = 0;
-    /// Runs on the endpoint, those of them under whose tasks endpoints have crashed, and those that run apart from others.
+    /// Runs on the endpoint, and those of them under whose tasks endpoints may have crashed.
     uint32_t liveRuns = 0;
     uint32_t suspectRuns = 0;
-    uint32_t isolatedRuns = 0;
+    /// Reserved for a task that is started apart from others.
+    bool isReserved = false;
+    /// No run has been started there for a while.
+    bool isQuiet = true;
     /// An endpoint at its address crashed recently.
     bool isUnstable = false;
     /// The instance is about to be taken down or moved.
@@ -40,16 +43,16 @@
     std::string_view exclude;
     /// Rack of the step's other tasks, for steps that prefer a single rack.
     std::string_view rack;
-    /// Crashes of endpoints under the task.
+    /// Possible crashes of endpoints under the task, and whether it is started apart from others because of them.
     uint32_t crashes = 0;
+    bool isIsolated = false;
     /// Endpoint ids that the advice service allows; nullptr if the queue does not use the service.
     const std::vector<std::string>* allowed = nullptr;
 };
 
 /// Chooses the endpoint for a task among those where it fits: preferably one without recent failures, on the rack of its data, and
-/// with the least capacity left over (best fit). Latency-sensitive and best-effort tasks are kept apart where possible. Tasks under
-/// which endpoints have crashed are kept apart from each other, so that the next crash tells which of them is the cause; after
-/// isolationCrashes they are kept apart from all others too.
+/// with the least capacity left over (best fit). Latency-sensitive and best-effort tasks are kept apart where possible, and so are
+/// tasks under which endpoints have crashed. Isolated tasks get an endpoint on which nothing has been started for a while.
 /// @returns the index of the candidate, or nothing if no endpoint can take the task.
 std::optional<size_t> choosePlacement(const StepSpec& step, const PlacementHints& hints, std::span<const PlacementCandidate> candidates);
 
--- a/tests/jobs/crash_attribution_test.cpp
+++ b/tests/jobs/crash_attribution_test.cpp
@@ -120,7 +120,7 @@
     CHECK_FALSE(isGroupLoss(loss, apart, { 0, 20 }));
 }
 
-TEST_CASE("tasks under which endpoints have crashed are placed apart from each other, and then from all others", "[crash]")
+TEST_CASE("tasks under which endpoints have crashed are placed apart from each other, and isolated ones apart from other starts", "[crash]")
 {
     std::vector<Endpoint> endpoints(3);
     std::vector<PlacementCandidate> candidates(3);
@@ -141,10 +141,11 @@
     PlacementHints hints;
     hints.crashes = 1;
     CHECK(choosePlacement(step, hints, candidates) == 2);
-    hints.crashes = isolationCrashes;
-    candidates[0].liveRuns = 0;
+    hints.isIsolated = true;
+    candidates[1].isQuiet = candidates[2].isQuiet = false;
+    CHECK(choosePlacement(step, hints, candidates) == 0);
+    candidates[0].isReserved = true;
     CHECK(choosePlacement(step, hints, candidates) == 0);
-    candidates[0].isolatedRuns = candidates[0].liveRuns = 1;
     CHECK(choosePlacement(step, {}, candidates) != 0);
 }
 
--- a/tests/jobs/crash_budget_test.cpp
+++ b/tests/jobs/crash_budget_test.cpp
@@ -191,6 +191,41 @@
     CHECK(countedCrashes(site) == 0);
 }
 
+TEST_CASE("the successor of a cordoned endpoint gets no tasks before the cordons are updated", "[dispatcher][crash]")
+{
+    Site site(1, 1);
+    site.leader.dispatcher->setCordoned({ "e0" });
+    crashTogether(site, 1);
+    site.submit("a", 1);
+    site.run(seconds(8));
+    CHECK_FALSE(site.job("a").hasStarted);
+    site.leader.dispatcher->setCordoned({});
+    site.run(seconds(4));
+    CHECK(site.job("a").phase == JobPhase::Completed);
+}
+
+TEST_CASE("a crash is attributed after a change of leader, even if the successor has left by then", "[dispatcher][crash]")
+{
+    Site site(1, 3);
+    submitLongTasks(site, 1, seconds(60));
+    site.run(seconds(1));
+    auto& victim = *std::find_if(site.world.endpoints.begin(), site.world.endpoints.end(), [](const auto& it) { return it.second->used != Resources {}; })->second;
+    auto id = victim.description.id;
+    victim.crashProcess();
+    while (site.leader.store.findEndpoint(id))
+        site.run(milliseconds(10));
+    // The leader would attribute the crash 1 s later.
+    site.run(milliseconds(100));
+    REQUIRE(site.leader.store.suspects().size() == 1);
+    site.leader.propose(RemoveEndpoint { victim.description.id, victim.description.startedAtMs });
+    victim.isPartitioned = true;
+    site.run(milliseconds(100));
+    site.leader.restart();
+    site.run(seconds(1));
+    CHECK(countedCrashes(site) == 1);
+    CHECK(site.leader.store.suspects().empty());
+}
+
 TEST_CASE("a long-running task that has run for long between crashes is not given up", "[dispatcher][crash]")
 {
     Site site(1, 3);
