Start nothing beyond a capacity that has shrunk

Causes: a report counted from its commit on, and a changed one was dropped while another one was being committed; a heartbeat from before a change of leader could bring a larger capacity back, as its sequence number was not in the state; starts were sent for tasks placed under the old capacity, and repeated without an answer; the age of a report did not matter; runs that an endpoint lists and the state does not were not counted.

A smaller capacity holds from the arrival of the heartbeat, a larger one from its commit. The state has the sequence number of the report. What is being stopped counts, listed or not.

--- a/include/vanillalift/job.h
+++ b/include/vanillalift/job.h
@@ -182,8 +182,10 @@
     bool isDraining = false;
     /// An earlier incarnation had the same id: requests meant for it, with leases by its clock, may have reached this one.
     bool hasEarlierIncarnation = false;
+    /// Sequence number of the endpoint's report that is recorded here: older reports that arrive later are ignored.
+    uint64_t reportSequence = 0;
 
-    MSGPACK_DEFINE(id, startedAtMs, service, address, availabilityZone, instance, rack, labels, capacity, isDraining, hasEarlierIncarnation)
+    MSGPACK_DEFINE(id, startedAtMs, service, address, availabilityZone, instance, rack, labels, capacity, isDraining, hasEarlierIncarnation, reportSequence)
     bool operator==(const Endpoint&) const = default;
 };
 
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -92,6 +92,7 @@
         }
     }
     session->endpoint = endpoint;
+    updateCapacityGuard(*session);
     session->link = m_links.open(endpoint);
     // Requests pending on the previous link are never answered.
     session->isStatusRequestPending = false;
@@ -281,9 +282,10 @@
     auto now = m_clock.now();
     bool isSameIncarnation = known && session && known->startedAtMs == reported.startedAtMs;
     if (isSameIncarnation) {
-        if (heartbeat.sequence <= session->lastHeartbeatSequence && session->lastHeartbeatSequence != 0)
+        bool isOld = heartbeat.sequence < known->reportSequence || (heartbeat.sequence <= session->lastHeartbeatSequence && session->lastHeartbeatSequence != 0);
+        if (isOld)
             return onRecorded();
-        if (!isReachable(*session, now))
+        if (!isReachable(*session, now) || !session->isCapacityCertain(now, m_desc.maxCapacityReportAge))
             retryAllPlacements();
         session->lastHeartbeatSequence = heartbeat.sequence;
         session->lastHeartbeatAt = now;
@@ -293,10 +295,21 @@
     auto recorded = reported;
     recorded.isDraining = reported.isDraining || (isSameIncarnation && known->isDraining);
     recorded.hasEarlierIncarnation = isSameIncarnation && known->hasEarlierIncarnation;
+    bool isProposed = isSameIncarnation && session->isRegistrationPending && session->reportedCapacity == reported.capacity;
+    if (isSameIncarnation) {
+        setReportedCapacity(*session, heartbeat, now);
+    } else {
+        auto& registration = m_registrations[reported.id];
+        const auto& earlier = registration.heartbeat;
+        if (reported.startedAtMs > earlier.endpoint.startedAtMs || heartbeat.sequence >= earlier.sequence)
+            registration = { heartbeat, now };
+    }
+    recorded.reportSequence = isSameIncarnation ? known->reportSequence : 0;
     if (isSameIncarnation && *known == recorded)
         return onRecorded();
+    recorded.reportSequence = heartbeat.sequence;
     m_waiters[reported.id].push_back({ reported.id, std::move(onRecorded) });
-    if (session && session->isRegistrationPending && isSameIncarnation)
+    if (isProposed)
         return;
     if (session)
         session->isRegistrationPending = true;
@@ -304,6 +317,13 @@
     m_desc.propose(PutEndpoint { std::move(recorded) });
 }
 
+void Dispatcher::setReportedCapacity(EndpointSession& session, const Heartbeat& heartbeat, TimePoint receivedAt)
+{
+    session.reportedCapacity = heartbeat.endpoint.capacity;
+    session.capacityReportedAt = receivedAt;
+    session.capacityClockMs = heartbeat.clockMs;
+}
+
 void Dispatcher::receiveDeregistration(const std::string& endpointId, std::function<void()> onRecorded)
 {
     const auto* known = m_store.findEndpoint(endpointId);
@@ -355,13 +375,21 @@
 {
     for (auto& [serial, plan] : m_plans)
         plan.isDirty = true;
+    for (auto& [id, session] : m_sessions)
+        updateCapacityGuard(*session);
+}
+
+void Dispatcher::updateCapacityGuard(EndpointSession& session)
+{
+    const auto* service = m_store.catalog().serviceNamed(session.endpoint.service);
+    session.guardsCapacity = service && service->refusesOverload;
 }
 
 void Dispatcher::onEndpoint(const Endpoint& endpoint)
 {
     auto* session = findSession(endpoint.id);
     if (!session) {
-        openSession(endpoint);
+        session = &openSession(endpoint);
     } else {
         bool isNewIncarnation = session->endpoint.startedAtMs != endpoint.startedAtMs;
         bool hasNewAddress = session->endpoint.address != endpoint.address;
@@ -375,8 +403,15 @@
         if (hasNewAddress)
             openSession(endpoint);
         session->endpoint = endpoint;
+        updateCapacityGuard(*session);
         retryAllPlacements();
     }
+    auto registration = m_registrations.find(endpoint.id);
+    if (registration != m_registrations.end() && registration->second.heartbeat.endpoint.startedAtMs <= endpoint.startedAtMs) {
+        if (registration->second.heartbeat.endpoint.startedAtMs == endpoint.startedAtMs)
+            setReportedCapacity(*session, registration->second.heartbeat, registration->second.receivedAt);
+        m_registrations.erase(registration);
+    }
     auto waiters = m_waiters.extract(endpoint.id);
     if (!waiters.empty()) {
         for (auto& it : waiters.mapped())
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -28,6 +28,8 @@
     Duration maxLease = std::chrono::seconds(10);
     /// Upper bound on the time that an endpoint takes to stop a run.
     Duration stopTimeout = std::chrono::seconds(1);
+    /// Age of an endpoint's report of its capacity up to which tasks are started there. What has shrunk counts from then on.
+    Duration maxCapacityReportAge = std::chrono::seconds(3);
     /// Interval at which placement of waiting tasks is retried without a known change: an endpoint may become schedulable by
     /// the passing of time alone.
     Duration placementRetryInterval = std::chrono::milliseconds(100);
@@ -176,6 +178,12 @@
         TimePoint dueAt;
     };
 
+    /// The newest heartbeat of an incarnation that is not recorded yet.
+    struct Registration {
+        Heartbeat heartbeat;
+        TimePoint receivedAt;
+    };
+
     // Takeover (dispatcher.cpp)
     void restoreState();
     void restorePlacements(Job& job);
@@ -201,6 +209,10 @@
     void updateSession(EndpointSession& session);
     void sendDueRequests(EndpointSession& session, TimePoint now);
     void sendDueRequest(EndpointSession& session, Run& run, TimePoint now);
+    static void setReportedCapacity(EndpointSession& session, const Heartbeat& heartbeat, TimePoint receivedAt);
+    /// @returns whether the endpoint's capacity is certain, and bears the runs that it has or may get by requests that were sent.
+    [[nodiscard]] bool hasCapacityForStarts(const EndpointSession& session) const;
+    void updateCapacityGuard(EndpointSession& session);
     /// Cancels runs whose start was never sent to the unreachable endpoint, so that they are placed elsewhere.
     static void cancelUnsentStarts(EndpointSession& session);
     /// Sends requests that were held back by the endpoint's limit of pending requests.
@@ -322,6 +334,8 @@
     std::map<TaskKey, StepAdvice> m_advice;
     /// A call to the advice service is pending.
     bool m_isAdvicePending = false;
+    /// By endpoint id.
+    std::map<std::string, Registration> m_registrations;
     /// Callers waiting for their endpoint's registration or removal to commit, by endpoint id.
     std::map<std::string, std::vector<Waiter>> m_waiters;
     std::vector<PlacedRun> m_pendingPlacements;
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -181,7 +181,7 @@
     std::vector<EndpointSession*> sessions;
     Resources maxFree;
     for (auto& [id, session] : m_sessions) {
-        if (session->endpoint.service != service || !isSchedulable(*session, now))
+        if (session->endpoint.service != service || !isSchedulable(*session, now) || !session->isCapacityCertain(now, m_desc.maxCapacityReportAge))
             continue;
         PlacementCandidate candidate;
         candidate.endpoint = &session->endpoint;
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -82,6 +82,9 @@
     if (run.isRequestPending || now < run.nextRunRequestAt || !session.isReconciled)
         return;
     bool isStarting = run.phase == RunPhase::Starting;
+    // The capacity has shrunk since the task was placed: it is placed elsewhere.
+    if (isStarting && !hasCapacityForStarts(session))
+        run.mustStop = true;
     // No start request has been sent.
     if (isStarting && run.mustStop && !run.hasUnansweredStart)
         return queueRunEnd(session, run, RunEnd::NotStarted, "", "not-sent");
@@ -99,6 +102,13 @@
         sendThrottle(session, run);
 }
 
+bool Dispatcher::hasCapacityForStarts(const EndpointSession& session) const
+{
+    if (session.guardsCapacity)
+        return true;
+    return session.isCapacityCertain(m_clock.now(), m_desc.maxCapacityReportAge) && (session.used + session.strayUse).fitsIn(session.usableCapacity());
+}
+
 void Dispatcher::cancelUnsentStarts(EndpointSession& session)
 {
     for (auto& [key, run] : session.runs) {
@@ -208,11 +218,18 @@
     }
     if (session.uncommittedEnds == 0)
         session.lastEndRecorded = session.lastEndSeen;
+    auto needOf = [&](const TaskName& name) {
+        const auto* job = m_store.findJob(name.job);
+        return job && name.step < job->spec.steps.size() ? reservedNeed(job->spec.steps[name.step]) : Resources {};
+    };
+    Resources strayUse;
     for (const auto& it : reply.running) {
         auto key = keyOf(it.task, it.run);
         auto* run = key ? findRun(session, *key) : nullptr;
         if (key)
             reportedRuns.insert(*key);
+        if (!run || run->phase == RunPhase::Ended)
+            strayUse += needOf(it.task);
         if (run) {
             updateProgress(session, *run, it, sentAt);
             continue;
@@ -232,6 +249,9 @@
             }
         });
     }
+    if (session.strayUse != strayUse)
+        retryAllPlacements();
+    session.strayUse = strayUse;
     bool isFirst = !session.isReconciled;
     session.isReconciled = true;
     if (session.reconciledAt == TimePoint {})
--- a/src/jobs/endpoint_session.cpp
+++ b/src/jobs/endpoint_session.cpp
@@ -55,6 +55,25 @@
         clock = ClockSample { clockMs, receivedAt };
 }
 
+Resources EndpointSession::usableCapacity() const
+{
+    const auto& recorded = endpoint.capacity;
+    if (!reportedCapacity)
+        return recorded;
+    return { std::min(recorded.cpu, reportedCapacity->cpu), std::min(recorded.memory, reportedCapacity->memory), std::min(recorded.gpus, reportedCapacity->gpus) };
+}
+
+bool EndpointSession::isCapacityCertain(TimePoint now, Duration maxReportAge) const
+{
+    if (guardsCapacity)
+        return true;
+    if (!reportedCapacity || now - capacityReportedAt > maxReportAge)
+        return false;
+    // A heartbeat may have been under way for long.
+    auto clockMs = clockAt(now);
+    return !clockMs || !capacityClockMs || std::chrono::milliseconds(*clockMs - *capacityClockMs) <= maxReportAge;
+}
+
 bool EndpointSession::isReportedAvailable(const RunKey& run) const
 {
     auto it = runs.find(run);
@@ -86,6 +105,9 @@
     reconciledAt = {};
     clock.reset();
     lastHeartbeatSequence = 0;
+    reportedCapacity.reset();
+    capacityClockMs.reset();
+    strayUse = {};
     lastEndSeen = 0;
     lastEndRecorded = 0;
     lastEndAcknowledged = 0;
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -132,6 +132,16 @@
     TimePoint lastReplyAt;
     uint64_t lastHeartbeatSequence = 0;
     bool isRegistrationPending = false;
+    /// Capacity in the newest heartbeat of this incarnation in this leader's term, which may not be committed yet; nothing without
+    /// one. An earlier leader may have known of a smaller capacity.
+    std::optional<Resources> reportedCapacity;
+    /// When that heartbeat arrived, and the endpoint's clock when it was sent, in milliseconds.
+    TimePoint capacityReportedAt;
+    std::optional<int64_t> capacityClockMs;
+    /// Resources of runs that the endpoint lists but the store does not: they are being stopped.
+    Resources strayUse;
+    /// The endpoint refuses starts that exceed its capacity.
+    bool guardsCapacity = false;
     /// When all runs there have ended unless the lease is renewed.
     TimePoint leaseEndsAt;
     /// Start, stop and throttle requests without a reply so far.
@@ -180,7 +190,11 @@
     void addClockSample(int64_t clockMs, TimePoint receivedAt);
     /// @returns whether a request can be sent at once: one queued behind others would use up its timeout before it is sent.
     [[nodiscard]] bool canSendRunRequest() const { return pendingRunRequests < config::maxRunRequestsPerEndpoint; }
-    [[nodiscard]] Resources freeCapacity() const { return endpoint.capacity - used; }
+    /// @returns the smaller of the recorded and the last reported capacity, separately for each resource.
+    [[nodiscard]] Resources usableCapacity() const;
+    [[nodiscard]] Resources freeCapacity() const { return usableCapacity() - used - strayUse; }
+    /// @returns whether the capacity was reported recently enough for a start that the endpoint would not refuse.
+    [[nodiscard]] bool isCapacityCertain(TimePoint now, Duration maxReportAge) const;
     /// @returns whether the newest report shows the run available.
     [[nodiscard]] bool isReportedAvailable(const RunKey& run) const;
     /// @returns whether the run is certainly available: the endpoint answers and has just reported it so.
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -256,6 +256,7 @@
     desc.leaderConfirmedAt = [this] { return m_driver->core().lastQuorumContactAt(); };
     desc.maxLease = m_desc.maxLease;
     desc.stopTimeout = m_desc.stopTimeout;
+    desc.maxCapacityReportAge = m_desc.maxCapacityReportAge;
     m_dispatcher = std::make_unique<jobs::Dispatcher>(std::move(desc), m_store, m_clock, *m_dependencies.endpoints, *m_dependencies.advice, m_log);
     m_instanceManager = std::make_unique<jobs::InstanceManager>(
         m_desc.instances, status.term, m_store, *m_dispatcher, *m_dependencies.instances, [this](const jobs::Command& command) { m_batcher.propose(command); }, [this] { return soleLeaderUntil(); }, m_clock, m_log);
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -29,6 +29,8 @@
     Duration retention = std::chrono::seconds(120);
     Duration maxLease = std::chrono::seconds(10);
     Duration stopTimeout = std::chrono::seconds(1);
+    /// See DispatcherDesc.
+    Duration maxCapacityReportAge = std::chrono::seconds(3);
     jobs::InstanceManagerDesc instances;
 };
 
