Repeat heartbeats to a new leader

A new leader starts nothing on an endpoint before it has a heartbeat of its own term, as the capacity may have shrunk: up to 1.5 s without starts after each change of leader.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -121,9 +121,24 @@
 
 void Controller::call(Request request, TimePoint deadline, LeaderClient::Handler handler)
 {
+    if (const auto* heartbeat = std::get_if<HeartbeatRequest>(&request))
+        m_heartbeats.add(*heartbeat, m_clock.now());
+    else if (const auto* deregistration = std::get_if<DeregisterRequest>(&request))
+        m_heartbeats.remove(deregistration->endpointId);
     m_leaderClient.call(std::move(request), deadline, deadline, std::move(handler));
 }
 
+void Controller::repeatHeartbeats()
+{
+    auto now = m_clock.now();
+    m_heartbeats.prune(now - m_desc.maxCapacityReportAge);
+    if (!m_leaderClient.hasLeader() || m_leaderClient.leaderTerm() == m_heartbeatsTerm)
+        return;
+    m_heartbeatsTerm = m_leaderClient.leaderTerm();
+    for (const auto& [id, it] : m_heartbeats.all())
+        m_leaderClient.call(it.request, now + config::leaderWaitTimeout, now + config::leaderWaitTimeout, [](const LeaderClient::Outcome&) {});
+}
+
 void Controller::stop(std::function<void()> done)
 {
     m_onStopped = std::move(done);
@@ -298,6 +313,7 @@
         sendStatus();
     if (now >= m_nextJoinAt)
         joinGroup();
+    repeatHeartbeats();
     if (now >= m_nextHousekeepingAt && hasLeaderAuthority()) {
         m_nextHousekeepingAt = now + housekeepingInterval;
         removeReplacedReplica();
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "command_batcher_p.h"
+#include "heartbeat_cache_p.h"
 #include "job_service_p.h"
 #include "jobs/instance_manager_p.h"
 #include "leader_client_p.h"
@@ -83,6 +84,8 @@
     void handleJoin(const JoinRequest& request);
     void removeReplacedReplica();
     void purgeJobs();
+    /// Sends a new leader the last heartbeats that arrived here: it starts no task on an endpoint before it has one.
+    void repeatHeartbeats();
     void logLoad();
 
     net::EventLoop& m_loop;
@@ -97,6 +100,9 @@
     std::vector<std::unique_ptr<net::FrameLink>> m_closedLinks;
     uint64_t m_lastInboundLinkId = 0;
     LeaderClient m_leaderClient;
+    HeartbeatCache m_heartbeats;
+    /// Term of the leader that has been sent them.
+    uint64_t m_heartbeatsTerm = 0;
     CommandBatcher m_batcher;
     std::unique_ptr<LogDriver> m_driver;
     std::unique_ptr<jobs::Dispatcher> m_dispatcher;
--- a/src/node/leader_client_p.h
+++ b/src/node/leader_client_p.h
@@ -54,6 +54,8 @@
     void maintainLink(const std::string& name);
     [[nodiscard]] bool hasLeader() const { return m_isLocalLeader || !m_leader.empty(); }
     [[nodiscard]] const std::string& leader() const { return m_leader; }
+    /// @returns the term of the last known leader.
+    [[nodiscard]] uint64_t leaderTerm() const { return m_leaderTerm; }
     [[nodiscard]] size_t pendingCalls() const { return m_calls.size(); }
 
 private:
