Harm the soak with crashing tasks and changing capacities

One job of a run has a task that crashes its endpoint's process 10 ms after each start; the process is back 3.2 s later under another id. Capacities of endpoints shrink to half and grow again. New checks: no other job may fail unless a task of it failed, and no start may exceed a capacity that shrank more than 18 s before (proxies hold requests back for up to 7 s).

--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -28,7 +28,8 @@
     Duration maxLease = std::chrono::seconds(10);
     /// Upper bound on the time that an endpoint takes to stop a run.
     Duration stopTimeout = std::chrono::seconds(1);
-    /// Age of an endpoint's report of its capacity up to which tasks are started there. What has shrunk counts from then on.
+    /// Age of an endpoint's report of its capacity up to which tasks are started there: the platform allows processes this time and
+    /// one heartbeat interval to hear of a smaller capacity.
     Duration maxCapacityReportAge = std::chrono::seconds(3);
     /// Interval at which placement of waiting tasks is retried without a known change: an endpoint may become schedulable by
     /// the passing of time alone.
--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -178,6 +178,8 @@
     /// Jobs whose tasks may run as two copies at the same time.
     std::set<std::string> copyableJobs;
     std::map<TaskName, uint32_t> failuresAcknowledged;
+    /// See capacityNotice.
+    Duration capacityNotice = sim::capacityNotice;
     /// Longest delay of a heartbeat, and the probability that it arrives twice.
     Duration maxHeartbeatDelay {};
     double doubledHeartbeatProbability = 0;
@@ -389,7 +391,7 @@
     {
         auto counted = description.capacity;
         for (const auto& [endedAt, capacity] : m_earlierCapacities) {
-            if (m_world.clock.time - endedAt <= capacityNotice)
+            if (m_world.clock.time - endedAt <= m_world.capacityNotice)
                 counted = { std::max(counted.cpu, capacity.cpu), std::max(counted.memory, capacity.memory), std::max(counted.gpus, capacity.gpus) };
         }
         return counted;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,8 @@
 /// All accepted jobs have to end within this time after the last fault: the target platform allows 14 s after the end of the traffic.
 constexpr seconds completionLimit { 14 };
 constexpr milliseconds pollInterval { 3 };
+/// Time from the submission of a task that crashes its endpoints until it has been given up, also after a change of leader.
+constexpr seconds crashPeriod { 16 };
 constexpr size_t minControllers = 3;
 
 /// Injects random faults one after another; their effects may overlap.
@@ -41,7 +43,7 @@
         m_nextAt = now + m_world.randomDelay(150, 1500);
         static const std::vector<std::pair<int, void (FaultInjector::*)()>> kinds {
             { 3, &FaultInjector::pause }, { 3, &FaultInjector::kill }, { 2, &FaultInjector::terminate }, { 4, &FaultInjector::blockProxy }, { 2, &FaultInjector::resetProxy }, { 2, &FaultInjector::delayProxy },
-            { 3, &FaultInjector::crashEndpoint }, { 3, &FaultInjector::blockEndpoint }, { 1, &FaultInjector::loseDisk }, { 2, &FaultInjector::changeCatalog }, { 1, &FaultInjector::startWave }, { 1, &FaultInjector::reload }
+            { 3, &FaultInjector::crashEndpoint }, { 3, &FaultInjector::blockEndpoint }, { 1, &FaultInjector::loseDisk }, { 2, &FaultInjector::changeCatalog }, { 1, &FaultInjector::startWave }, { 1, &FaultInjector::reload }, { 2, &FaultInjector::changeCapacity }
         };
         int sum = 0;
         for (const auto& [weight, kind] : kinds)
@@ -189,6 +191,12 @@
             m_site.startController(n);
         });
     }
+    void changeCapacity()
+    {
+        auto n = pick(m_site.desc().endpoints);
+        logFault("change the capacity of endpoint " + std::to_string(n));
+        m_site.changeCapacity(n);
+    }
     void changeCatalog()
     {
         logFault("change the configuration");
@@ -208,7 +216,7 @@
     size_t m_count = 0;
 };
 
-/// Submits random jobs: one or two steps, several tasks, speculative copies, long-running tasks and cancellations.
+/// Submits random jobs: one or two steps, several tasks, some of which crash their endpoints, speculative copies, long-running tasks and cancellations.
 class Traffic {
 public:
     Traffic(SoakSite& site, const Clock& clock)
@@ -218,7 +226,8 @@
     {
     }
 
-    void poll()
+    /// @param mayCrash whether tasks that crash their endpoints may be submitted.
+    void poll(bool mayCrash)
     {
         auto now = m_clock.now();
         if (now < m_nextAt)
@@ -248,17 +257,26 @@
             step.after = { 0 };
             spec.steps.push_back(step);
         }
+        if (mayCrash && kind >= 4 && kind <= 6 && m_submittedCrashing < maxCrashing && std::uniform_int_distribution<>(0, 5)(m_world.random) == 0) {
+            m_submittedCrashing++;
+            spec.steps.resize(1);
+            spec.steps.front().taskCount = 1;
+            m_site.addCrashingJob(spec.id);
+        }
         m_site.clients().submit(std::move(spec), kind == 3 || (isLongRunning && m_submittedLongRunning % 2 == 0));
     }
 
 private:
     static constexpr size_t maxLongRunning = 4;
+    /// Each takes three endpoints for some seconds, of few.
+    static constexpr size_t maxCrashing = 1;
 
     SoakSite& m_site;
     const Clock& m_clock;
     sim::World& m_world;
     TimePoint m_nextAt;
     size_t m_submittedLongRunning = 0;
+    size_t m_submittedCrashing = 0;
 };
 
 struct Options {
@@ -298,7 +316,11 @@
 {
     auto& violations = site.world().violations;
     for (const auto& [id, job] : site.clients().jobs()) {
-        if (job.isFinished())
+        const auto& failures = site.world().failuresAcknowledged;
+        bool hasFailedRuns = std::any_of(failures.begin(), failures.end(), [&name = id](const auto& it) { return it.first.job == name && it.second > 0; });
+        if (job.phase == jobs::JobPhase::Failed && !site.isCrashing(id) && !hasFailedRuns)
+            violations.add("a job has failed although its tasks neither failed nor crashed their endpoints: " + id);
+        if (job.isFinished() || site.isCrashing(id))
             continue;
         if (!job.isAccepted)
             violations.add("submission of job " + id + " still has no definite response at the end of the run");
@@ -375,7 +397,7 @@
         auto now = clock.now();
         site.poll();
         if (site.hasCatalog() && now < faultsEndAt)
-            traffic.poll();
+            traffic.poll(now < faultsEndAt - crashPeriod);
         if (!options.isCalm && now >= begin + startupTime && now < faultsEndAt)
             faults.poll();
         if (now >= faultsEndAt && !haveFaultsEnded) {
--- a/tests/soak/site.cpp
+++ b/tests/soak/site.cpp
@@ -32,6 +32,9 @@
     constexpr int firstNetwork = 20;
 
     constexpr milliseconds heartbeatInterval { 500 };
+    constexpr Resources fullCapacity { 4000, 4000, 0 };
+    /// Proxies hold back a start, and the heartbeats that would have prevented it, for up to 7 s each.
+    constexpr milliseconds capacityNotice { 18000 };
     constexpr milliseconds callTimeout { 1000 };
     constexpr milliseconds operatorInterval { 300 };
     /// The target platform requires that a version is in effect everywhere this long after its acknowledgement.
@@ -50,6 +53,7 @@
 {
     m_world.clock.time = clock.now();
     m_world.faults.failedRunProbability = 0.02;
+    m_world.capacityNotice = capacityNotice;
 }
 
 net::Address SoakSite::address(int network, size_t host, uint16_t port) const { return *net::parseAddress(addressText(network, host, port)); }
@@ -119,7 +123,7 @@
         endpoint.address = addressText(endpointProxyNetwork, n, endpointPort);
         endpoint.availabilityZone = "zone-a";
         endpoint.instance = it.instance;
-        endpoint.capacity = { 4000, 4000, 0 };
+        endpoint.capacity = fullCapacity;
         auto& model = m_world.endpoints[endpoint.id];
         model = std::make_unique<sim::SimEndpoint>(m_world, endpoint);
         model->need = { 1000, 100, 0 };
@@ -139,9 +143,14 @@
 {
     auto* model = it.model;
     EndpointHandlers handlers;
-    handlers.start = [this, model](const StartRequest& order) {
+    handlers.start = [this, model, n](const StartRequest& order) {
         auto isKnown = m_world.runningAt[order.task].contains(model->description.id);
         auto reply = model->start(order, "");
+        if (reply.status == EndpointReplyStatus::Accepted && m_crashingJobs.contains(order.task.job))
+            m_world.eventQueue.after(sim::crashDelay, [this, n, incarnation = model->incarnation()] {
+                if (m_endpoints[n]->model->incarnation() == incarnation)
+                    crashEndpoint(n);
+            });
         if (reply.status == EndpointReplyStatus::Accepted && !isKnown)
             m_clients->checkStart(order);
         return reply;
@@ -169,6 +178,21 @@
     startEndpointServer(it, n);
 }
 
+void SoakSite::crashEndpoint(size_t n)
+{
+    auto& it = *m_endpoints[n];
+    it.model->crash();
+    it.server.reset();
+    it.proxy->resetConnections();
+    it.crashedUntil = m_clock.now() + m_world.restartTime;
+}
+
+void SoakSite::changeCapacity(size_t n)
+{
+    auto& model = *m_endpoints[n]->model;
+    model.setCapacity(model.description.capacity == fullCapacity ? Resources { 2000, 2000, 0 } : fullCapacity);
+}
+
 void SoakSite::startController(size_t n, bool isFirstStart)
 {
     auto name = controllerName(n);
@@ -380,7 +404,7 @@
         auto& it = *m_endpoints[n];
         it.model->enforceLease();
         it.proxy->poll();
-        if (!it.server && now >= it.downUntil) {
+        if (!it.server && now >= std::max(it.downUntil, it.crashedUntil)) {
             it.model->isPartitioned = false;
             restartEndpoint(n, false);
         }
@@ -416,8 +440,11 @@
             it->setDelay({});
         }
     }
-    for (auto& it : m_endpoints)
+    for (auto& it : m_endpoints) {
         it->proxy->setBlocked(false, false);
+        if (it->model->description.capacity != fullCapacity)
+            it->model->setCapacity(fullCapacity);
+    }
     for (size_t n = 0; n < m_desc.controllers; n++) {
         m_processes.signal(controllerName(n), SIGCONT);
         startController(n);
--- a/tests/soak/site.h
+++ b/tests/soak/site.h
@@ -36,6 +36,8 @@
     uint32_t incarnation = 0;
     /// End of the instance's maintenance.
     TimePoint downUntil;
+    /// No process runs until then because it crashed.
+    TimePoint crashedUntil;
     /// Number of the wave in which the instance went into maintenance; 0 for none.
     uint64_t maintainedByWave = 0;
 };
@@ -67,6 +69,11 @@
     SoakEndpoint& endpoint(size_t n) { return *m_endpoints[n]; }
     /// Simulates a crash and restart of the endpoint's process.
     void restartEndpoint(size_t n, bool isSameId);
+    /// Each start of a task of the job crashes its endpoint's process.
+    void addCrashingJob(const std::string& id) { m_crashingJobs.insert(id); }
+    [[nodiscard]] bool isCrashing(const std::string& job) const { return m_crashingJobs.contains(job); }
+    /// Shrinks the endpoint's capacity, or restores it.
+    void changeCapacity(size_t n);
 
     // Operators
     void changeCatalog();
@@ -86,6 +93,8 @@
     [[nodiscard]] std::string addressText(int network, size_t host, uint16_t port) const;
     void startEndpointServer(SoakEndpoint& it, size_t n);
     void sendHeartbeat(SoakEndpoint& it);
+    /// Ends the process of an endpoint; poll() starts another one at its address later.
+    void crashEndpoint(size_t n);
     void putCatalog();
     void readCatalog();
     void putWave();
@@ -103,6 +112,7 @@
     std::vector<std::unique_ptr<Proxy>> m_controlProxies;
     std::vector<std::unique_ptr<Proxy>> m_gatewayProxies;
     std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
+    std::set<std::string> m_crashingJobs;
     std::unique_ptr<platform::standin::InstanceServer> m_instanceServer;
     std::vector<std::unique_ptr<net::HttpChannel>> m_operatorChannels;
     std::unique_ptr<Clients> m_clients;
