Read TROUBLE in each case and put the stand-ins beside the cases

Cause: only the shared stand-ins read TROUBLE, and they lay in a folder of their own that is no case.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "standin"))
+sys.path.insert(0, os.path.join(FOLDER, ".."))
 import lift  # noqa: E402
 
 CALM_S = 3
@@ -44,4 +44,4 @@
 
 
 if __name__ == "__main__":
-    lift.main(FOLDER, run)
+    lift.main(FOLDER, run, hasTrouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/standin/lift.py
+++ b/review/lift.py
@@ -19,7 +19,7 @@
 import time
 import tomllib
 
-REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 
 # The bounds of the site file sites/gandum-lift.toml.
 BOUNDS = {
@@ -601,9 +601,8 @@
     return None
 
 
-def main(folder, case):
+def main(folder, case, hasTrouble):
     """Runs case(site, hasTrouble), which returns None if the rule held, else a text, and exits as the issue asks."""
-    hasTrouble = os.environ.get("TROUBLE", "1") != "0"
     site = None
     status = 2
 
