--- a/include/vanillalift/endpoint_link.h
+++ b/include/vanillalift/endpoint_link.h
@@ -145,7 +145,7 @@
 class EndpointLinks {
 public:
     virtual ~EndpointLinks() = default;
-    /// @returns nullptr if the endpoint's address is malformed.
+    /// @returns the link, never nullptr. If the endpoint's address is malformed, all requests over it fail as NotSent.
     virtual std::unique_ptr<EndpointLink> open(const Endpoint& endpoint) = 0;
     /// @returns statistics over all links.
     [[nodiscard]] virtual CallStats stats() const = 0;
