Stop a deregistered endpoint's tasks before they run elsewhere

Cause: a deregistration was taken as the proof that the endpoint has ended, and its runs were recorded as lost at once. The endpoint runs until it has the acknowledgement, and for some seconds without one. Evidence: in the leader's log "endpoint-leave" and 2 ms later twelve "run-end end=lost"; the record of the case shows the same runs still going on for 0.5 to 1 s. Change: the deregistration is recorded; the tasks of a drained endpoint are stopped, and it is acknowledged once they have ended or after 0.8 s. What has not stopped by then waits for the end of its lease. As the call names no incarnation, one of an endpoint that does not drain may be late and stops nothing; the next heartbeat takes it back. A refused connection was weighed as a proof and dropped: a partition may refuse connections.

--- a/include/vanillalift/job.h
+++ b/include/vanillalift/job.h
@@ -184,8 +184,10 @@
     bool hasEarlierIncarnation = false;
     /// Sequence number of the endpoint's report that is recorded here: older reports that arrive later are ignored.
     uint64_t reportSequence = 0;
+    /// It keeps running until it has the acknowledgement of its deregistration, and for some seconds without one.
+    bool hasDeregistered = false;
 
-    MSGPACK_DEFINE(id, startedAtMs, service, address, availabilityZone, instance, rack, labels, capacity, isDraining, hasEarlierIncarnation, reportSequence)
+    MSGPACK_DEFINE(id, startedAtMs, service, address, availabilityZone, instance, rack, labels, capacity, isDraining, hasEarlierIncarnation, reportSequence, hasDeregistered)
     bool operator==(const Endpoint&) const = default;
 };
 
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -14,6 +14,9 @@
 
     /// Time for which an endpoint is polled with short waits after the last decision that needed its current runs.
     constexpr std::chrono::milliseconds freshStatusPeriod { 400 };
+    /// Longest time for which the acknowledgement of an endpoint's deregistration waits for its tasks to stop. The endpoint repeats an
+    /// unanswered deregistration after 1 s.
+    constexpr std::chrono::milliseconds maxDeregistrationAckDelay { 800 };
 
 } // namespace
 
@@ -45,6 +48,8 @@
             planOf(*job);
         restorePlacements(*job);
     }
+    for (auto& [id, session] : m_sessions)
+        stopRunsIfDeregistered(*session);
     resolveOrphanedSuspects();
     flushRunEnds();
 }
@@ -295,6 +300,8 @@
     auto recorded = reported;
     recorded.isDraining = reported.isDraining || (isSameIncarnation && known->isDraining);
     recorded.hasEarlierIncarnation = isSameIncarnation && known->hasEarlierIncarnation;
+    // A heartbeat without draining shows that the deregistration was one of an earlier incarnation.
+    recorded.hasDeregistered = isSameIncarnation && (known->hasDeregistered || session->isDeregistrationPending) && recorded.isDraining;
     bool isProposed = isSameIncarnation && session->isRegistrationPending && session->reportedCapacity == reported.capacity;
     if (isSameIncarnation) {
         setReportedCapacity(*session, heartbeat, now);
@@ -329,13 +336,52 @@
 void Dispatcher::receiveDeregistration(const std::string& endpointId, std::function<void()> onRecorded)
 {
     const auto* known = m_store.findEndpoint(endpointId);
-    if (!known)
+    auto* session = findSession(endpointId);
+    if (!known || !session)
         return onRecorded();
-    m_waiters[endpointId].push_back({ endpointId, std::move(onRecorded) });
-    if (auto* session = findSession(endpointId))
-        session->removalReason = RemovalReason::Left;
-    m_log.line("endpoint-leave").field("endpoint", endpointId).field("born", known->startedAtMs);
-    m_desc.propose(RemoveEndpoint { endpointId, known->startedAtMs });
+    m_log.line("endpoint-leave").field("endpoint", endpointId).field("born", known->startedAtMs).field("draining", known->isDraining).field("runs", session->runs.size()).field("repeated", known->hasDeregistered);
+    session->deregistrationWaiters.push_back(std::move(onRecorded));
+    if (session->runs.empty())
+        return removeEndpoint(*session, RemovalReason::Left);
+    if (session->deregistrationAckDueAt == TimePoint {})
+        session->deregistrationAckDueAt = m_clock.now() + (known->isDraining ? Duration(maxDeregistrationAckDelay) : Duration::zero());
+    if (session->isDeregistrationPending || known->hasDeregistered)
+        return;
+    // The endpoint runs until it has the acknowledgement, and for some seconds without one.
+    session->isDeregistrationPending = true;
+    m_desc.propose(MarkDeregistered { endpointId, known->startedAtMs });
+}
+
+void Dispatcher::onEndpointDeregistered(const Endpoint& endpoint)
+{
+    auto* session = findSession(endpoint.id);
+    if (!session)
+        return;
+    session->isDeregistrationPending = false;
+    session->endpoint.hasDeregistered = true;
+    stopRunsIfDeregistered(*session);
+}
+
+void Dispatcher::stopRunsIfDeregistered(EndpointSession& session)
+{
+    if (!session.endpoint.hasDeregistered)
+        return;
+    if (!session.isAboutToEnd())
+        return cancelUnsentStarts(session);
+    for (auto& [key, run] : session.runs) {
+        run.nextRunRequestAt = run.mustStop ? run.nextRunRequestAt : TimePoint {};
+        run.mustStop = true;
+    }
+}
+
+void Dispatcher::updateDeregistration(EndpointSession& session, TimePoint now)
+{
+    if (session.endpoint.hasDeregistered && session.runs.empty())
+        return removeEndpoint(session, RemovalReason::Left);
+    if (session.deregistrationWaiters.empty() || session.isDeregistrationPending || now < session.deregistrationAckDueAt)
+        return;
+    for (auto& it : std::exchange(session.deregistrationWaiters, {}))
+        it();
 }
 
 void Dispatcher::setCordoned(const std::set<std::string>& endpointIds)
@@ -406,6 +452,7 @@
             openSession(endpoint);
         session->endpoint = endpoint;
         updateCapacityGuard(*session);
+        stopRunsIfDeregistered(*session);
         retryAllPlacements();
     }
     auto registration = m_registrations.find(endpoint.id);
@@ -425,8 +472,8 @@
 {
     auto* session = findSession(last.id);
     if (session) {
-        handleIncarnationEnd(*session, session->removalReason == RemovalReason::Left ? "left" : session->isRemovalPending ? "removed"
-                                                                                                                          : "replaced");
+        handleIncarnationEnd(*session, last.hasDeregistered || session->removalReason == RemovalReason::Left ? "left" : session->isRemovalPending ? "removed"
+                                                                                                                                                  : "replaced");
         m_log.line("endpoint-removed").field("endpoint", last.id).field("born", last.startedAtMs).field("runs", session->runs.size());
         for (auto& [key, run] : session->runs) {
             if (run.phase == RunPhase::Committing) {
@@ -444,7 +491,10 @@
             m_staleAckUntil[last.id] = session->staleAckUntil;
         if (session->isCordoned)
             m_cordonedAddresses.insert(last.address);
+        auto deregistrationWaiters = std::move(session->deregistrationWaiters);
         m_sessions.erase(last.id);
+        for (auto& it : deregistrationWaiters)
+            it();
     }
     auto waiters = m_waiters.extract(last.id);
     if (!waiters.empty()) {
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -158,6 +158,7 @@
 
     void onCatalog() override;
     void onEndpoint(const Endpoint& endpoint) override;
+    void onEndpointDeregistered(const Endpoint& endpoint) override;
     void onEndpointRemoved(const Endpoint& last) override;
     void onJob(Job& job) override;
     void onJobFinished(Job& job) override;
@@ -198,6 +199,12 @@
     void markDirty(uint64_t serial);
     [[nodiscard]] TaskName taskNameOf(const Run& run) const;
 
+    // Deregistered endpoints (dispatcher.cpp)
+    /// Stops what runs on an endpoint that ends soon; starts nothing more on one that may.
+    static void stopRunsIfDeregistered(EndpointSession& session);
+    /// Removes a deregistered endpoint once nothing runs there, and acknowledges its deregistration then or after a bounded time.
+    void updateDeregistration(EndpointSession& session, TimePoint now);
+
     // Ends (dispatcher.cpp)
     /// @param cause logged with the end.
     void queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint, std::string_view cause);
@@ -332,6 +339,7 @@
     /// Mean ratio of measured to declared run time of tasks, by queue.
     std::map<std::string, MovingAverage> m_runTimeRatio;
     TimePoint m_nextSpeculationAt;
+    /// By the first task of the step.
     std::map<TaskKey, StepAdvice> m_advice;
     /// A call to the advice service is pending.
     bool m_isAdvicePending = false;
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -26,6 +26,18 @@
     /// Consecutive unanswered status requests from which the runs of an endpoint are recorded as suspects, if no connection was lost.
     constexpr uint32_t unansweredForSuspicion = 2;
 
+    std::string_view removalReasonText(RemovalReason reason)
+    {
+        switch (reason) {
+        case RemovalReason::Left:
+            return "it has left";
+        case RemovalReason::Replaced:
+            return "another incarnation answers at the address";
+        default:
+            return "no heartbeat and no lease";
+        }
+    }
+
     bool isUnanswered(EndpointReplyStatus status) { return status == EndpointReplyStatus::Unknown || status == EndpointReplyStatus::NotSent; }
 
 } // namespace
@@ -46,6 +58,7 @@
 void Dispatcher::updateSession(EndpointSession& session)
 {
     auto now = m_clock.now();
+    updateDeregistration(session, now);
     bool hasUnacknowledgedEnds = session.lastEndAcknowledged < session.lastEndRecorded;
     bool isNeeded = !session.runs.empty() || !session.isReconciled || session.lastEndRecorded != session.lastEndSeen || hasUnacknowledgedEnds;
     // Until the known ends are committed, a reply would only report them again.
@@ -127,7 +140,8 @@
     request.acknowledgedThrough = mayAcknowledge ? session.lastEndRecorded : 0;
     // An endpoint that does not answer gets no renewal: its lease has to end before its tasks are run elsewhere.
     if (session.isReconciled && session.unansweredStatusRequests == 0 && !session.isSuperseded) {
-        request.leaseUntilMs = grantLease(session);
+        if (!session.isAboutToEnd())
+            request.leaseUntilMs = grantLease(session);
         bool areRequestsLost = now - m_lastUnansweredAt < config::shortStatusWaitPeriod;
         auto wait = areRequestsLost ? config::shortStatusWait : config::statusWait;
         if (now < session.freshStatusUntil)
@@ -190,6 +204,7 @@
         auto restarted = session.endpoint;
         restarted.startedAtMs = *reply.startedAtMs;
         restarted.isDraining = false;
+        restarted.hasDeregistered = false;
         m_desc.propose(PutEndpoint { std::move(restarted) });
         session.nextStatusRequestAt = now + config::unreachableRetryDelay;
         return;
@@ -532,7 +547,7 @@
 {
     auto now = m_clock.now();
     bool isSilent = now - session.lastHeartbeatAt > config::endpointExpiry;
-    if (isSilent && !session.isRemovalPending && session.unansweredStatusRequests > 0)
+    if ((isSilent || session.endpoint.hasDeregistered) && !session.isRemovalPending && session.unansweredStatusRequests > 0)
         return removeEndpoint(session, RemovalReason::Silent);
     bool hasExpired = false;
     for (auto& [key, run] : session.runs) {
@@ -559,7 +574,7 @@
     session.isRemovalPending = true;
     session.removalReason = reason;
     session.nextStatusRequestAt = m_clock.now() + config::endpointExpiry;
-    m_log.line("endpoint-gone").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("reason", reason == RemovalReason::Replaced ? "another incarnation answers at the address" : "no heartbeat and no lease");
+    m_log.line("endpoint-gone").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("reason", removalReasonText(reason));
     m_desc.propose(RemoveEndpoint { session.endpoint.id, session.endpoint.startedAtMs, reason == RemovalReason::Replaced });
 }
 
--- a/src/jobs/endpoint_session.cpp
+++ b/src/jobs/endpoint_session.cpp
@@ -106,6 +106,8 @@
     reconciledAt = {};
     clock.reset();
     lastHeartbeatSequence = 0;
+    isDeregistrationPending = false;
+    deregistrationAckDueAt = {};
     reportedCapacity.reset();
     capacityClockMs.reset();
     strayUse = {};
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -6,11 +6,13 @@
 #include <vanillalift/config.h>
 #include <vanillalift/endpoint_link.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace vanillalift::jobs {
 
@@ -98,7 +100,7 @@
 /// Why the leader has asked for an endpoint's removal.
 enum class RemovalReason : uint8_t {
     None,
-    /// It reported that it leaves.
+    /// It has deregistered.
     Left,
     /// Neither heartbeats nor replies arrive.
     Silent,
@@ -187,6 +189,11 @@
     bool isTakenDown = false;
     bool isRemovalPending = false;
     RemovalReason removalReason = RemovalReason::None;
+    /// Callers that wait for the acknowledgement of its deregistration, and when they get it even if tasks still run there.
+    std::vector<std::function<void()>> deregistrationWaiters;
+    TimePoint deregistrationAckDueAt;
+    /// The deregistration is proposed and not recorded yet.
+    bool isDeregistrationPending = false;
 
     /// @returns a lower bound of the endpoint's clock at a local time, in milliseconds; nothing without a clock sample.
     [[nodiscard]] std::optional<int64_t> clockAt(TimePoint time) const;
@@ -204,6 +211,9 @@
     [[nodiscard]] bool isConfirmedAvailable(const RunKey& run, TimePoint now) const;
     /// @returns whether any run there has not ended.
     [[nodiscard]] bool hasLiveRuns() const;
+    /// @returns whether the endpoint ends soon: it has drained and deregistered. A deregistration names no incarnation, so one without
+    /// draining may be a late one of an earlier incarnation.
+    [[nodiscard]] bool isAboutToEnd() const { return endpoint.hasDeregistered && endpoint.isDraining; }
     /// Discards the state that belongs to an earlier incarnation.
     void resetIncarnation(TimePoint now);
 };
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -116,6 +116,16 @@
         m_observer->onEndpoint(m_endpoints[id]);
 }
 
+void JobStore::apply(MarkDeregistered& command)
+{
+    auto it = m_endpoints.find(command.id);
+    if (it == m_endpoints.end() || it->second.startedAtMs != command.startedAtMs)
+        return;
+    it->second.hasDeregistered = true;
+    if (m_observer)
+        m_observer->onEndpointDeregistered(it->second);
+}
+
 void JobStore::markReplaced(const Endpoint& endpoint)
 {
     auto suspects = m_suspects.find(endpoint.id);
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -32,6 +32,12 @@
     bool isReplaced = false;
     MSGPACK_DEFINE(id, startedAtMs, isReplaced)
 };
+/// Records that the endpoint has deregistered while runs were placed there.
+struct MarkDeregistered {
+    std::string id;
+    int64_t startedAtMs = 0;
+    MSGPACK_DEFINE(id, startedAtMs)
+};
 struct PutJob {
     JobSpec spec;
     std::string workspace;
@@ -128,7 +134,7 @@
     MSGPACK_DEFINE(tasks)
 };
 
-using Command = std::variant<PutCatalog, PutEndpoint, RemoveEndpoint, PutJob, CancelJob, PlaceRuns, EndRuns, PutWave, MarkMaintained, PurgeJobs, PutReplica, RequestMaintenance, RecordSuspects, ResolveSuspects, ForgetCrashes>;
+using Command = std::variant<PutCatalog, PutEndpoint, RemoveEndpoint, PutJob, CancelJob, PlaceRuns, EndRuns, PutWave, MarkMaintained, PurgeJobs, PutReplica, RequestMaintenance, RecordSuspects, ResolveSuspects, ForgetCrashes, MarkDeregistered>;
 
 /// Appends one serialized command to a log entry.
 void appendCommand(std::string& entry, const Command& command);
@@ -228,6 +234,8 @@
     virtual ~StoreObserver() = default;
     virtual void onCatalog() = 0;
     virtual void onEndpoint(const Endpoint& endpoint) = 0;
+    /// The endpoint has deregistered and is still recorded, as runs are placed there.
+    virtual void onEndpointDeregistered(const Endpoint& endpoint) = 0;
     /// @param last the endpoint's last recorded state.
     virtual void onEndpointRemoved(const Endpoint& last) = 0;
     virtual void onJob(Job& job) = 0;
@@ -293,6 +301,7 @@
     void apply(RecordSuspects& command);
     void apply(ResolveSuspects& command);
     void apply(ForgetCrashes& command);
+    void apply(MarkDeregistered& command);
     /// Calls the function with each recorded run whose job and task are still in the state.
     void forEachSuspect(SuspectRuns& suspects, const std::function<void(SuspectRun&, Job&, Task&)>& handler);
 
