Ask for advice on every endpoint of a pool

Cause: a call for advice names at most 100 endpoints. They were the ones with the most free CPU, the same ones after each answer, and no answer was remembered. Evidence: "waiting ... advised=1 endpoints=111" every 3 s; the stand-in was asked 51 times about 100 endpoints and never about the four allowed ones. Change: StepAdvice keeps the answers while they hold and chooses the endpoints for the next call. A task that fits on no allowed endpoint leads to a call about others with room; before, they were not asked about while a ticket was valid. A log line for each answer.

--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -6,9 +6,11 @@
 #include "job_estimate_p.h"
 #include "job_store_p.h"
 #include "placement_p.h"
+#include "step_advice_p.h"
 
 #include <functional>
 #include <set>
+#include <span>
 
 namespace vanillalift {
 class EventLog;
@@ -83,14 +85,6 @@
     TimePoint nextWaitLogAt;
 };
 
-/// Placement advice for one step: the allowed endpoints, with one ticket each.
-struct StepAdvice {
-    TimePoint nextRequestAt;
-    TimePoint validUntil;
-    std::vector<std::string> endpoints;
-    std::vector<std::string> tickets;
-};
-
 /// Job dispatcher of the leader: places tasks, sends endpoints start and stop requests, renews endpoint leases, and records
 /// the ends of runs. Lives for one term; state that is not in the store is rebuilt from the endpoints' status replies.
 class Dispatcher final : public StoreObserver {
@@ -304,8 +298,13 @@
     void addReadyNeeds(std::map<std::string, ServiceLoad>& loads);
     [[nodiscard]] bool isWithinLimit(const Job& job, const StepSpec& step, uint32_t count);
     [[nodiscard]] bool isSchedulable(const EndpointSession& session, TimePoint now) const;
-    /// @returns valid advice for the task's step; without it, requests advice if it can, and returns nullptr.
-    const StepAdvice* findAdvice(JobPlan& plan, const TaskKey& key, const std::vector<EndpointSession*>& sessions);
+    /// @returns the advice for the task's step.
+    StepAdvice& adviceOf(const TaskKey& key);
+    /// Forgets the advice about an endpoint that refused its ticket.
+    void forgetAdvice(const TaskKey& key, const std::string& endpointId);
+    /// Asks the advice service about endpoints for the task's step that it has not answered about.
+    /// @param needsRoom ask only about endpoints on which a task of the step fits now.
+    void requestAdvice(const JobPlan& plan, const TaskKey& key, std::span<const PlacementCandidate> candidates, bool needsRoom);
     void preparePlacement(PlacementCandidate& candidate, const EndpointSession& session, const TaskKey& key, const StepSpec& step) const;
 
     DispatcherDesc m_desc;
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -25,8 +25,6 @@
     constexpr std::chrono::milliseconds waitLogInterval { 3000 };
     /// Minimum time between a reply with a step's advice and the next request for it.
     constexpr std::chrono::milliseconds adviceRetryDelay { 200 };
-    /// Remaining validity below which a ticket is not used: the start request has to reach the endpoint first.
-    constexpr std::chrono::milliseconds ticketMargin { 300 };
     /// Timeout of a request for advice, in addition to the decision time in the queue's settings.
     constexpr std::chrono::milliseconds adviceTimeoutMargin { 1500 };
 
@@ -331,27 +329,22 @@
     hints.isIsolated = needsIsolation(task->possibleCrashes());
     if (!task->placements.empty())
         hints.exclude = task->placements.front().endpoint;
-    const StepAdvice* advice = nullptr;
-    if (m_store.queueOf(job).isAdvised) {
-        advice = findAdvice(plan, key, sessions);
-        if (!advice)
-            return false;
-        hints.allowed = &advice->endpoints;
-    }
+    const auto* advice = m_store.queueOf(job).isAdvised ? &adviceOf(key) : nullptr;
+    auto allowed = advice ? advice->allowedEndpoints(m_clock.now()) : std::vector<std::string>();
+    if (advice)
+        hints.allowed = &allowed;
     for (size_t n = 0; n < candidates.size(); n++)
         preparePlacement(candidates[n], *sessions[n], key, step);
     m_stats.endpointsEvaluated += candidates.size();
     auto chosen = choosePlacement(step, hints, candidates);
     if (!chosen && hints.isIsolated)
         reserveEndpoint(step, hints, candidates, sessions);
-    if (!chosen)
+    if (!chosen) {
+        if (advice)
+            requestAdvice(plan, key, candidates, !allowed.empty());
         return false;
-    std::string ticket;
-    if (advice) {
-        auto it = std::find(advice->endpoints.begin(), advice->endpoints.end(), sessions[*chosen]->endpoint.id);
-        ticket = advice->tickets[static_cast<size_t>(it - advice->endpoints.begin())];
     }
-    proposePlacement(plan, key, task->lastRun + 1, *sessions[*chosen], ticket);
+    proposePlacement(plan, key, task->lastRun + 1, *sessions[*chosen], advice ? advice->ticketOf(sessions[*chosen]->endpoint.id) : "");
     auto& candidate = candidates[*chosen];
     candidate.free = sessions[*chosen]->freeCapacity();
     setRunCounts(candidate, *sessions[*chosen]);
@@ -371,14 +364,11 @@
     uint32_t number = 0;
     for (const auto& it : tasks)
         number = std::max(number, it.lastRun);
-    const StepAdvice* advice = nullptr;
     PlacementHints hints;
-    if (m_store.queueOf(job).isAdvised) {
-        advice = findAdvice(plan, first, sessions);
-        if (!advice)
-            return false;
-        hints.allowed = &advice->endpoints;
-    }
+    const auto* advice = m_store.queueOf(job).isAdvised ? &adviceOf(first) : nullptr;
+    auto allowed = advice ? advice->allowedEndpoints(m_clock.now()) : std::vector<std::string>();
+    if (advice)
+        hints.allowed = &allowed;
     // Try on a copy of the candidates: either all members are placed or none.
     auto trial = candidates;
     std::vector<size_t> chosen;
@@ -391,8 +381,11 @@
         hints.rack = step.prefersOneRack ? std::string_view(rack) : std::string_view();
         m_stats.endpointsEvaluated += trial.size();
         auto candidateIndex = choosePlacement(step, hints, trial);
-        if (!candidateIndex)
+        if (!candidateIndex) {
+            if (advice)
+                requestAdvice(plan, first, candidates, !allowed.empty());
             return false;
+        }
         trial[*candidateIndex].free -= reservedNeed(step);
         trial[*candidateIndex].runsOfStep++;
         rack = trial[*candidateIndex].endpoint->rack;
@@ -400,12 +393,7 @@
     }
     for (uint32_t index = 0; index < step.taskCount; index++) {
         auto& session = *sessions[chosen[index]];
-        std::string ticket;
-        if (advice) {
-            auto it = std::find(advice->endpoints.begin(), advice->endpoints.end(), session.endpoint.id);
-            ticket = advice->tickets[static_cast<size_t>(it - advice->endpoints.begin())];
-        }
-        proposePlacement(plan, { first.job, first.occurrence, first.step, index }, number + 1, session, ticket);
+        proposePlacement(plan, { first.job, first.occurrence, first.step, index }, number + 1, session, advice ? advice->ticketOf(session.endpoint.id) : "");
         candidates[chosen[index]].free = session.freeCapacity();
         setRunCounts(candidates[chosen[index]], session);
     }
@@ -430,36 +418,45 @@
         m_desc.propose(PlaceRuns { std::exchange(m_pendingPlacements, {}) });
 }
 
-const StepAdvice* Dispatcher::findAdvice(JobPlan& plan, const TaskKey& key, const std::vector<EndpointSession*>& sessions)
+StepAdvice& Dispatcher::adviceOf(const TaskKey& key) { return m_advice[{ key.job, key.occurrence, key.step, 0 }]; }
+
+void Dispatcher::forgetAdvice(const TaskKey& key, const std::string& endpointId)
+{
+    auto it = m_advice.find({ key.job, key.occurrence, key.step, 0 });
+    if (it != m_advice.end())
+        it->second.forget(endpointId);
+}
+
+void Dispatcher::requestAdvice(const JobPlan& plan, const TaskKey& key, std::span<const PlacementCandidate> candidates, bool needsRoom)
 {
     auto now = m_clock.now();
     TaskKey stepKey { key.job, key.occurrence, key.step, 0 };
-    auto& advice = m_advice[stepKey];
-    if (!advice.endpoints.empty() && now + ticketMargin < advice.validUntil)
-        return &advice;
+    auto& advice = adviceOf(key);
     // The service answers one call at a time: a queued call would use up its timeout before it is sent.
     if (m_isAdvicePending || now < advice.nextRequestAt)
-        return nullptr;
+        return;
     const auto& job = *plan.job;
     const auto& step = job.spec.steps[key.step];
-    std::vector<std::pair<int64_t, std::string>> byFreeCpu;
-    for (const auto* it : sessions) {
-        bool isUsable = step.requiredLabel.empty() || std::find(it->endpoint.labels.begin(), it->endpoint.labels.end(), step.requiredLabel) != it->endpoint.labels.end();
-        if (isUsable)
-            byFreeCpu.emplace_back(it->freeCapacity().cpu, it->endpoint.id);
+    std::vector<StepAdvice::Candidate> usable;
+    for (const auto& it : candidates) {
+        const auto& endpoint = *it.endpoint;
+        bool hasRoom = reservedNeed(step).fitsIn(it.free);
+        bool isUsable = step.requiredLabel.empty() || std::find(endpoint.labels.begin(), endpoint.labels.end(), step.requiredLabel) != endpoint.labels.end();
+        if (isUsable && (hasRoom || !needsRoom))
+            usable.push_back({ endpoint.id, endpoint.startedAtMs, hasRoom, it.free.cpu });
     }
-    std::sort(byFreeCpu.rbegin(), byFreeCpu.rend());
-    if (byFreeCpu.size() > config::maxAdvisedEndpoints)
-        byFreeCpu.resize(config::maxAdvisedEndpoints);
-    std::vector<std::string> candidateIds;
-    candidateIds.reserve(byFreeCpu.size());
-    for (auto& [freeCpu, id] : byFreeCpu)
-        candidateIds.push_back(std::move(id));
+    auto asked = advice.selectForRequest(usable, config::maxAdvisedEndpoints, now);
+    if (asked.empty())
+        return;
+    std::vector<std::string> ids;
+    ids.reserve(asked.size());
+    for (const auto& it : asked)
+        ids.push_back(it.endpoint);
     m_isAdvicePending = true;
     const auto& settings = m_store.queueOf(job).advice;
-    auto deadline = now + std::chrono::milliseconds(settings.decideMs + settings.perEndpointMs * candidateIds.size()) + adviceTimeoutMargin;
+    auto deadline = now + std::chrono::milliseconds(settings.decideMs + settings.perEndpointMs * ids.size()) + adviceTimeoutMargin;
     TaskName name { job.spec.id, key.occurrence, key.step, 0 };
-    m_adviceService.requestAdvice(name, std::move(candidateIds), deadline, [this, stepKey, isAlive = m_isAlive](const AdviceReply& reply) {
+    m_adviceService.requestAdvice(name, std::move(ids), deadline, [this, stepKey, asked = std::move(asked), isAlive = m_isAlive](const AdviceReply& reply) {
         if (!*isAlive)
             return;
         m_isAdvicePending = false;
@@ -474,15 +471,9 @@
             m_log.line("advice-missing").field("job", stepKey.job).field("step", stepKey.step);
             return;
         }
-        advice.validUntil = now + std::chrono::milliseconds(reply.validMs);
-        advice.endpoints.clear();
-        advice.tickets.clear();
-        for (const auto& allowed : *reply.allowed) {
-            advice.endpoints.push_back(allowed.endpoint);
-            advice.tickets.push_back(allowed.ticket);
-        }
+        m_log.line("advice").field("job", stepKey.job).field("step", stepKey.step).field("asked", asked.size()).field("allowed", reply.allowed->size()).field("valid-ms", reply.validMs);
+        advice.record(asked, *reply.allowed, now, std::chrono::milliseconds(reply.validMs));
     });
-    return nullptr;
 }
 
 } // namespace vanillalift::jobs
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -449,7 +449,7 @@
     if (reply.status == EndpointReplyStatus::Unhealthy)
         recordFailure(session, "the endpoint rejects requests as unhealthy");
     if (reply.status == EndpointReplyStatus::TicketInvalid)
-        m_advice.erase(TaskKey { key.task.job, key.task.occurrence, key.task.step, 0 });
+        forgetAdvice(key.task, session.endpoint.id);
     run->mustStop = true;
     if (reply.status == EndpointReplyStatus::Superseded) {
         // An earlier start request was carried out, or the run was stopped: the status reports show which.
