Refuse odd heartbeats and leave out odd entries of lists

Callers saw: operators of other systems report that one odd entry among those of the endpoints ended processes or made them stop following it. Tried here on: a heartbeat under an endpoint's id with a start time or sequence number of 2^63 - 1 is acknowledged, and the endpoint gets no task any more; one with 1.9 million nested arrays takes 114 MB at the peak. Cause: numbers were checked for their sign only, texts were parsed whatever their nesting, and missing or mistyped fields that are not used went unseen.

--- a/tests/jobs/malformed_address_test.cpp
+++ b/tests/jobs/malformed_address_test.cpp
@@ -30,10 +30,10 @@
 // Guards against a heartbeat that is acknowledged and recorded although no connection can be opened to its address.
 TEST_CASE("a heartbeat without a usable address is refused", "[platform]")
 {
-    REQUIRE(platform::decodeHeartbeat("i-1", heartbeatFrom("10.128.0.9:8080")));
+    REQUIRE(platform::decodeHeartbeat("i-1", heartbeatFrom("10.128.0.9:8080"), wallClockMs()));
     for (const auto* it : { "", "[::1]:8080", "10.128.0.9", "10.128.0.9:", "10.128.0.9:0", "10.128.0.9:65536", "10.128.0.9:18446744073709551696", "10.128.0.9:-1", "10.128.0.9:+80", "10.128.0.9:80 ", " 10.128.0.9:80", "10.128.0.256:80", "10.128.9:80", "desk.example:80", "10.128.0.9:80:80" }) {
         INFO(it);
-        CHECK_FALSE(platform::decodeHeartbeat("i-1", heartbeatFrom(it)));
+        CHECK_FALSE(platform::decodeHeartbeat("i-1", heartbeatFrom(it), wallClockMs()));
     }
 }
 
--- a/tests/jobs/platform_decode_test.cpp
+++ b/tests/jobs/platform_decode_test.cpp
@@ -18,6 +18,8 @@
 const std::string goodHeartbeat = R"({"service":"s","addr":"10.128.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"clockMs":482113,"seq":4,"born":1700000000000,"machine":"m-1"})";
 const std::string goodStatusReply = R"({"clockMs":482113,"born":5,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,7]],"ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
 
+constexpr int64_t nowMs = 1800000000000;
+
 std::string replaced(std::string text, const std::string& from, const std::string& to)
 {
     auto pos = text.find(from);
@@ -79,17 +81,17 @@
 
 TEST_CASE("a malformed heartbeat is refused", "[platform]")
 {
-    auto heartbeat = decodeHeartbeat("i-1", goodHeartbeat);
+    auto heartbeat = decodeHeartbeat("i-1", goodHeartbeat, nowMs);
     REQUIRE(heartbeat);
     CHECK(heartbeat->endpoint.rack == "r1-3");
     CHECK(heartbeat->endpoint.instance == "m-1");
     CHECK(heartbeat->clockMs == 482113);
-    CHECK_FALSE(decodeHeartbeat("", goodHeartbeat));
-    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"ready\"", "\"asleep\"")));
-    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"seq\":4", "\"seq\":\"4\"")));
-    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"capacity\":{", "\"capacity\":[{") + "]"));
-    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"born\":1700000000000", "\"born\":1.5")));
-    CHECK_FALSE(decodeHeartbeat("i-1", "\xff\xfe{"));
+    CHECK_FALSE(decodeHeartbeat("", goodHeartbeat, nowMs));
+    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"ready\"", "\"asleep\""), nowMs));
+    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"seq\":4", "\"seq\":\"4\""), nowMs));
+    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"capacity\":{", "\"capacity\":[{") + "]", nowMs));
+    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"born\":1700000000000", "\"born\":1.5"), nowMs));
+    CHECK_FALSE(decodeHeartbeat("i-1", "\xff\xfe{", nowMs));
 }
 
 TEST_CASE("a status reply is decoded, and refused if any run in it is malformed", "[platform]")
@@ -107,6 +109,75 @@
         CHECK_FALSE(decodeStatusReply(goodStatusReply.substr(0, n)));
 }
 
+// Guards against a process that ends, or an endpoint that is never followed again, because of one odd entry of another writer.
+TEST_CASE("a heartbeat with missing or mistyped fields, or with values that no endpoint reports, is refused", "[platform]")
+{
+    REQUIRE(decodeHeartbeat("i-1", goodHeartbeat, nowMs));
+    for (const auto* field : { "\"service\":\"s\"", "\"zone\":\"z\"", "\"version\":\"v1\"", "\"slots\":8", "\"coldLeftMs\":0", "\"seq\":4", "\"born\":1700000000000", "\"state\":\"ready\"" }) {
+        std::string text = field;
+        auto name = text.substr(0, text.find(':') + 1);
+        INFO(name);
+        CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, text, "\"x\":1"), nowMs));
+        CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, text, name + "null"), nowMs));
+        CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, text, name + "[1]"), nowMs));
+        CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, text, name + "1e400"), nowMs));
+    }
+    for (const auto* number : { "-1", "4.5", "4294967296", "9223372036854775807", "18446744073709551616", "1e18" })
+        CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"seq\":4", std::string("\"seq\":") + number), nowMs));
+    for (const auto* number : { "-1", "9223372036854775807", "1900000000000" })
+        CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "1700000000000", number), nowMs));
+    for (const auto* number : { "-1", "9223372036854775807", "\"482113\"", "1e6" })
+        CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "482113", number), nowMs));
+    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"m-1\"", "7"), nowMs));
+    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "16000", "16000000000000"), nowMs));
+    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"r1-3\"", "{}"), nowMs));
+    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"v1\"", '"' + std::string(70000, 'v') + '"'), nowMs));
+}
+
+TEST_CASE("a deeply nested message is refused by every decoder", "[platform]")
+{
+    for (size_t depth : { size_t { 40 }, size_t { 100000 }, size_t { 2000000 } }) {
+        std::string objects;
+        for (size_t n = 0; n < depth; n++)
+            objects += "{\"a\":";
+        objects += "1" + std::string(depth, '}');
+        for (const auto& nested : { std::string(depth, '[') + std::string(depth, ']'), objects }) {
+            auto with = [&](const std::string& good) { return "{\"unknown\":" + nested + "," + good.substr(1); };
+            CHECK_FALSE(decodeHeartbeat("i-1", with(goodHeartbeat), nowMs));
+            CHECK_FALSE(decodeJob(with(goodJob)));
+            CHECK_FALSE(decodeCatalog(with(goodCatalog)));
+            CHECK_FALSE(decodeStatusReply(with(goodStatusReply)));
+            CHECK_FALSE(decodeInstances(with(R"({"machines":[]})")));
+            CHECK_FALSE(decodeAdvice(with(R"({"good":[]})")));
+        }
+    }
+    // Brackets within a text are no levels.
+    CHECK(decodeJob(replaced(goodJob, "\"text\"", '"' + std::string(100, '[') + "\\\"[\"")));
+}
+
+TEST_CASE("a malformed entry in the list of instances hides none of the others", "[platform]")
+{
+    const std::string good = R"({"machine":"m-1","pool":"s","state":"up","zone":"z","labels":["a","r1"],"capacity":{"cpu":16000,"memMb":32768,"gpu":0},"id":"i-1"})";
+    for (const auto& odd : { std::string("7"), std::string("null"), std::string("{}"), std::string(R"({"machine":7})"), std::string(R"({"machine":"m-2","pool":[]})"), replaced(replaced(good, "m-1", "m-2"), "16000", "1e300") }) {
+        auto page = decodeInstances(R"({"machines":[)" + odd + "," + good + R"(],"nextToken":null})");
+        INFO(odd);
+        REQUIRE(page);
+        REQUIRE(page->instances.size() == 1);
+        CHECK(page->instances.front().name == "m-1");
+    }
+}
+
+TEST_CASE("figures of a run that are out of range are limited", "[platform]")
+{
+    auto reply = decodeStatusReply(replaced(replaced(goodStatusReply, ",41,", ",1e300,"), ",7]", ",1e300]"));
+    REQUIRE(reply);
+    CHECK(reply->running[0].percent == 100);
+    CHECK(reply->running[0].metricValue > 0);
+    reply = decodeStatusReply(replaced(goodStatusReply, ",41,", ",-5,"));
+    REQUIRE(reply);
+    CHECK(reply->running[0].percent == 0);
+}
+
 TEST_CASE("the reason of a refusal is decoded", "[platform]")
 {
     using jobs::EndpointReplyStatus;
@@ -130,7 +201,7 @@
                 CHECK_FALSE(job->steps.empty());
             if (auto catalog = decodeCatalog(text))
                 CHECK(catalog->version > 0);
-            decodeHeartbeat("i", text);
+            decodeHeartbeat("i", text, nowMs);
             decodeStatusReply(text);
             decodeWave(text, 0);
             decodeInstances(text);
