--- a/tests/jobs/capacity_change_test.cpp
+++ b/tests/jobs/capacity_change_test.cpp
@@ -67,6 +67,49 @@
     }
 }
 
+// The cause of deploy/days/shrunk*.toml: the capacity of a quarter of the endpoints shrinks, and a burst of jobs follows.
+TEST_CASE("a burst on endpoints whose capacity has shrunk exceeds none of them and uses all once they have grown", "[dispatcher][capacity]")
+{
+    for (uint64_t seed = 1; seed <= seedCount; seed++) {
+        Site site(seed, 8);
+        auto& world = site.world;
+        auto isShrinking = [](const std::string& id) { return id == "e1" || id == "e6"; };
+        auto setCapacities = [&](const Resources& capacity) {
+            for (auto& [key, it] : world.endpoints) {
+                if (isShrinking(key))
+                    it->setCapacity(capacity);
+            }
+        };
+        int jobCount = 0;
+        auto submit = [&](int count) {
+            for (int n = 0; n < count; n++)
+                site.submit("j" + std::to_string(jobCount++), 4);
+        };
+        submit(8);
+        site.run(milliseconds(500));
+        setCapacities({ 2200, 2200, 0 });
+        site.run(capacityNotice);
+        submit(20);
+        site.run(seconds(2));
+        site.leader.restart();
+        submit(20);
+        site.run(seconds(3));
+        CHECK(std::all_of(world.endpoints.begin(), world.endpoints.end(), [&](const auto& it) { return it.second->used.cpu <= (isShrinking(it.first) ? 2000 : 4000); }));
+        setCapacities(whole);
+        submit(20);
+        auto areGrownInUse = [&] { return site.endpoint("e1").used.cpu + site.endpoint("e6").used.cpu > 4000; };
+        for (int n = 0; n < 300 && !areGrownInUse(); n++)
+            site.run(milliseconds(10));
+        CHECK(areGrownInUse());
+        site.run(seconds(60));
+        INFO("seed " << seed << "\n"
+                     << world.violations.text());
+        CHECK(world.violations.found.empty());
+        for (const auto& [serial, job] : site.leader.store.jobs())
+            CHECK(job->phase == JobPhase::Completed);
+    }
+}
+
 TEST_CASE("a start under way when the capacity shrinks is not repeated, and other starts are not sent", "[dispatcher][capacity]")
 {
     for (uint64_t seed = 1; seed <= seedCount; seed++) {
--- a/tests/jobs/crash_budget_test.cpp
+++ b/tests/jobs/crash_budget_test.cpp
@@ -102,6 +102,40 @@
     }
 }
 
+// The cause of deploy/days/deadly-task*.toml: a tenth of the jobs crash their endpoints, and the leader is lost among the crashes.
+TEST_CASE("several tasks that crash their endpoints stay within their budgets while the leader changes", "[dispatcher][crash]")
+{
+    for (uint64_t seed = 1; seed <= seedCount; seed++) {
+        Site site(seed, 10);
+        auto& world = site.world;
+        constexpr int jobCount = 30;
+        auto isDeadly = [](int n) { return n % 10 == 3; };
+        for (int n = 0; n < jobCount; n++) {
+            auto id = "n" + std::to_string(n);
+            if (isDeadly(n))
+                world.crashingTasks.insert(taskOf(id, 1));
+            site.submit(id, 3);
+            // A submission that is not committed would be lost with its leader.
+            site.run(milliseconds(50));
+            if (world.chance(0.1))
+                site.leader.restart();
+            site.run(milliseconds(250));
+        }
+        for (int n = 0; n < 4; n++) {
+            site.run(world.randomDelay(200, 2500));
+            site.leader.restart();
+        }
+        site.run(seconds(60));
+        INFO("seed " << seed << "\n"
+                     << world.violations.text());
+        CHECK(world.violations.found.empty());
+        for (int n = 0; n < jobCount; n++) {
+            INFO("job n" << n);
+            CHECK(site.job("n" + std::to_string(n)).phase == (isDeadly(n) ? JobPhase::Failed : JobPhase::Completed));
+        }
+    }
+}
+
 TEST_CASE("tasks hit by ordinary crashes are not given up", "[dispatcher][crash]")
 {
     for (uint64_t seed = 1; seed <= seedCount; seed++) {
