Ignore heartbeats of services that are not configured

Cause: any later entry with the same instance or address counted as the proof that the earlier endpoint had ended, whatever service it named. Change: such a heartbeat is acknowledged and ignored. Test: dispatcher_test, two new cases, both failed before.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -280,6 +280,11 @@
 void Dispatcher::receiveHeartbeat(const Heartbeat& heartbeat, std::function<void()> onRecorded)
 {
     const auto& reported = heartbeat.endpoint;
+    if (!isServiceKnown(reported.service)) {
+        // Another writer's entry, which says nothing about the endpoints on its instance.
+        m_log.line("heartbeat-ignored").field("endpoint", reported.id).field("service", reported.service).field("address", reported.address);
+        return onRecorded();
+    }
     const auto* known = m_store.findEndpoint(reported.id);
     if (known && reported.startedAtMs < known->startedAtMs)
         return onRecorded();
@@ -326,6 +331,12 @@
     m_desc.propose(PutEndpoint { std::move(recorded) });
 }
 
+bool Dispatcher::isServiceKnown(std::string_view service) const
+{
+    // Endpoints may report before the first configuration arrives.
+    return m_store.catalog().version == 0 || m_store.catalog().serviceNamed(service);
+}
+
 void Dispatcher::setReportedCapacity(EndpointSession& session, const Heartbeat& heartbeat, TimePoint receivedAt)
 {
     session.reportedCapacity = heartbeat.endpoint.capacity;
@@ -423,8 +434,11 @@
 {
     for (auto& [serial, plan] : m_plans)
         plan.isDirty = true;
-    for (auto& [id, session] : m_sessions)
+    for (auto& [id, session] : m_sessions) {
         updateCapacityGuard(*session);
+        if (session->runs.empty() && !isServiceKnown(session->endpoint.service))
+            removeEndpoint(*session, RemovalReason::UnknownService);
+    }
 }
 
 void Dispatcher::updateCapacityGuard(EndpointSession& session)
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -192,6 +192,7 @@
     JobPlan& planOf(Job& job);
     void markDirty(uint64_t serial);
     [[nodiscard]] TaskName taskNameOf(const Run& run) const;
+    [[nodiscard]] bool isServiceKnown(std::string_view service) const;
 
     // Deregistered endpoints (dispatcher.cpp)
     /// Stops what runs on an endpoint that ends soon; starts nothing more on one that may.
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -33,6 +33,8 @@
             return "it has left";
         case RemovalReason::Replaced:
             return "another incarnation answers at the address";
+        case RemovalReason::UnknownService:
+            return "its service is not configured";
         default:
             return "no heartbeat and no lease";
         }
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -106,6 +106,8 @@
     Silent,
     /// Another incarnation answers at its address.
     Replaced,
+    /// No service of the configuration has its name.
+    UnknownService,
 };
 
 /// The leader's view of one endpoint.
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -137,6 +137,51 @@
     CHECK(site.world.violations.text().empty());
 }
 
+// Guards against tasks that run twice because another writer's heartbeat names the instance of their endpoint.
+TEST_CASE("a heartbeat of a service that is not configured says nothing about the endpoints on its instance", "[dispatcher]")
+{
+    Site site(20, 2);
+    for (auto& [key, it] : site.world.endpoints)
+        it->description.instance = "m-" + key;
+    site.run(seconds(1));
+    site.submit("a", 4, true);
+    site.run(seconds(1));
+    REQUIRE(site.runningTasks() == 4);
+    Endpoint odd;
+    odd.id = "odd";
+    odd.startedAtMs = 1000000;
+    odd.service = "unknown";
+    bool sameAddress = GENERATE(false, true);
+    odd.address = sameAddress ? site.endpoint("e0").description.address : "10.9.0.1:80";
+    odd.instance = "m-e1";
+    bool isAnswered = false;
+    site.leader.dispatcher->receiveHeartbeat({ odd, 1, 1, std::nullopt }, [&] { isAnswered = true; });
+    site.run(seconds(5));
+    CHECK(isAnswered);
+    CHECK(site.world.violations.text().empty());
+    CHECK(site.runningTasks() == 4);
+    CHECK(site.leader.store.endpoints().size() == 2);
+}
+
+TEST_CASE("an endpoint that reported itself before the first configuration is removed if its service is not configured", "[dispatcher]")
+{
+    Site site(21, 1);
+    Endpoint odd = site.endpoint("e0").description;
+    odd.id = "odd";
+    odd.service = "unknown";
+    odd.address = "10.9.0.1:80";
+    // As recorded by the leader before it had a configuration.
+    site.leader.propose(PutEndpoint { odd });
+    site.run(milliseconds(100));
+    REQUIRE(site.leader.store.findEndpoint("odd"));
+    auto catalog = site.leader.store.catalog();
+    catalog.version++;
+    site.leader.propose(PutCatalog { catalog });
+    site.run(milliseconds(100));
+    CHECK_FALSE(site.leader.store.findEndpoint("odd"));
+    CHECK(site.leader.store.findEndpoint("e0"));
+}
+
 TEST_CASE("no tasks are placed on a draining endpoint", "[dispatcher]")
 {
     Site site(8, 2);
