Send no start to an endpoint that drains

Callers saw: an endpoint whose draining was acknowledged seconds ago is told to start tasks (DRAIN), which end with it. Cause: a start without an answer was sent again for as long as it took, and asked again for the capacity only. Change: a start is sent, and sent again, only while the endpoint does not drain. An unsent one is placed elsewhere, an unanswered one is stopped. Test: dispatcher_test, "an unanswered start is not sent again once the endpoint drains", failed before.

--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -97,8 +97,8 @@
     if (run.isRequestPending || now < run.nextRunRequestAt || !session.isReconciled || session.isSuperseded)
         return;
     bool isStarting = run.phase == RunPhase::Starting;
-    // The capacity has shrunk since the task was placed: it is placed elsewhere.
-    if (isStarting && !hasCapacityForStarts(session))
+    // A repeated start asks again: if the endpoint drains, or its capacity has shrunk since the task was placed, it is placed elsewhere.
+    if (isStarting && (session.endpoint.isDraining || !hasCapacityForStarts(session)))
         run.mustStop = true;
     // No start request has been sent.
     if (isStarting && run.mustStop && !run.hasUnansweredStart)
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -182,6 +182,32 @@
     CHECK(site.leader.store.findEndpoint("e0"));
 }
 
+// Guards against starts on an endpoint whose draining was acknowledged.
+TEST_CASE("an unanswered start is not sent again once the endpoint drains", "[dispatcher]")
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        Site site(seed, 1);
+        auto& dispatcher = *site.leader.dispatcher;
+        site.world.faults.lateRequestProbability = 1;
+        site.submit("a", 2);
+        auto sent = dispatcher.stats().startsSent;
+        while (dispatcher.stats().startsSent == sent)
+            site.run(milliseconds(1));
+        site.endpoint("e0").description.isDraining = true;
+        while (!site.leader.store.findEndpoint("e0")->isDraining)
+            site.run(milliseconds(1));
+        sent = dispatcher.stats().startsSent;
+        site.run(seconds(3));
+        INFO("seed " << seed);
+        CHECK(dispatcher.stats().startsSent == sent);
+        site.world.faults.lateRequestProbability = 0;
+        site.addEndpoint("e1");
+        site.run(seconds(20));
+        CHECK(site.job("a").phase == JobPhase::Completed);
+        CHECK(site.world.violations.text().empty());
+    }
+}
+
 TEST_CASE("no tasks are placed on a draining endpoint", "[dispatcher]")
 {
     Site site(8, 2);
