Wait for leases that a next incarnation may still get

Callers saw: an endpoint restarts under its id and carries out, seconds later, a start that was sent before its first heartbeat. Cause: the end of the lease was worked out from what this incarnation was sent, and not from what may still reach it. Change: the send time of the newest unanswered request with a lease is kept. For the next incarnation, the lease ends when that request can no longer be carried out and the longest lease has passed. Not covered: what an earlier leader sent, as only this one's requests are known.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -457,8 +457,7 @@
         bool hasNewAddress = session->endpoint.address != endpoint.address;
         if (isNewIncarnation) {
             handleIncarnationEnd(*session, "restarted");
-            session->resetIncarnation(m_clock.now());
-            session->leaseEndsAt = m_clock.now() + m_desc.maxLease;
+            session->resetIncarnation(m_clock.now(), m_desc.maxLease);
         }
         session->isRegistrationPending = false;
         session->lastHeartbeatAt = m_clock.now();
@@ -499,7 +498,7 @@
                 m_stats.runsLost++;
             queueRunEnd(*session, run, RunEnd::Lost, "", session->isRemovalPending ? "endpoint-removed" : "endpoint-replaced");
         }
-        session->resetIncarnation(m_clock.now());
+        session->resetIncarnation(m_clock.now(), m_desc.maxLease);
         std::erase_if(m_staleAckUntil, [now = m_clock.now()](const auto& it) { return it.second <= now; });
         if (session->staleAckUntil > m_clock.now())
             m_staleAckUntil[last.id] = session->staleAckUntil;
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -153,6 +153,7 @@
     }
     session.isStatusRequestPending = true;
     session.isAckPending = request.acknowledgedThrough != 0;
+    session.isLeasePending = request.leaseUntilMs.has_value();
     session.statusRequestSentAt = now;
     m_stats.statusRequestsSent++;
     auto deadline = now + std::chrono::milliseconds(request.waitMs) + config::statusTimeout;
@@ -165,8 +166,10 @@
             session->lastEndAcknowledged = std::max(session->lastEndAcknowledged, reply.requestAcknowledgedThrough);
         else if (reply.status == EndpointReplyStatus::Unknown && isSameIncarnation && reply.requestAcknowledgedThrough != 0)
             session->unansweredAckAt = now;
+        if (isSameIncarnation && session->isLeasePending && reply.status == EndpointReplyStatus::Unknown)
+            session->unansweredLeaseAt = now;
         if (isSameIncarnation)
-            session->isAckPending = false;
+            session->isAckPending = session->isLeasePending = false;
         receiveStatusReply(*session, now, deadline, reply);
     };
     session.link->requestStatus(request, deadline, std::move(handle));
@@ -432,6 +435,7 @@
     if (reply.status == EndpointReplyStatus::Unknown) {
         m_stats.startsUnanswered++;
         m_lastUnansweredAt = now;
+        session.unansweredLeaseAt = now;
         run->hasUnansweredStart = true;
         if (run->unansweredSince == TimePoint {})
             run->unansweredSince = now;
--- a/src/jobs/endpoint_session.cpp
+++ b/src/jobs/endpoint_session.cpp
@@ -91,8 +91,15 @@
     return std::any_of(runs.begin(), runs.end(), [](const auto& it) { return it.second.phase != RunPhase::Ended; });
 }
 
-void EndpointSession::resetIncarnation(TimePoint now)
+void EndpointSession::resetIncarnation(TimePoint now, Duration maxLease)
 {
+    bool isStartPending = std::any_of(runs.begin(), runs.end(), [](const auto& it) { return it.second.isRequestPending && it.second.phase == RunPhase::Starting; });
+    if (isLeasePending || isStartPending)
+        unansweredLeaseAt = now;
+    // The next incarnation limits a lease by the earlier clock to the longest one, counted from when it carries out the request.
+    auto lateLeaseEnd = unansweredLeaseAt == TimePoint {} ? now : unansweredLeaseAt + maxRequestDelay;
+    leaseEndsAt = std::max(now, lateLeaseEnd) + maxLease;
+    isLeasePending = false;
     if (isAckPending)
         unansweredAckAt = now;
     if (unansweredAckAt != TimePoint {})
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -151,6 +151,11 @@
     bool guardsCapacity = false;
     /// When all runs there have ended unless the lease is renewed.
     TimePoint leaseEndsAt;
+    /// Send time of the newest request that carried a lease and was not answered; the epoch if there is none. The next incarnation
+    /// with this id may carry it out.
+    TimePoint unansweredLeaseAt;
+    /// A status request with a lease is pending.
+    bool isLeasePending = false;
     /// Start, stop and throttle requests without a reply so far.
     size_t pendingRunRequests = 0;
     bool isStatusRequestPending = false;
@@ -217,7 +222,8 @@
     /// draining may be a late one of an earlier incarnation.
     [[nodiscard]] bool isAboutToEnd() const { return endpoint.hasDeregistered && endpoint.isDraining; }
     /// Discards the state that belongs to an earlier incarnation.
-    void resetIncarnation(TimePoint now);
+    /// @param maxLease longest lease that the endpoint accepts.
+    void resetIncarnation(TimePoint now, Duration maxLease);
 };
 
 } // namespace vanillalift::jobs
