Count a run of a gang in which several members fail once

Cause: failures were added up over the members, several of which fail in the same run. Change: a failure of a member counts unless another one has failed in the same run. Test: job_store_test, "members of a gang that fail in the same run count as one attempt", failed before.

--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace vanillalift::jobs {
 
@@ -241,7 +242,7 @@
         if (run.end == RunEnd::Done)
             markDone(*job, key, endedAtMs);
         else if (run.end == RunEnd::Failed)
-            countFailure(*job, *task, key, endedAtMs);
+            countFailure(*job, *task, run.run, endedAtMs);
     }
     if (m_observer)
         m_observer->onRunEnded(*job, run, endpoint);
@@ -249,15 +250,20 @@
         job->occurrences.clear();
 }
 
-void JobStore::countFailure(Job& job, Task& task, const TaskKey& key, int64_t endedAtMs)
+void JobStore::countFailure(Job& job, Task& task, const RunKey& run, int64_t endedAtMs)
 {
+    const auto& key = run.task;
+    bool isGang = job.spec.steps[key.step].isGang;
+    const auto& members = job.occurrences[key.occurrence].steps[key.step].tasks;
+    // The members of a gang run together, so a run in which several fail is one attempt.
+    bool isCounted = isGang && std::any_of(members.begin(), members.end(), [&](const Task& it) { return it.lastFailedRun == run.number; });
+    task.lastFailedRun = run.number;
+    if (isCounted)
+        return;
     task.failures++;
     uint32_t failures = task.failures;
-    if (job.spec.steps[key.step].isGang) {
-        failures = 0;
-        for (const auto& it : job.occurrences[key.occurrence].steps[key.step].tasks)
-            failures += it.failures;
-    }
+    if (isGang)
+        failures = std::accumulate(members.begin(), members.end(), uint32_t { 0 }, [](uint32_t sum, const Task& it) { return sum + it.failures; });
     if (failures >= queueOf(job).maxAttempts)
         finish(job, JobPhase::Failed, endedAtMs);
 }
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -149,6 +149,8 @@
 struct Task {
     bool isDone = false;
     uint32_t failures = 0;
+    /// Number of its newest run that failed.
+    uint32_t lastFailedRun = 0;
     uint32_t lastRun = 0;
     std::string checkpoint;
     std::vector<Placement> placements;
@@ -160,7 +162,7 @@
     /// task's part of the blame, in thousandths of a crash.
     uint32_t openCrashes = 0;
     uint32_t openBlame = 0;
-    MSGPACK_DEFINE(isDone, failures, lastRun, checkpoint, placements, lastFailedEndpoint, crashes, openCrashes, openBlame)
+    MSGPACK_DEFINE(isDone, failures, lastRun, checkpoint, placements, lastFailedEndpoint, crashes, openCrashes, openBlame, lastFailedRun)
 
     [[nodiscard]] bool isIdle() const { return !isDone && placements.empty(); }
     [[nodiscard]] CrashRecord possibleCrashes() const { return { crashes.crashes + openCrashes, crashes.blame + openBlame, crashes.lowestWeight }; }
@@ -309,7 +311,7 @@
     void markReplaced(const Endpoint& endpoint);
     void endRun(const EndedRun& run, int64_t endedAtMs);
     void markDone(Job& job, const TaskKey& key, int64_t endedAtMs);
-    void countFailure(Job& job, Task& task, const TaskKey& key, int64_t endedAtMs);
+    void countFailure(Job& job, Task& task, const RunKey& run, int64_t endedAtMs);
     void finish(Job& job, JobPhase phase, int64_t atMs);
 
     StoreObserver* m_observer = nullptr;
--- a/tests/jobs/job_store_test.cpp
+++ b/tests/jobs/job_store_test.cpp
@@ -144,6 +144,23 @@
     CHECK(f.store.findJob("g")->placementCount == 2);
 }
 
+// Guards against a gang that is given up after one run because several of its members failed in it.
+TEST_CASE("members of a gang that fail in the same run count as one attempt", "[store]")
+{
+    Fixture f;
+    auto spec = makeSpec("g", { 3 });
+    spec.steps.front().isGang = true;
+    auto job = f.submit(spec);
+    for (uint32_t run = 1; run <= 2; run++) {
+        CHECK(f.store.findJob("g")->isActive());
+        for (uint32_t n = 0; n < 3; n++)
+            f.place({ job, 0, 0, n }, run);
+        for (uint32_t n = 0; n < 3; n++)
+            f.end({ job, 0, 0, n }, run, RunEnd::Failed);
+    }
+    CHECK(f.store.findJob("g")->phase == JobPhase::Failed);
+}
+
 TEST_CASE("a cancelled job is not placed again, and a repeated submission does not reactivate it", "[store]")
 {
     Fixture f;
