Count a job as pending again when all its starts were refused

Cause: a placement counted as a start, also once the endpoint had refused it. Change: a job has started while a task is placed, or once a run has ended that was not refused. Test: job_store_test, "a job whose starts were all refused is pending again", failed before.

--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -233,6 +233,8 @@
     auto endpoint = placement->endpoint;
     task->placements.erase(placement);
     job->placementCount--;
+    job->hasRun = job->hasRun || run.end != RunEnd::NotStarted;
+    job->hasStarted = job->hasRun || job->placementCount > 0;
     if (!run.checkpoint.empty())
         task->checkpoint = run.checkpoint;
     if (run.end == RunEnd::Failed)
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -189,11 +189,14 @@
     int64_t acceptedAtMs = 0;
     JobPhase phase = JobPhase::Active;
     int64_t finishedAtMs = 0;
+    /// A task runs or has run. A placement counts until its start is known to have been refused.
     bool hasStarted = false;
+    /// A run has ended that was not refused.
+    bool hasRun = false;
     /// Number of placements over all tasks.
     uint32_t placementCount = 0;
     std::vector<Occurrence> occurrences;
-    MSGPACK_DEFINE(serial, spec, workspace, queue, acceptedAtMs, phase, finishedAtMs, hasStarted, placementCount, occurrences)
+    MSGPACK_DEFINE(serial, spec, workspace, queue, acceptedAtMs, phase, finishedAtMs, hasStarted, placementCount, occurrences, hasRun)
 
     [[nodiscard]] bool isActive() const { return phase == JobPhase::Active; }
     [[nodiscard]] bool isLongRunning() const { return !spec.steps.empty() && spec.steps.front().isLongRunning; }
--- a/tests/jobs/job_store_test.cpp
+++ b/tests/jobs/job_store_test.cpp
@@ -161,6 +161,25 @@
     CHECK(f.store.findJob("g")->phase == JobPhase::Failed);
 }
 
+// Guards against a number of pending jobs that leaves out those whose starts were refused.
+TEST_CASE("a job whose starts were all refused is pending again", "[store]")
+{
+    Fixture f;
+    auto job = f.submit(makeSpec("a", { 2 }));
+    f.place({ job, 0, 0, 0 }, 1);
+    f.place({ job, 0, 0, 1 }, 1);
+    CHECK(f.store.pendingJobCount("q") == 0);
+    f.end({ job, 0, 0, 0 }, 1, RunEnd::NotStarted);
+    CHECK(f.store.pendingJobCount("q") == 0);
+    f.end({ job, 0, 0, 1 }, 1, RunEnd::NotStarted);
+    CHECK(f.store.pendingJobCount("q") == 1);
+    f.place({ job, 0, 0, 0 }, 2);
+    f.end({ job, 0, 0, 0 }, 2, RunEnd::Stopped);
+    f.place({ job, 0, 0, 0 }, 3);
+    f.end({ job, 0, 0, 0 }, 3, RunEnd::NotStarted);
+    CHECK(f.store.pendingJobCount("q") == 0);
+}
+
 TEST_CASE("a cancelled job is not placed again, and a repeated submission does not reactivate it", "[store]")
 {
     Fixture f;
