Cordon what an earlier leader asked to maintain

Cause: only the leader that had decided on the maintenance cordoned the instance, and a new one set no cordons before the platform had answered. Change: a leader cordons the requested instances of open waves from its first moment, before it places anything. Test: instance_keeper_test, "a new leader places nothing on instances whose maintenance was requested before its term", failed before.

--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -46,6 +46,9 @@
     , m_log(log)
     , m_tokensUpdatedAt(clock.now())
 {
+    // Before the first placement of this term: the platform may still carry out what an earlier leader has requested.
+    if (m_desc.isEnabled)
+        updateCordons();
 }
 
 InstanceManager::~InstanceManager() { *m_isAlive = false; }
@@ -73,7 +76,7 @@
     if (!m_isListing && (isListDue || !m_hasList))
         listInstances();
     if (!m_hasList)
-        return;
+        return updateCordons();
     for (const auto& [number, wave] : m_store.waves()) {
         if (!wave.isComplete())
             updateWave(wave);
@@ -309,20 +312,29 @@
 {
     std::set<std::string> cordoned;
     std::set<std::string> takenDown;
-    for (const auto& [key, progress] : m_progress) {
-        auto wave = m_store.waves().find(key.first);
-        bool isRequested = progress.isRequested || (wave != m_store.waves().end() && wave->second.isRequested(key.second));
-        bool isMaintained = wave != m_store.waves().end() && wave->second.isMaintained(key.second);
-        const auto* session = isRequested ? sessionOf(key.second) : nullptr;
+    auto addInstance = [&](const WaveState& wave, const std::string& name, const WaveProgress& progress) {
+        bool isRequested = progress.isRequested || wave.isRequested(name);
+        bool isMaintained = wave.isMaintained(name);
+        const auto* session = isRequested ? sessionOf(name) : nullptr;
         // What was accepted in an earlier term has ended the endpoint before this term's first contact with it.
         bool mayBeDown = isMaintained ? session && session->reconciledAt <= progress.acceptedAt : !progress.wasRefused;
         if (session && mayBeDown)
             takenDown.insert(session->endpoint.id);
-        bool isDue = wave != m_store.waves().end() && !wave->second.isMaintained(key.second);
-        if (!isDue || progress.drainingSince == TimePoint {})
-            continue;
-        if (const auto* endpoint = endpointOf(key.second))
+        bool isDue = !isMaintained && (isRequested || progress.drainingSince != TimePoint {});
+        if (const auto* endpoint = isDue ? endpointOf(name) : nullptr)
             cordoned.insert(endpoint->id);
+    };
+    for (const auto& [number, wave] : m_store.waves()) {
+        // Requested by an earlier leader, and not looked at in this term.
+        for (const auto& name : wave.requested) {
+            if (!wave.isComplete() && !m_progress.contains({ number, name }))
+                addInstance(wave, name, {});
+        }
+    }
+    for (const auto& [key, progress] : m_progress) {
+        auto wave = m_store.waves().find(key.first);
+        if (wave != m_store.waves().end())
+            addInstance(wave->second, key.second, progress);
     }
     for (const auto& [name, move] : m_moves) {
         const auto* endpoint = endpointOf(name);
--- a/tests/jobs/instance_keeper_test.cpp
+++ b/tests/jobs/instance_keeper_test.cpp
@@ -20,6 +20,8 @@
 
     void list(const std::string&, TimePoint, std::function<void(std::optional<std::vector<Instance>>, std::string)> handler) override
     {
+        if (!isAvailable)
+            return;
         std::vector<Instance> found;
         for (const auto& [name, it] : instances)
             found.push_back(it);
@@ -47,6 +49,8 @@
 
     void maintain(const std::string& instance, uint64_t, uint64_t, TimePoint, TimePoint, std::function<void(InstanceReplyStatus)> handler) override
     {
+        if (!isAvailable)
+            return;
         auto it = instances.find(instance);
         bool isUp = it != instances.end() && it->second.state == InstanceState::Up;
         auto status = isUp ? InstanceReplyStatus::Accepted : InstanceReplyStatus::Busy;
@@ -62,6 +66,8 @@
         std::string pool;
         TimePoint at;
     };
+    /// Lists and requests for maintenance are answered.
+    bool isAvailable = true;
     std::map<std::string, Instance> instances;
     std::vector<MoveRequest> moves;
     std::function<void(const std::string&)> onStopped;
@@ -100,13 +106,25 @@
             it.isPartitioned = false;
             it.restartAs(it.description.id + "n");
         };
-        InstanceManagerDesc desc { true, seconds(2), milliseconds(1500), 60 };
-        manager = std::make_unique<InstanceManager>(
-            desc, 1, site.leader.store, *site.leader.dispatcher, platform, [this](const Command& command) { site.leader.propose(command); }, [this] { return authorityEndsAt; }, site.world.clock, log);
+        openManager();
         tick();
         site.run(seconds(2));
     }
 
+    void openManager()
+    {
+        InstanceManagerDesc desc { true, seconds(2), milliseconds(1500), 60 };
+        manager = std::make_unique<InstanceManager>(
+            desc, ++term, site.leader.store, *site.leader.dispatcher, platform, [this](const Command& command) { site.leader.propose(command); }, [this] { return authorityEndsAt; }, site.world.clock, log);
+    }
+
+    void changeLeader()
+    {
+        manager.reset();
+        site.leader.restart();
+        openManager();
+    }
+
     void tick()
     {
         manager->tick();
@@ -123,6 +141,7 @@
     FakePlatform platform;
     EventLog log;
     TimePoint authorityEndsAt = TimePoint::max();
+    uint64_t term = 0;
     std::unique_ptr<InstanceManager> manager;
 };
 
@@ -203,3 +222,23 @@
     site.run(seconds(6));
     CHECK_FALSE(pooled.platform.moves.empty());
 }
+
+// Guards against tasks that a new leader places where the platform still carries out its predecessor's request for maintenance.
+TEST_CASE("a new leader places nothing on instances whose maintenance was requested before its term", "[keeper]")
+{
+    PooledSite pooled(4);
+    auto& site = pooled.site;
+    pooled.platform.isAvailable = false;
+    site.leader.propose(PutWave { { 1, { "m-e0", "m-e1" }, wallClockMs() + 60000, 2 } });
+    site.run(milliseconds(20));
+    // Recorded before the calls, which got no answer.
+    site.leader.propose(RequestMaintenance { 1, "m-e0" });
+    site.leader.propose(RequestMaintenance { 1, "m-e1" });
+    site.run(milliseconds(100));
+    pooled.changeLeader();
+    site.submit("a", 4, true);
+    site.run(seconds(3));
+    CHECK(site.runningTasks() == 4);
+    CHECK(site.endpoint("e0").used == Resources {});
+    CHECK(site.endpoint("e1").used == Resources {});
+}
