--- a/tests/jobs/platform_decode_test.cpp
+++ b/tests/jobs/platform_decode_test.cpp
@@ -53,6 +53,9 @@
     CHECK_FALSE(decodeJob(replaced(goodJob, "\"text\"", "5")));
     CHECK_FALSE(decodeJob(replaced(goodJob, "text", std::string(4001, 'x'))));
     CHECK_FALSE(decodeJob(R"({"spec":"s","steps":[]})"));
+    // Guards against one job that fills the memory of every controller.
+    CHECK(decodeJob(R"({"spec":"s","repeats":2000,"periodMs":1000,"steps":[{"count":24}]})"));
+    CHECK_FALSE(decodeJob(R"({"spec":"s","repeats":86400,"periodMs":1000,"steps":[{"count":24}]})"));
 }
 
 TEST_CASE("a catalog is decoded, and its source text is kept as it was sent", "[platform]")
