Keep suspicions by incarnation and blame one address less

Cause: suspects were recorded by endpoint id. When the next incarnation was lost before the crash of the earlier one was attributed, its record replaced that one's, and the task's open crashes were never taken back. With them attributed, the job would have been given up: its blame was over the limit, though all crashes were of one endpoint. A task whose crashes were all at one address is given up after four. Test: crash_budget_test, "a task whose endpoint crashes several times in a row" (failed before) and 120 histories of ordinary crashes.

--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -9,6 +9,8 @@
 
     /// Crashes and blame from which a task is given up.
     constexpr uint32_t minCrashes = 3;
+    /// Crashes from which it is given up if all of them were at one address.
+    constexpr uint32_t minCrashesAtOneAddress = 4;
     constexpr uint32_t minBlame = fullBlame * 7 / 5;
     /// Crashes and blame from which a task is started apart from others: below, others on its endpoints are more probable causes.
     constexpr uint32_t isolationCrashes = 2;
@@ -43,8 +45,10 @@
     return shares;
 }
 
-void CrashRecord::add(uint32_t share, uint32_t weight)
+void CrashRecord::add(uint32_t share, uint32_t weight, std::string_view address)
 {
+    hasSeveralAddresses = hasSeveralAddresses || (crashes > 0 && address != lastAddress);
+    lastAddress = address;
     crashes++;
     lowestWeight = std::min(lowestWeight, weight);
     // The share of a run that is alone on its endpoint.
@@ -52,7 +56,11 @@
     blame = std::min(blame + share, crashes * highestShare);
 }
 
-bool isAtFault(const CrashRecord& record) { return record.crashes >= minCrashes && record.blame >= minBlame; }
+bool isAtFault(const CrashRecord& record)
+{
+    auto limit = record.hasSeveralAddresses ? minCrashes : minCrashesAtOneAddress;
+    return record.crashes >= limit && record.blame >= minBlame;
+}
 
 bool needsIsolation(const CrashRecord& possible) { return possible.crashes >= isolationCrashes && possible.blame >= isolationBlame; }
 
--- a/src/jobs/crash_attribution_p.h
+++ b/src/jobs/crash_attribution_p.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Decides which task a crash of its endpoint is attributed to. Answers the load of a task that crashes each endpoint that starts
@@ -22,10 +23,14 @@
     uint32_t blame = 0;
     /// The lowest weight of the suspicion against one of its runs.
     uint32_t lowestWeight = std::numeric_limits<uint32_t>::max();
-
-    MSGPACK_DEFINE(crashes, blame, lowestWeight)
-    /// Adds a crash. A task whose run went on for a while before one crash is a less probable cause of the others, too.
-    void add(uint32_t share, uint32_t weight);
+    /// Address of the endpoint that crashed last, and whether endpoints at other addresses have crashed, too.
+    std::string lastAddress;
+    bool hasSeveralAddresses = false;
+
+    MSGPACK_DEFINE(crashes, blame, lowestWeight, lastAddress, hasSeveralAddresses)
+    /// Adds a crash of the endpoint at the address. A task whose run went on for a while before one crash is a less probable cause of
+    /// the others, too.
+    void add(uint32_t share, uint32_t weight, std::string_view address);
 };
 
 /// One whole crash, in units of CrashRecord::blame.
@@ -40,8 +45,8 @@
 /// Divides the blame for one crash by weight, among the runs and causes that are no task.
 std::vector<uint32_t> blameShares(std::span<const uint32_t> weights);
 
-/// @returns whether the task is to be given up: several endpoints have crashed under it, and it has probably caused more than one of
-/// these crashes.
+/// @returns whether the task is to be given up: endpoints at several addresses have crashed under it, or one many times, and it has
+/// probably caused more than one of these crashes. An endpoint that crashes again and again may be the cause itself.
 bool isAtFault(const CrashRecord& record);
 
 /// @returns whether the task is to be started apart from other starts, so that another crash tells whether it is the cause.
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -91,7 +91,7 @@
         session->isCordoned = m_cordonedAddresses.contains(endpoint.address);
         if (auto unstable = m_unstableUntil.find(endpoint.address); unstable != m_unstableUntil.end())
             session->unstableUntil = unstable->second;
-        if (auto recorded = m_store.suspects().find(endpoint.id); recorded != m_store.suspects().end() && recorded->second.startedAtMs == endpoint.startedAtMs) {
+        if (auto recorded = m_store.suspects().find({ endpoint.id, endpoint.startedAtMs }); recorded != m_store.suspects().end()) {
             for (const auto& it : recorded->second.runs)
                 session->suspects.insert(it.run.task);
         }
--- a/src/jobs/dispatcher_crashes.cpp
+++ b/src/jobs/dispatcher_crashes.cpp
@@ -70,7 +70,8 @@
 
 void Dispatcher::resolveOrphanedSuspects()
 {
-    for (const auto& [id, suspects] : m_store.suspects()) {
+    for (const auto& [key, suspects] : m_store.suspects()) {
+        const auto& id = key.first;
         const auto* endpoint = m_store.findEndpoint(id);
         if (endpoint && endpoint->startedAtMs == suspects.startedAtMs)
             continue;
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -129,8 +129,8 @@
 
 void JobStore::markReplaced(const Endpoint& endpoint)
 {
-    auto suspects = m_suspects.find(endpoint.id);
-    if (suspects != m_suspects.end() && suspects->second.startedAtMs == endpoint.startedAtMs)
+    auto suspects = m_suspects.find({ endpoint.id, endpoint.startedAtMs });
+    if (suspects != m_suspects.end())
         suspects->second.isReplaced = true;
 }
 
@@ -342,9 +342,9 @@
     auto endpoint = m_endpoints.find(command.endpoint);
     if (endpoint == m_endpoints.end() || endpoint->second.startedAtMs != command.startedAtMs)
         return;
-    auto& recorded = m_suspects[command.endpoint];
-    if (recorded.startedAtMs != command.startedAtMs)
-        recorded = { command.startedAtMs, {}, false };
+    auto& recorded = m_suspects[{ command.endpoint, command.startedAtMs }];
+    recorded.startedAtMs = command.startedAtMs;
+    recorded.address = endpoint->second.address;
     forEachSuspect(recorded, [](SuspectRun& it, Job&, Task& task) { task.openBlame -= std::min(task.openBlame, it.share); });
     for (auto& it : command.runs) {
         auto* job = findJobBySerial(it.run.task.job);
@@ -370,8 +370,8 @@
 
 void JobStore::apply(ResolveSuspects& command)
 {
-    auto known = m_suspects.find(command.endpoint);
-    if (known == m_suspects.end() || known->second.startedAtMs != command.startedAtMs)
+    auto known = m_suspects.find({ command.endpoint, command.startedAtMs });
+    if (known == m_suspects.end())
         return;
     auto suspects = std::move(known->second);
     m_suspects.erase(known);
@@ -379,7 +379,7 @@
         task.openCrashes -= std::min<uint32_t>(task.openCrashes, 1);
         task.openBlame -= std::min(task.openBlame, it.share);
         if (command.hasCrashed)
-            task.crashes.add(it.share, it.weight);
+            task.crashes.add(it.share, it.weight, suspects.address);
         bool isGivenUp = command.hasCrashed && job.isActive() && !task.isDone && isAtFault(task.crashes);
         if (m_observer)
             m_observer->onSuspicion(job, it.run.task, isGivenUp);
@@ -476,7 +476,10 @@
     msgpack::pack(buf, static_cast<uint64_t>(m_jobs.size()));
     for (const auto& [serial, job] : m_jobs)
         msgpack::pack(buf, *job);
-    msgpack::pack(buf, m_suspects);
+    std::vector<std::pair<std::string, SuspectRuns>> suspects;
+    for (const auto& [key, it] : m_suspects)
+        suspects.emplace_back(key.first, it);
+    msgpack::pack(buf, suspects);
     return { buf.data(), buf.size() };
 }
 
@@ -507,7 +510,19 @@
     m_suspects.clear();
     // Snapshots of earlier versions end here.
     if (offset < snapshot.size())
-        next().get().convert(m_suspects);
+        restoreSuspects(next().get());
+}
+
+void JobStore::restoreSuspects(const msgpack::object& object)
+{
+    if (object.type == msgpack::type::MAP) {
+        // Earlier versions kept one incarnation of each endpoint.
+        for (auto& [endpoint, it] : object.as<std::map<std::string, SuspectRuns>>())
+            m_suspects[{ endpoint, it.startedAtMs }] = it;
+        return;
+    }
+    for (auto& [endpoint, it] : object.as<std::vector<std::pair<std::string, SuspectRuns>>>())
+        m_suspects[{ endpoint, it.startedAtMs }] = std::move(it);
 }
 
 } // namespace vanillalift::jobs
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -165,7 +165,10 @@
     MSGPACK_DEFINE(isDone, failures, lastRun, checkpoint, placements, lastFailedEndpoint, crashes, openCrashes, openBlame, lastFailedRun)
 
     [[nodiscard]] bool isIdle() const { return !isDone && placements.empty(); }
-    [[nodiscard]] CrashRecord possibleCrashes() const { return { crashes.crashes + openCrashes, crashes.blame + openBlame, crashes.lowestWeight }; }
+    [[nodiscard]] CrashRecord possibleCrashes() const
+    {
+        return { crashes.crashes + openCrashes, crashes.blame + openBlame, crashes.lowestWeight, crashes.lastAddress, crashes.hasSeveralAddresses || openCrashes > 0 };
+    }
 };
 
 struct Step {
@@ -218,15 +221,19 @@
     [[nodiscard]] bool isComplete() const { return maintained.size() >= wave.instances.size(); }
 };
 
-/// An endpoint that stopped answering, and the runs that were in progress there.
+/// An incarnation of an endpoint that stopped answering, and the runs that were in progress there.
 struct SuspectRuns {
     int64_t startedAtMs = 0;
     std::vector<SuspectRun> runs;
     /// Another incarnation has taken the endpoint's place.
     bool isReplaced = false;
-    MSGPACK_DEFINE(startedAtMs, runs, isReplaced)
+    std::string address;
+    MSGPACK_DEFINE(startedAtMs, runs, isReplaced, address)
 };
 
+/// An endpoint id and the start time of an incarnation: the next one may stop answering before it is known whether this one crashed.
+using IncarnationKey = std::pair<std::string, int64_t>;
+
 struct ReplicaInfo {
     std::string availabilityZone;
     bool isReplacement = false;
@@ -275,8 +282,8 @@
     [[nodiscard]] const std::map<uint64_t, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
     [[nodiscard]] const std::map<uint64_t, WaveState>& waves() const { return m_waves; }
     [[nodiscard]] const std::map<std::string, ReplicaInfo>& replicas() const { return m_replicas; }
-    /// @returns runs that are suspected of having crashed their endpoint, by endpoint id.
-    [[nodiscard]] const std::map<std::string, SuspectRuns>& suspects() const { return m_suspects; }
+    /// @returns runs that are suspected of having crashed their endpoint.
+    [[nodiscard]] const std::map<IncarnationKey, SuspectRuns>& suspects() const { return m_suspects; }
     [[nodiscard]] Job* findJob(std::string_view id);
     [[nodiscard]] const Job* findJob(std::string_view id) const;
     [[nodiscard]] Job* findJobBySerial(uint64_t serial);
@@ -310,6 +317,7 @@
     /// Calls the function with each recorded run whose job and task are still in the state.
     void forEachSuspect(SuspectRuns& suspects, const std::function<void(SuspectRun&, Job&, Task&)>& handler);
 
+    void restoreSuspects(const msgpack::object& object);
     void indexQueues();
     void markReplaced(const Endpoint& endpoint);
     void endRun(const EndedRun& run, int64_t endedAtMs);
@@ -329,7 +337,7 @@
     std::unordered_map<std::string, Job*> m_jobsById;
     std::map<uint64_t, WaveState> m_waves;
     std::map<std::string, ReplicaInfo> m_replicas;
-    std::map<std::string, SuspectRuns> m_suspects;
+    std::map<IncarnationKey, SuspectRuns> m_suspects;
     uint64_t m_lastSerial = 0;
 };
 
--- a/tests/jobs/crash_budget_test.cpp
+++ b/tests/jobs/crash_budget_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "endpoint_sim.h"
+#include "crash_history.h"
 
 using namespace vanillalift;
 using namespace vanillalift::sim;
@@ -289,3 +289,56 @@
     CHECK(site.job("good").isActive());
     CHECK(site.runningTasks() == 2);
 }
+
+// Guards against a task that waits forever because its endpoint crashed again before the earlier crash was attributed.
+TEST_CASE("a task whose endpoint crashes several times in a row is started again, whatever the leader has recorded by then", "[dispatcher][crash]")
+{
+    bool keepsId = GENERATE(false, true);
+    bool changesLeader = GENERATE(false, true);
+    for (uint64_t seed = 1; seed <= seedCount; seed++) {
+        Site site(seed, 1);
+        auto& world = site.world;
+        auto& endpoint = site.endpoint("e0");
+        world.restartTime = milliseconds(500);
+        world.taskLoads[taskOf("a")] = { { 1000, 100, 0 }, seconds(2) };
+        site.submit("a", 1);
+        for (int n = 0; n < 3; n++) {
+            for (int ms = 0; ms < 5000 && endpoint.used == Resources {}; ms++)
+                site.run(milliseconds(1));
+            REQUIRE(endpoint.used != Resources {});
+            site.run(milliseconds(450));
+            if (keepsId) {
+                endpoint.crash();
+                endpoint.restartAs("e0");
+            } else {
+                endpoint.crashProcess();
+            }
+            site.run(milliseconds(550));
+            if (changesLeader && n == 1)
+                site.leader.restart();
+        }
+        site.run(seconds(14));
+        INFO("seed " << seed << " keeps id " << keepsId << " changes leader " << changesLeader);
+        CHECK(site.job("a").phase == JobPhase::Completed);
+        CHECK(site.leader.store.suspects().empty());
+    }
+}
+
+// The same, and suspicions that are never resolved, over random histories.
+TEST_CASE("among ordinary crashes, late reports and changes of leader, no job is held back and no suspicion stays open", "[dispatcher][crash][history]")
+{
+    bool hasPartitions = GENERATE(false, true);
+    for (uint64_t seed = 400; seed < 460; seed++) {
+        Site site(seed, 6);
+        simulateCrashes(site, { hasPartitions, false });
+        INFO("seed " << seed << " partitions " << hasPartitions << "\n"
+                     << site.world.violations.text());
+        CHECK(site.world.violations.found.empty());
+        CHECK(site.leader.store.suspects().empty());
+        CHECK(failedJobs(site) == 0);
+        for (const auto& [serial, job] : site.leader.store.jobs()) {
+            INFO("job " << job->spec.id);
+            CHECK_FALSE(job->isActive());
+        }
+    }
+}
