Skip log records that cannot be applied

Cause: a record in the log that could not be read, or a job with a dependency on a step that does not exist, ended each controller that applied it, again after every start: exceptions of the decoder and out-of-range steps were not expected there. Change: such a command is skipped, by every controller of a version alike, logged and counted. JobSpec::isWellFormed() holds the limits of a job for the decoder and for the log.

--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -87,6 +87,11 @@
 constexpr milliseconds endpointExpiry { 12000 };
 /// Commands that arrive within this time share one entry of the replicated log, and so one sync of each disk.
 constexpr milliseconds commandBatchWindow { 3 };
+/// Largest number of steps of a job, of tasks of a step, and of tasks of a job over all occurrences. Each task takes about 200 bytes of
+/// every controller's memory.
+constexpr size_t maxStepsPerJob = 64;
+constexpr uint32_t maxTasksPerStep = 4096;
+constexpr uint64_t maxTasksPerJob = 65536;
 /// Largest number of runs placed by one command.
 constexpr size_t maxRunsPerCommand = 256;
 /// Bytes of commands between two snapshots: log and snapshots take at most a third of a 128 MB disk.
--- a/include/vanillalift/job.h
+++ b/include/vanillalift/job.h
@@ -87,6 +87,8 @@
 
     MSGPACK_DEFINE(id, payload, steps, occurrences, firstAtMs, periodMs)
     [[nodiscard]] uint32_t occurrenceCount() const { return occurrences == 0 ? 1 : occurrences; }
+    /// @returns whether it has steps, each of which depends only on earlier ones, and no more steps and tasks than the limits in config.h.
+    [[nodiscard]] bool isWellFormed() const;
 };
 
 /// Settings for consulting an external placement advice service, all in milliseconds.
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -1,3 +1,4 @@
+#include <vanillalift/config.h>
 #include <vanillalift/job.h>
 
 #include <algorithm>
@@ -16,6 +17,19 @@
 
 } // namespace
 
+bool JobSpec::isWellFormed() const
+{
+    uint64_t tasks = 0;
+    for (size_t n = 0; n < steps.size(); n++) {
+        const auto& step = steps[n];
+        bool hasOnlyEarlier = std::all_of(step.after.begin(), step.after.end(), [&](uint32_t it) { return it < n; });
+        if (!hasOnlyEarlier || step.taskCount == 0 || step.taskCount > config::maxTasksPerStep)
+            return false;
+        tasks += step.taskCount;
+    }
+    return !steps.empty() && steps.size() <= config::maxStepsPerJob && tasks * occurrenceCount() <= config::maxTasksPerJob;
+}
+
 const Queue* Catalog::findQueue(std::string_view host, std::string_view path) const
 {
     const Queue* best = nullptr;
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -216,6 +216,7 @@
     std::vector<std::string> maintained;
     MSGPACK_DEFINE(wave, requested, maintained)
 
+    [[nodiscard]] bool contains(std::string_view instance) const;
     [[nodiscard]] bool isRequested(std::string_view instance) const;
     [[nodiscard]] bool isMaintained(std::string_view instance) const;
     [[nodiscard]] bool isComplete() const { return maintained.size() >= wave.instances.size(); }
@@ -272,8 +273,11 @@
     /// @param observer may be nullptr.
     void setObserver(StoreObserver* observer) { m_observer = observer; }
 
-    /// Applies all commands of one entry. Commands that the current state has made obsolete are ignored.
+    /// Applies all commands of one entry. Commands that the current state has made obsolete are ignored; those that cannot be read are
+    /// skipped, by every controller of the same version alike.
     void apply(std::string_view entry);
+    /// @returns how many commands were skipped.
+    [[nodiscard]] uint64_t skippedCommands() const { return m_skippedCommands; }
     [[nodiscard]] std::string snapshot() const;
     void restore(std::string_view snapshot);
 
@@ -319,6 +323,7 @@
 
     void restoreSuspects(const msgpack::object& object);
     void indexQueues();
+    void skip(std::string_view reason);
     void markReplaced(const Endpoint& endpoint);
     void endRun(const EndedRun& run, int64_t endedAtMs);
     void markDone(Job& job, const TaskKey& key, int64_t endedAtMs);
@@ -339,6 +344,7 @@
     std::map<std::string, ReplicaInfo> m_replicas;
     std::map<IncarnationKey, SuspectRuns> m_suspects;
     uint64_t m_lastSerial = 0;
+    uint64_t m_skippedCommands = 0;
 };
 
 } // namespace vanillalift::jobs
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -441,6 +441,7 @@
     visit("takeovers_total", "Times that this controller became the leader.", static_cast<double>(m_leadershipCount));
     visit("log_entries_total", "Log entries proposed by this controller.", static_cast<double>(m_batcher.entryCount()));
     visit("log_commands_total", "Log commands proposed by this controller.", static_cast<double>(m_batcher.commandCount()));
+    visit("log_commands_skipped_total", "Log commands that could not be applied.", static_cast<double>(m_store.skippedCommands()));
     visit("jobs", "Jobs in the replicated state.", static_cast<double>(m_store.jobs().size()));
     visit("endpoints", "Endpoints in the replicated state.", static_cast<double>(m_store.endpoints().size()));
     visit("config_version", "Version of the current configuration.", static_cast<double>(m_store.catalog().version));
