Simplify the end of a session and the key of a step's advice

Cause: a nested condition chose the cause of an endpoint's end, and the key of a step's advice was written out three times.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -380,7 +380,8 @@
     if (!session.isAboutToEnd())
         return cancelUnsentStarts(session);
     for (auto& [key, run] : session.runs) {
-        run.nextRunRequestAt = run.mustStop ? run.nextRunRequestAt : TimePoint {};
+        if (!run.mustStop)
+            run.nextRunRequestAt = {};
         run.mustStop = true;
     }
 }
@@ -485,8 +486,9 @@
 {
     auto* session = findSession(last.id);
     if (session) {
-        handleIncarnationEnd(*session, last.hasDeregistered || session->removalReason == RemovalReason::Left ? "left" : session->isRemovalPending ? "removed"
-                                                                                                                                                  : "replaced");
+        bool hasLeft = last.hasDeregistered || session->removalReason == RemovalReason::Left;
+        std::string_view cause = session->isRemovalPending ? "removed" : "replaced";
+        handleIncarnationEnd(*session, hasLeft ? "left" : cause);
         m_log.line("endpoint-removed").field("endpoint", last.id).field("born", last.startedAtMs).field("runs", session->runs.size());
         for (auto& [key, run] : session->runs) {
             if (run.phase == RunPhase::Committing) {
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -195,7 +195,8 @@
     [[nodiscard]] bool isServiceKnown(std::string_view service) const;
 
     // Deregistered endpoints (dispatcher.cpp)
-    /// Stops what runs on an endpoint that ends soon; starts nothing more on one that may.
+    /// Stops the runs of a deregistered endpoint, if it has drained. Otherwise the deregistration may be a late one of an earlier
+    /// incarnation, and only starts that were not sent yet are withheld.
     static void stopRunsIfDeregistered(EndpointSession& session);
     /// Removes a deregistered endpoint once nothing runs there, and acknowledges its deregistration then or after a bounded time.
     void updateDeregistration(EndpointSession& session, TimePoint now);
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -36,6 +36,8 @@
         candidate.suspectRuns = session.suspectRuns;
     }
 
+    TaskKey firstTaskOfStep(const TaskKey& key) { return { key.job, key.occurrence, key.step, 0 }; }
+
     bool isConstrained(const StepSpec& step) { return step.maxPerEndpoint != 0 || !step.requiredLabel.empty(); }
 
 } // namespace
@@ -418,11 +420,11 @@
         m_desc.propose(PlaceRuns { std::exchange(m_pendingPlacements, {}) });
 }
 
-StepAdvice& Dispatcher::adviceOf(const TaskKey& key) { return m_advice[{ key.job, key.occurrence, key.step, 0 }]; }
+StepAdvice& Dispatcher::adviceOf(const TaskKey& key) { return m_advice[firstTaskOfStep(key)]; }
 
 void Dispatcher::forgetAdvice(const TaskKey& key, const std::string& endpointId)
 {
-    auto it = m_advice.find({ key.job, key.occurrence, key.step, 0 });
+    auto it = m_advice.find(firstTaskOfStep(key));
     if (it != m_advice.end())
         it->second.forget(endpointId);
 }
@@ -430,7 +432,7 @@
 void Dispatcher::requestAdvice(const JobPlan& plan, const TaskKey& key, std::span<const PlacementCandidate> candidates, bool needsRoom)
 {
     auto now = m_clock.now();
-    TaskKey stepKey { key.job, key.occurrence, key.step, 0 };
+    auto stepKey = firstTaskOfStep(key);
     auto& advice = adviceOf(key);
     // The service answers one call at a time: a queued call would use up its timeout before it is sent.
     if (m_isAdvicePending || now < advice.nextRequestAt)
