--- a/tests/jobs/platform_decode_test.cpp
+++ b/tests/jobs/platform_decode_test.cpp
@@ -134,7 +134,7 @@
     CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"m-1\"", "7"), nowMs));
     CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "16000", "16000000000000"), nowMs));
     CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"r1-3\"", "{}"), nowMs));
-    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"v1\"", '"' + std::string(70000, 'v') + '"'), nowMs));
+    CHECK_FALSE(decodeHeartbeat("i-1", replaced(goodHeartbeat, "\"v1\"", std::string(70000, 'v').insert(0, 1, '"').append(1, '"')), nowMs));
 }
 
 TEST_CASE("a deeply nested message is refused by every decoder", "[platform]")
@@ -162,7 +162,9 @@
 {
     const std::string good = R"({"machine":"m-1","pool":"s","state":"up","zone":"z","labels":["a","r1"],"capacity":{"cpu":16000,"memMb":32768,"gpu":0},"id":"i-1"})";
     for (const auto& odd : { std::string("7"), std::string("null"), std::string("{}"), std::string(R"({"machine":7})"), std::string(R"({"machine":"m-2","pool":[]})"), replaced(replaced(good, "m-1", "m-2"), "16000", "1e300") }) {
-        auto page = decodeInstances(R"({"machines":[)" + odd + "," + good + R"(],"nextToken":null})");
+        std::string text = R"({"machines":[)";
+        text.append(odd).append(",").append(good).append(R"(],"nextToken":null})");
+        auto page = decodeInstances(text);
         INFO(odd);
         REQUIRE(page);
         REQUIRE(page->instances.size() == 1);
--- a/tests/jobs/step_advice_test.cpp
+++ b/tests/jobs/step_advice_test.cpp
@@ -46,6 +46,7 @@
 std::vector<StepAdvice::Candidate> candidatesOf(const std::vector<std::string>& ids)
 {
     std::vector<StepAdvice::Candidate> candidates;
+    candidates.reserve(ids.size());
     for (const auto& it : ids)
         candidates.push_back({ it, 1, true, 1000 });
     return candidates;
