--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -267,7 +267,13 @@
 DispatcherStats Dispatcher::stats() const
 {
     auto stats = m_stats;
+    auto now = m_clock.now();
+    stats.endpoints = m_sessions.size();
     for (const auto& [id, session] : m_sessions) {
+        if (!isReachable(*session, now))
+            stats.endpointsSilent++;
+        else if (!session->isCapacityCertain(now, m_desc.maxCapacityReportAge))
+            stats.endpointsUnreported++;
         for (const auto& [key, run] : session->runs)
             stats.liveRuns += run.phase != RunPhase::Ended ? 1 : 0;
     }
@@ -602,6 +608,12 @@
         sendDueRequest(*session, *run, m_clock.now());
 }
 
+void Dispatcher::onPlacementRefused(Job& job, const RunKey& run, const std::string& endpoint)
+{
+    m_log.line("place-refused").field("job", job.spec.id).field("task", run.task).field("run", run.number).field("endpoint", endpoint);
+    onRunEnded(job, { run, RunEnd::NotStarted, "" }, endpoint);
+}
+
 void Dispatcher::onRunEnded(Job& job, const EndedRun& run, const std::string& endpoint)
 {
     auto plan = m_plans.find(job.serial);
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -56,6 +56,11 @@
     uint64_t placements = 0;
     /// Endpoints evaluated as candidates for a task, whether or not it was placed: the cost of placement.
     uint64_t endpointsEvaluated = 0;
+    /// Endpoints; those that do not answer, or have not in this term; those that answer but whose capacity is uncertain, so that no
+    /// task is started there.
+    size_t endpoints = 0;
+    size_t endpointsSilent = 0;
+    size_t endpointsUnreported = 0;
     size_t readyTasks = 0;
     size_t liveRuns = 0;
     size_t openJobs = 0;
@@ -157,6 +162,7 @@
     void onJob(Job& job) override;
     void onJobFinished(Job& job) override;
     void onRunPlaced(Job& job, const RunKey& run, const std::string& endpoint) override;
+    void onPlacementRefused(Job& job, const RunKey& run, const std::string& endpoint) override;
     void onRunEnded(Job& job, const EndedRun& run, const std::string& endpoint) override;
     void onWave(const WaveState& /*wave*/) override { }
     void onSuspicion(Job& job, const TaskKey& task, bool isGivenUp) override;
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -228,10 +228,8 @@
         auto* job = findJobBySerial(it.run.task.job);
         auto* task = job ? job->findTask(it.run.task) : nullptr;
         if (!task || !job->isActive() || task->isDone || it.run.number <= task->lastRun || !m_endpoints.contains(it.endpoint)) {
-            if (m_observer && job) {
-                EndedRun refused { it.run, RunEnd::NotStarted, "" };
-                m_observer->onRunEnded(*job, refused, it.endpoint);
-            }
+            if (m_observer && job)
+                m_observer->onPlacementRefused(*job, it.run, it.endpoint);
             continue;
         }
         task->lastRun = it.run.number;
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -255,6 +255,8 @@
     /// The job has completed, failed or been cancelled. Some of its runs may still have to be stopped.
     virtual void onJobFinished(Job& job) = 0;
     virtual void onRunPlaced(Job& job, const RunKey& run, const std::string& endpoint) = 0;
+    /// The placement was not recorded: the job or task has ended, the number is not new, or the endpoint is gone.
+    virtual void onPlacementRefused(Job& job, const RunKey& run, const std::string& endpoint) = 0;
     /// @param endpoint where the run was placed.
     virtual void onRunEnded(Job& job, const EndedRun& run, const std::string& endpoint) = 0;
     virtual void onWave(const WaveState& wave) = 0;
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -135,6 +135,7 @@
     if (!m_leaderClient.hasLeader() || m_leaderClient.leaderTerm() == m_heartbeatsTerm)
         return;
     m_heartbeatsTerm = m_leaderClient.leaderTerm();
+    m_log.stateLine("heartbeats-repeated").field("term", m_heartbeatsTerm).field("endpoints", m_heartbeats.all().size());
     for (const auto& [id, it] : m_heartbeats.all())
         m_leaderClient.call(it.request, now + config::leaderWaitTimeout, now + config::leaderWaitTimeout, [](const LeaderClient::Outcome&) {});
 }
@@ -361,6 +362,9 @@
         .field("connects", calls.connects - m_lastLoggedCalls.connects)
         .field("expired", calls.expired - m_lastLoggedCalls.expired)
         .field("expired-late", calls.expiredLate - m_lastLoggedCalls.expiredLate)
+        .field("endpoints", stats.endpoints)
+        .field("silent", stats.endpointsSilent)
+        .field("unreported", stats.endpointsUnreported)
         .field("ready", stats.readyTasks)
         .field("live", stats.liveRuns)
         .field("open-jobs", stats.openJobs);
@@ -470,6 +474,8 @@
     visit("jobs_given_up_total", "Jobs that failed in this term because a task crashed endpoints.", static_cast<double>(stats.jobsGivenUp));
     visit("placements_total", "Tasks placed in this term.", static_cast<double>(stats.placements));
     visit("placement_trials_total", "Endpoints evaluated for tasks in this term, whether or not the task was placed.", static_cast<double>(stats.endpointsEvaluated));
+    visit("endpoints_silent", "Endpoints that do not answer, or have not yet in this term.", static_cast<double>(stats.endpointsSilent));
+    visit("endpoints_unreported", "Endpoints that answer but get no tasks because no recent heartbeat tells their capacity.", static_cast<double>(stats.endpointsUnreported));
     visit("ready_tasks", "Tasks that wait for free capacity.", static_cast<double>(stats.readyTasks));
     visit("live_runs", "Runs that hold capacity.", static_cast<double>(stats.liveRuns));
     visit("open_jobs", "Jobs that are not finished.", static_cast<double>(stats.openJobs));
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -74,7 +74,7 @@
     platform::HttpInstanceService instances(loop, clock, settings->instanceServiceAddress, settings->node);
     node::Controller controller(loop, clock, log, settings->controller, { &endpoints, &advice, &instances }, std::move(*storage));
     auto forwardCall = [&](node::Request request, TimePoint deadline, node::LeaderClient::Handler handler) { controller.call(std::move(request), deadline, std::move(handler)); };
-    platform::ControlApi control(loop, clock, *settings->controlAddress, limits.incoming, forwardCall, [&] { return controlAddress(controller.leader(), settings->controlAddress->port); });
+    platform::ControlApi control(loop, clock, log, *settings->controlAddress, limits.incoming, forwardCall, [&] { return controlAddress(controller.leader(), settings->controlAddress->port); });
     node::MetricsPage metrics(loop, { settings->controlAddress->ip, settings->metricsPort }, "vanillalift_controller_", [&](const auto& visit) { controller.visitMetrics(visit); });
     if (!control.isOpen() || !metrics.isOpen() || !controller.isOpen())
         return 1;
