Place no task a second time when an earlier run of it ends

Cause: a plan kept which tasks have a placement under way, and the end of any run of the task erased that. When a run and its speculative copy fail within a few milliseconds, the end of the second arrives while a copy of it is being committed: the task counted as idle and was placed again under the same run number, often on the same endpoint. The store refused the second placement, and the leader forgot the run that the first one had started; it stopped it as unknown, and the recorded placement kept the task from being placed again.

Now the plan keeps the run number of the proposal, and only the outcome of that run resolves it.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -20,6 +20,13 @@
 
 } // namespace
 
+void JobPlan::resolveProposal(const RunKey& run)
+{
+    auto it = proposedRuns.find(run.task);
+    if (it != proposedRuns.end() && it->second == run.number)
+        proposedRuns.erase(it);
+}
+
 Dispatcher::Dispatcher(DispatcherDesc desc, JobStore& store, const Clock& clock, EndpointLinks& links, AdviceService& advice, EventLog& log)
     : m_desc(std::move(desc))
     , m_store(store)
@@ -592,7 +599,7 @@
 {
     auto plan = m_plans.find(job.serial);
     if (plan != m_plans.end()) {
-        plan->second.proposedTasks.erase(key.task);
+        plan->second.resolveProposal(key);
         plan->second.isDirty = true;
     }
     auto* session = findSession(endpoint);
@@ -618,7 +625,7 @@
 {
     auto plan = m_plans.find(job.serial);
     if (plan != m_plans.end()) {
-        plan->second.proposedTasks.erase(run.run.task);
+        plan->second.resolveProposal(run.run);
         plan->second.isDirty = true;
     }
     auto* session = findSession(endpoint);
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -81,13 +81,16 @@
     std::vector<TaskKey> ready;
     /// Minimum over these tasks, separately for each resource.
     Resources smallestNeed;
-    /// Tasks whose placement is proposed but not committed yet.
-    std::set<TaskKey> proposedTasks;
+    /// Run numbers of placements that are proposed but not committed yet. An earlier run of the task may end meanwhile.
+    std::map<TaskKey, uint32_t> proposedRuns;
     bool isDirty = true;
     /// When the plan has to be recomputed because an occurrence becomes due or due soon.
     TimePoint refreshAt = TimePoint::max();
     /// Earliest time of the next log entry about its waiting tasks.
     TimePoint nextWaitLogAt;
+
+    /// Forgets the proposal of the run, if there is one: its outcome is known.
+    void resolveProposal(const RunKey& run);
 };
 
 /// Job dispatcher of the leader: places tasks, sends endpoints start and stop requests, renews endpoint leases, and records
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -109,7 +109,7 @@
             continue;
         for (uint32_t index = 0; index < tasks.size(); index++) {
             TaskKey key { job.serial, occurrence, step, index };
-            if (plan.proposedTasks.contains(key))
+            if (plan.proposedRuns.contains(key))
                 continue;
             if (isHeldBack(tasks[index].crashes, tasks[index].possibleCrashes()))
                 continue;
@@ -406,7 +406,7 @@
 {
     RunKey run { key, number };
     addRun(session, *plan.job, run).ticket = ticket;
-    plan.proposedTasks.insert(key);
+    plan.proposedRuns[key] = number;
     m_pendingPlacements.push_back({ run, session.endpoint.id });
     m_stats.placements++;
     m_log.line("place").field("job", plan.job->spec.id).field("task", key).field("run", number).field("endpoint", session.endpoint.id).field("free-cpu", session.freeCapacity().cpu).field("waited-ms", millisecondsUntil(m_clock.now(), plan.acceptedAt));
