Remove endpoints whose instances an earlier leader moved away

A leader that is cut off moves idle instances to the spare pool in its last half second (22 of 49); the platform carries it out and the endpoints end, but the removal can no longer be committed. The next leader held the instances for members of their old pool, whose endpoints are silent for a while, until it had missed their heartbeats for 12 s; each further change of leader started the 12 s again.

Cause: what a leader does to the platform after its last commit is visible only in the platform's list, and the next one prefers its own record.

An endpoint that does not answer, has no runs on record, and whose instance a later list shows in another pool is now removed. Moves that the platform lists as under way when a leader begins are adopted, so that their instances can be used as soon as they are over. Runs that are on record there still wait for the end of the lease.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -92,7 +92,8 @@
         session = std::make_unique<EndpointSession>();
         // A lease granted by an earlier leader may last until then.
         session->leaseEndsAt = m_startedAt + (endpoint.hasEarlierIncarnation ? m_desc.maxLease : Duration(config::endpointLease));
-        session->lastHeartbeatAt = m_clock.now();
+        session->knownSince = m_clock.now();
+        session->lastHeartbeatAt = session->knownSince;
         if (auto stale = m_staleAckUntil.extract(endpoint.id); !stale.empty())
             session->staleAckUntil = stale.mapped();
         session->isCordoned = m_cordonedAddresses.contains(endpoint.address);
@@ -433,6 +434,12 @@
         session->freshStatusUntil = m_clock.now() + freshStatusPeriod;
 }
 
+void Dispatcher::removeMovedEndpoint(const std::string& endpointId)
+{
+    if (auto* session = findSession(endpointId))
+        removeEndpoint(*session, RemovalReason::Moved);
+}
+
 void Dispatcher::evict(const std::string& endpointId, const RunKey& run)
 {
     auto* session = findSession(endpointId);
--- a/src/jobs/dispatcher_crashes.cpp
+++ b/src/jobs/dispatcher_crashes.cpp
@@ -38,7 +38,7 @@
 
 bool Dispatcher::isEndPlanned(const EndpointSession& session)
 {
-    return session.endpoint.isDraining || session.endpoint.hasDeregistered || session.isTakenDown || session.removalReason == RemovalReason::Left;
+    return session.endpoint.isDraining || session.endpoint.hasDeregistered || session.isTakenDown || session.removalReason == RemovalReason::Left || session.removalReason == RemovalReason::Moved;
 }
 
 void Dispatcher::recordSuspects(EndpointSession& session)
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -125,6 +125,8 @@
     void setTakenDown(const std::set<std::string>& endpointIds);
     /// Shortens the endpoint's status request interval for a while.
     void requestFreshStatus(const std::string& endpointId);
+    /// Removes an endpoint that has ended because its instance was moved to another pool.
+    void removeMovedEndpoint(const std::string& endpointId);
     /// Stops a run, so that its task is placed elsewhere.
     void evict(const std::string& endpointId, const RunKey& run);
 
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -35,6 +35,8 @@
             return "another incarnation answers at the address";
         case RemovalReason::UnknownService:
             return "its service is not configured";
+        case RemovalReason::Moved:
+            return "its instance is in another pool";
         default:
             return "no heartbeat and no lease";
         }
--- a/src/jobs/endpoint_session.cpp
+++ b/src/jobs/endpoint_session.cpp
@@ -106,6 +106,7 @@
         staleAckUntil = unansweredAckAt + maxRequestDelay;
     isAckPending = false;
     isReconciled = false;
+    knownSince = now;
     isSuperseded = false;
     isConnectionLost = false;
     silentSince = {};
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -108,6 +108,8 @@
     Replaced,
     /// No service of the configuration has its name.
     UnknownService,
+    /// Its instance is in another pool.
+    Moved,
 };
 
 /// The leader's view of one endpoint.
@@ -132,6 +134,8 @@
     /// When this first happened for the current incarnation.
     TimePoint reconciledAt;
     std::optional<ClockSample> clock;
+    /// When this leader first knew of the current incarnation.
+    TimePoint knownSince;
     TimePoint lastHeartbeatAt;
     TimePoint lastReplyAt;
     uint64_t lastHeartbeatSequence = 0;
--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -44,6 +44,7 @@
     , m_authorityEndsAt(std::move(authorityEndsAt))
     , m_clock(clock)
     , m_log(log)
+    , m_startedAt(clock.now())
     , m_tokensUpdatedAt(clock.now())
 {
     // Before the first placement of this term: the platform may still carry out what an earlier leader has requested.
@@ -118,6 +119,7 @@
         m_instances.clear();
         for (auto& [name, it] : std::exchange(m_listing, {}))
             m_instances[name] = { std::move(it), sentAt };
+        adoptMoves();
     });
 }
 
--- a/src/jobs/instance_manager_p.h
+++ b/src/jobs/instance_manager_p.h
@@ -75,6 +75,11 @@
     std::vector<PoolInstance> describeInstances(const std::vector<Pool>& pools);
     void requestMove(const std::string& name);
     void finishMoves();
+    /// Takes over the moves that an earlier leader has requested and that the platform lists as under way.
+    void adoptMoves();
+    /// Removes endpoints without runs that do not answer and whose instance the platform lists in another pool: the move has ended them, and
+    /// the leader that requested it could not record that.
+    void removeMovedEndpoints();
     /// @returns the instances that a wave is draining or has under maintenance and that have not been listed as up since.
     [[nodiscard]] std::set<std::string_view> instancesInWaves() const;
     void listInstances();
@@ -91,6 +96,7 @@
     [[nodiscard]] bool mayStop(const Run& run) const;
     [[nodiscard]] const Endpoint* endpointOf(const std::string& instance) const;
     [[nodiscard]] const EndpointSession* sessionOf(const std::string& instance) const;
+    [[nodiscard]] bool isListedElsewhere(const ListedInstance& known, const EndpointSession& session) const;
     bool takeCallToken();
     void updateCordons();
 
@@ -107,6 +113,7 @@
     std::map<std::string, Instance> m_listing;
     bool m_hasList = false;
     bool m_isListing = false;
+    TimePoint m_startedAt;
     TimePoint m_nextListAt;
     TimePoint m_nextTickAt;
     std::map<std::pair<uint64_t, std::string>, WaveProgress> m_progress;
--- a/src/jobs/instance_manager_pools.cpp
+++ b/src/jobs/instance_manager_pools.cpp
@@ -124,10 +124,43 @@
     return instances;
 }
 
+bool InstanceManager::isListedElsewhere(const ListedInstance& known, const EndpointSession& session) const
+{
+    bool isSilent = session.unansweredStatusRequests > 0 && session.runs.empty();
+    return isSilent && session.knownSince <= known.requestedAt && known.instance.pool != session.endpoint.service;
+}
+
+void InstanceManager::removeMovedEndpoints()
+{
+    for (const auto& [name, known] : m_instances) {
+        const auto* session = sessionOf(name);
+        if (!session || session->isRemovalPending || !isListedElsewhere(known, *session))
+            continue;
+        m_log.line("endpoint-moved").field("endpoint", session->endpoint.id).field("instance", name).field("recorded", session->endpoint.service).field("listed", known.instance.pool);
+        m_dispatcher.removeMovedEndpoint(session->endpoint.id);
+    }
+}
+
+void InstanceManager::adoptMoves()
+{
+    for (const auto& [name, known] : m_instances) {
+        bool isMoving = known.instance.state == InstanceState::Moving && !m_moves.contains(name);
+        // Moves of earlier leaders have ended by then.
+        if (!isMoving || known.requestedAt > m_startedAt + m_desc.moveTime)
+            continue;
+        auto& move = m_moves[name];
+        move.pool = known.instance.pool;
+        move.isAccepted = true;
+        move.acceptedAt = known.requestedAt;
+        m_log.line("move-adopted").field("instance", name).field("to", move.pool);
+    }
+}
+
 void InstanceManager::updatePools()
 {
     auto now = m_clock.now();
     m_nextPoolPlanAt = now + poolPlanInterval;
+    removeMovedEndpoints();
     auto pools = describePools();
     auto instances = describeInstances(pools);
     auto actions = planPools(pools, instances, m_hasDemand, now);
