Send heartbeats to controllers that do not lead

Cause: a leader starts nothing on an endpoint before it has a heartbeat of it in its own term. Controllers repeat the heartbeats that they have received, but every answer to one named the leader as the address for the next, so that the others had few (19 of 39 endpoints, right after a change). Endpoints turn from a dark address only after 1 s, and send every 1.5 s: 29 endpoints that answered the new leader got no task for 1 s, 16 of them for 2 s. A killed leader resets its connections, so its endpoints turn at once.

Answers now name a controller that does not lead, in the endpoint's zone if there is one. It passes heartbeats on, and has them at hand for a new leader. Heartbeats of endpoints that are no longer on record are not repeated.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -1,6 +1,7 @@
 #include "controller_p.h"
 
 #include "core/event_log_p.h"
+#include "heartbeat_route_p.h"
 
 #include <vanillalift/config.h>
 
@@ -135,9 +136,27 @@
     if (!m_leaderClient.hasLeader() || m_leaderClient.leaderTerm() == m_heartbeatsTerm)
         return;
     m_heartbeatsTerm = m_leaderClient.leaderTerm();
-    m_log.stateLine("heartbeats-repeated").field("term", m_heartbeatsTerm).field("endpoints", m_heartbeats.all().size());
-    for (const auto& [id, it] : m_heartbeats.all())
+    size_t count = 0;
+    for (const auto& [id, it] : m_heartbeats.all()) {
+        const auto* recorded = m_store.findEndpoint(id);
+        if (!recorded || recorded->startedAtMs != it.request.endpoint.startedAtMs)
+            continue;
+        count++;
         m_leaderClient.call(it.request, now + config::leaderWaitTimeout, now + config::leaderWaitTimeout, [](const LeaderClient::Outcome&) {});
+    }
+    m_log.stateLine("heartbeats-repeated").field("term", m_heartbeatsTerm).field("endpoints", count);
+}
+
+std::string Controller::heartbeatReceiver(std::string_view availabilityZone, std::string_view endpointId) const
+{
+    std::vector<HeartbeatReceiver> receivers;
+    for (const auto& [name, info] : m_store.replicas()) {
+        bool isUsable = name == m_desc.name ? !m_onStopped : m_leaderClient.isLinked(name);
+        if (isUsable && name != m_leaderClient.leader())
+            receivers.push_back({ name, info.availabilityZone });
+    }
+    auto chosen = chooseHeartbeatReceiver(receivers, availabilityZone, endpointId);
+    return chosen.empty() ? m_leaderClient.leader() : std::string(chosen);
 }
 
 void Controller::stop(std::function<void()> done)
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -51,8 +51,8 @@
     /// Forwards a request to the leader, which may be this controller.
     void call(Request request, TimePoint deadline, LeaderClient::Handler handler);
     void addSeeds(const std::vector<std::string>& seeds) { m_leaderClient.addSeeds(seeds); }
-    /// @returns the name of the leader, empty if it is unknown.
-    [[nodiscard]] const std::string& leader() const { return m_leaderClient.leader(); }
+    /// @returns the name of the controller to which the endpoint should send its next heartbeats; empty if none is known.
+    [[nodiscard]] std::string heartbeatReceiver(std::string_view availabilityZone, std::string_view endpointId) const;
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
     /// Transfers leadership to another controller. The process may end once done is called.
     void stop(std::function<void()> done);
@@ -84,7 +84,8 @@
     void handleJoin(const JoinRequest& request);
     void removeReplacedReplica();
     void purgeJobs();
-    /// Sends a new leader the last heartbeats that arrived here: it starts no task on an endpoint before it has one.
+    /// Sends a new leader the last heartbeats that arrived here: it starts no task on an endpoint before it has one. Those of endpoints
+    /// that have been removed since are left out.
     void repeatHeartbeats();
     void logLoad();
 
--- a/src/node/leader_client.cpp
+++ b/src/node/leader_client.cpp
@@ -69,6 +69,12 @@
     return it->second.link->send(encode(message));
 }
 
+bool LeaderClient::isLinked(const std::string& name) const
+{
+    auto it = m_peers.find(name);
+    return it != m_peers.end() && it->second.link && it->second.link->isConnected() && it->second.status.term != 0;
+}
+
 void LeaderClient::tick()
 {
     auto now = m_clock.now();
--- a/src/node/leader_client_p.h
+++ b/src/node/leader_client_p.h
@@ -52,6 +52,8 @@
     bool send(const std::string& name, const Message& message);
     /// Connects to a controller, and reconnects whenever the link is lost.
     void maintainLink(const std::string& name);
+    /// @returns whether there is a link to the controller on which it reports its status.
+    [[nodiscard]] bool isLinked(const std::string& name) const;
     [[nodiscard]] bool hasLeader() const { return m_isLocalLeader || !m_leader.empty(); }
     [[nodiscard]] const std::string& leader() const { return m_leader; }
     /// @returns the term of the last known leader.
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -35,9 +35,9 @@
 }
 
 /// The port of the control interface is the same on all instances.
-std::string controlAddress(const std::string& leader, uint16_t port)
+std::string controlAddress(const std::string& controller, uint16_t port)
 {
-    return leader.empty() ? "" : leader.substr(0, leader.find(':')) + ':' + std::to_string(port);
+    return controller.empty() ? "" : controller.substr(0, controller.find(':')) + ':' + std::to_string(port);
 }
 
 } // namespace
@@ -74,7 +74,7 @@
     platform::HttpInstanceService instances(loop, clock, settings->instanceServiceAddress, settings->node);
     node::Controller controller(loop, clock, log, settings->controller, { &endpoints, &advice, &instances }, std::move(*storage));
     auto forwardCall = [&](node::Request request, TimePoint deadline, node::LeaderClient::Handler handler) { controller.call(std::move(request), deadline, std::move(handler)); };
-    platform::ControlApi control(loop, clock, log, *settings->controlAddress, limits.incoming, forwardCall, [&] { return controlAddress(controller.leader(), settings->controlAddress->port); });
+    platform::ControlApi control(loop, clock, log, *settings->controlAddress, limits.incoming, forwardCall, [&](std::string_view zone, std::string_view id) { return controlAddress(controller.heartbeatReceiver(zone, id), settings->controlAddress->port); });
     node::MetricsPage metrics(loop, { settings->controlAddress->ip, settings->metricsPort }, "vanillalift_controller_", [&](const auto& visit) { controller.visitMetrics(visit); });
     if (!control.isOpen() || !metrics.isOpen() || !controller.isOpen())
         return 1;
