Let calls wait for a leader no longer than an election takes

The wait of 1.5 s now starts when the last leader was lost, not with each call. After it, calls end at once as not run.

Found next to it: a call whose leader lost and regained its leadership in a later term was not sent again, and waited for its deadline, as calls were compared by the leader's name only. Now by name and term.

leader_client_test: both new cases failed before (1 of 2 sent, 0 of 1 ended) and pass.

--- a/src/node/leader_client.cpp
+++ b/src/node/leader_client.cpp
@@ -11,6 +11,7 @@
     , m_clock(clock)
     , m_log(log)
     , m_desc(std::move(desc))
+    , m_leaderLostAt(clock.now())
     , m_timer(loop, [this] { tick(); })
 {
     addSeeds(m_desc.seeds);
@@ -39,19 +40,28 @@
         m_leaderTerm = term;
         sendPendingCalls();
     } else if (m_leader == m_desc.hello.name) {
-        m_leader.clear();
-        updateLeader();
+        clearLeader();
     }
 }
 
+void LeaderClient::clearLeader()
+{
+    m_leader.clear();
+    m_leaderLostAt = m_clock.now();
+    updateLeader();
+}
+
 void LeaderClient::call(Request request, TimePoint sendDeadline, TimePoint deadline, Handler handler)
 {
     if (m_isClosed)
         return handler({ std::nullopt, false });
     auto id = ++m_lastCallId;
-    auto& pending = m_calls[id] = { std::move(request), sendDeadline, deadline, std::move(handler), "", false, false };
+    auto& pending = m_calls[id] = { std::move(request), sendDeadline, deadline, std::move(handler), "", 0, false };
     if (hasLeader())
-        sendCall(id, pending);
+        return sendCall(id, pending);
+    pending.sendDeadline = std::min<TimePoint>(sendDeadline, m_leaderLostAt + config::leaderWaitTimeout);
+    if (pending.sendDeadline <= m_clock.now())
+        completeCall(id, { std::nullopt, false });
 }
 
 void LeaderClient::close()
@@ -151,10 +161,8 @@
         if (call.sentTo == name)
             call.sentTo.clear();
     }
-    if (m_leader == name) {
-        m_leader.clear();
-        updateLeader();
-    }
+    if (m_leader == name)
+        clearLeader();
 }
 
 void LeaderClient::receive(const std::string& name, std::string_view frame)
@@ -196,6 +204,8 @@
             sendPendingCalls();
         return;
     }
+    if (newLeader.empty())
+        m_leaderLostAt = m_clock.now();
     m_log.stateLine("leader").field("leader", newLeader).field("term", term).field("was", m_leader);
     m_leader = newLeader;
     m_leaderTerm = term;
@@ -207,8 +217,9 @@
 {
     std::vector<uint64_t> unsentIds;
     for (const auto& [id, call] : m_calls) {
-        // An earlier leader may never reply, so its requests are sent again; all requests are idempotent.
-        if (call.sentTo != m_leader && !(call.isLocal && m_isLocalLeader))
+        // An earlier leader may never reply, nor one that leads again in a later term, so that their requests are sent again; all
+        // requests are idempotent.
+        if (call.sentTo != m_leader || call.sentInTerm != m_leaderTerm)
             unsentIds.push_back(id);
     }
     for (auto id : unsentIds) {
@@ -221,9 +232,9 @@
 void LeaderClient::sendCall(uint64_t id, PendingCall& call)
 {
     if (m_isLocalLeader) {
-        call.isLocal = true;
         call.wasSent = true;
         call.sentTo = m_leader;
+        call.sentInTerm = m_leaderTerm;
         m_desc.localHandler(call.request, [this, id, isAlive = m_isAlive](const Reply& reply) {
             if (*isAlive)
                 receiveReply(m_desc.hello.name, { id, reply });
@@ -232,8 +243,8 @@
     }
     if (send(m_leader, Call { id, call.request })) {
         call.sentTo = m_leader;
+        call.sentInTerm = m_leaderTerm;
         call.wasSent = true;
-        call.isLocal = false;
     }
 }
 
@@ -246,7 +257,6 @@
         // Sent again as soon as a controller reports that it is the leader.
         if (it->second.sentTo == name)
             it->second.sentTo.clear();
-        it->second.isLocal = false;
         return;
     }
     completeCall(callReply.id, { callReply.reply, true });
--- a/src/node/leader_client_p.h
+++ b/src/node/leader_client_p.h
@@ -38,7 +38,8 @@
     LeaderClient(net::EventLoop& loop, const Clock& clock, EventLog& log, Desc desc);
     ~LeaderClient();
 
-    /// @param sendDeadline time at which the request is abandoned if it was not sent to any controller.
+    /// @param sendDeadline time at which the request is abandoned if it was not sent to any controller. It is abandoned earlier once there
+    /// has been no leader for config::leaderWaitTimeout.
     /// @param deadline time at which the request is abandoned if no reply was received.
     void call(Request request, TimePoint sendDeadline, TimePoint deadline, Handler handler);
     /// Completes all pending requests without a reply, and each later one at once.
@@ -73,10 +74,10 @@
         TimePoint sendDeadline;
         TimePoint deadline;
         Handler handler;
-        /// Controller to which the request was sent last; empty if it has to be sent again.
+        /// Controller to which the request was sent last, and its term; empty if it has to be sent again.
         std::string sentTo;
+        uint64_t sentInTerm = 0;
         bool wasSent = false;
-        bool isLocal = false;
     };
 
     void tick();
@@ -88,6 +89,7 @@
     void receiveStatus(const std::string& name, const ControllerStatus& status);
     void receiveReply(const std::string& name, const CallReply& callReply);
     void updateLeader();
+    void clearLeader();
     void sendPendingCalls();
     void sendCall(uint64_t id, PendingCall& call);
     void completeCall(uint64_t id, Outcome outcome);
@@ -102,6 +104,8 @@
     uint64_t m_lastCallId = 0;
     std::string m_leader;
     uint64_t m_leaderTerm = 0;
+    /// When the last leader was lost, or this object was created.
+    TimePoint m_leaderLostAt;
     bool m_isLocalLeader = false;
     bool m_isClosed = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/tests/jobs/leader_client_test.cpp
+++ b/tests/jobs/leader_client_test.cpp
@@ -82,3 +82,50 @@
     REQUIRE(outcome);
     CHECK(outcome->reply);
 }
+
+// Guards against a request that waits for its deadline because the leader that had it lost and regained its leadership meanwhile.
+TEST_CASE("a request is sent again to a leader that leads again in a later term", "[leader-client]")
+{
+    net::EventLoop loop;
+    SystemClock clock;
+    EventLog log(clock, -1, { 0, 0, 0 });
+    std::vector<std::function<void(Reply)>> received;
+    LeaderClient client(loop, clock, log, { { "self", "zone", "" }, {}, [&](const Request&, std::function<void(Reply)> respond) { received.push_back(std::move(respond)); } });
+    client.setLocalLeader(true, 1);
+    std::optional<LeaderClient::Outcome> outcome;
+    auto deadline = clock.now() + std::chrono::hours(1);
+    client.call(ReadCatalogRequest {}, deadline, deadline, [&](const LeaderClient::Outcome& result) { outcome = result; });
+    CHECK(received.size() == 1);
+    client.setLocalLeader(false, 0);
+    client.setLocalLeader(true, 3);
+    REQUIRE(received.size() == 2);
+    received.back()({});
+    REQUIRE(outcome);
+    CHECK(outcome->reply);
+}
+
+// Guards against calls that wait at a controller or gateway that has been cut off for long, while others would answer them at once.
+TEST_CASE("a request waits for a leader only as long as an election may take since the loss of the last one", "[leader-client]")
+{
+    net::EventLoop loop;
+    net::OffsetClock clock;
+    EventLog log(clock, -1, { 0, 0, 0 });
+    LeaderClient client(loop, clock, log, { { "self", "zone", "" }, {}, [](const Request&, const std::function<void(Reply)>&) {} });
+    std::vector<LeaderClient::Outcome> outcomes;
+    auto call = [&] {
+        auto deadline = clock.now() + std::chrono::hours(1);
+        client.call(ReadCatalogRequest {}, deadline, deadline, [&](const LeaderClient::Outcome& result) { outcomes.push_back(result); });
+    };
+    call();
+    CHECK(outcomes.empty());
+    clock.advance(config::leaderWaitTimeout);
+    call();
+    REQUIRE(outcomes.size() == 1);
+    CHECK_FALSE(outcomes.back().reply);
+    CHECK_FALSE(outcomes.back().wasSent);
+    // The loss of a leader starts the time anew.
+    client.setLocalLeader(true, 1);
+    client.setLocalLeader(false, 0);
+    call();
+    CHECK(outcomes.size() == 1);
+}
