Repeat heartbeats of endpoints whose record arrives late

silent_leader_e2e failed once after the change of the receivers: the new leader had got the heartbeats of 11 of 12 endpoints. A controller repeated only those of recorded endpoints, once for each term, and the record of a new endpoint may arrive a moment after the change. Each heartbeat is now sent once for each term, as soon as its endpoint is on record.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -123,7 +123,7 @@
 void Controller::call(Request request, TimePoint deadline, LeaderClient::Handler handler)
 {
     if (const auto* heartbeat = std::get_if<HeartbeatRequest>(&request))
-        m_heartbeats.add(*heartbeat, m_clock.now());
+        m_heartbeats.add(*heartbeat, m_clock.now(), m_leaderClient.hasLeader() ? m_leaderClient.leaderTerm() : 0);
     else if (const auto* deregistration = std::get_if<DeregisterRequest>(&request))
         m_heartbeats.remove(deregistration->endpointId);
     m_leaderClient.call(std::move(request), deadline, deadline, std::move(handler));
@@ -133,27 +133,30 @@
 {
     auto now = m_clock.now();
     m_heartbeats.prune(now - m_desc.maxCapacityReportAge);
-    if (!m_leaderClient.hasLeader() || m_leaderClient.leaderTerm() == m_heartbeatsTerm)
+    if (!m_leaderClient.hasLeader())
         return;
-    m_heartbeatsTerm = m_leaderClient.leaderTerm();
-    size_t count = 0;
-    for (const auto& [id, it] : m_heartbeats.all()) {
-        const auto* recorded = m_store.findEndpoint(id);
-        if (!recorded || recorded->startedAtMs != it.request.endpoint.startedAtMs)
-            continue;
-        count++;
-        m_leaderClient.call(it.request, now + config::leaderWaitTimeout, now + config::leaderWaitTimeout, [](const LeaderClient::Outcome&) {});
-    }
-    m_log.stateLine("heartbeats-repeated").field("term", m_heartbeatsTerm).field("endpoints", count);
+    auto term = m_leaderClient.leaderTerm();
+    auto count = m_heartbeats.sendOnce(term, [&](const HeartbeatRequest& request) {
+        // The record of a new endpoint may not have arrived here yet.
+        const auto* recorded = m_store.findEndpoint(request.endpoint.id);
+        if (!recorded || recorded->startedAtMs != request.endpoint.startedAtMs)
+            return false;
+        m_leaderClient.call(request, now + config::leaderWaitTimeout, now + config::leaderWaitTimeout, [](const LeaderClient::Outcome&) {});
+        return true;
+    });
+    if (count > 0)
+        m_log.stateLine("heartbeats-repeated").field("term", term).field("endpoints", count);
 }
 
 std::string Controller::heartbeatReceiver(std::string_view availabilityZone, std::string_view endpointId) const
 {
     std::vector<HeartbeatReceiver> receivers;
-    for (const auto& [name, info] : m_store.replicas()) {
-        bool isUsable = name == m_desc.name ? !m_onStopped : m_leaderClient.isLinked(name);
-        if (isUsable && name != m_leaderClient.leader())
-            receivers.push_back({ name, info.availabilityZone });
+    for (const auto& it : m_driver->core().status().members) {
+        bool isUsable = it.name == m_desc.name ? !m_onStopped : m_leaderClient.isLinked(it.name);
+        if (!isUsable || it.name == m_leaderClient.leader())
+            continue;
+        auto info = m_store.replicas().find(it.name);
+        receivers.push_back({ it.name, info == m_store.replicas().end() ? "" : info->second.availabilityZone });
     }
     auto chosen = chooseHeartbeatReceiver(receivers, availabilityZone, endpointId);
     return chosen.empty() ? m_leaderClient.leader() : std::string(chosen);
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -102,8 +102,6 @@
     uint64_t m_lastInboundLinkId = 0;
     LeaderClient m_leaderClient;
     HeartbeatCache m_heartbeats;
-    /// Term of the leader that has been sent them.
-    uint64_t m_heartbeatsTerm = 0;
     CommandBatcher m_batcher;
     std::unique_ptr<LogDriver> m_driver;
     std::unique_ptr<jobs::Dispatcher> m_dispatcher;
