Place long-running tasks where no wave is to take them down

Cause: a task that had to leave an instance went to the endpoint with the least room, often on an instance that the same wave had yet to take down. Its step may miss one task at a time, so that each further move costs the wave 1.5 to 2.3 s.

Endpoints on instances that an open wave has yet to take down now cost more for long-running tasks. The cost existed, but nothing set its input; it applies to long-running tasks only, and the costs above it keep their order.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -428,6 +428,12 @@
         session->isTakenDown = endpointIds.contains(id);
 }
 
+void Dispatcher::setDueForMaintenance(const std::set<std::string>& endpointIds)
+{
+    for (auto& [id, session] : m_sessions)
+        session->isDueForMaintenance = endpointIds.contains(id);
+}
+
 void Dispatcher::requestFreshStatus(const std::string& endpointId)
 {
     if (auto* session = findSession(endpointId))
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -123,6 +123,8 @@
     void setCordoned(const std::set<std::string>& endpointIds);
     /// Sets the endpoints whose instances the platform has been asked to take down: their end is no crash.
     void setTakenDown(const std::set<std::string>& endpointIds);
+    /// Sets the endpoints whose instances an open wave has yet to take down: long-running tasks go elsewhere if they fit there.
+    void setDueForMaintenance(const std::set<std::string>& endpointIds);
     /// Shortens the endpoint's status request interval for a while.
     void requestFreshStatus(const std::string& endpointId);
     /// Removes an endpoint that has ended because its instance was moved to another pool.
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -198,6 +198,8 @@
     bool isCordoned = false;
     /// The platform has been asked to take the instance down.
     bool isTakenDown = false;
+    /// An open wave has yet to take the instance down.
+    bool isDueForMaintenance = false;
     bool isRemovalPending = false;
     RemovalReason removalReason = RemovalReason::None;
     /// Callers that wait for the acknowledgement of its deregistration, and when they get it even if tasks still run there.
--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -318,6 +318,7 @@
 {
     std::set<std::string> cordoned;
     std::set<std::string> takenDown;
+    std::set<std::string> due;
     auto addInstance = [&](const WaveState& wave, const std::string& name, const WaveProgress& progress) {
         bool isRequested = progress.isRequested || wave.isRequested(name);
         bool isMaintained = wave.isMaintained(name);
@@ -331,6 +332,12 @@
             cordoned.insert(endpoint->id);
     };
     for (const auto& [number, wave] : m_store.waves()) {
+        std::set<std::string_view> maintained(wave.maintained.begin(), wave.maintained.end());
+        for (const auto& name : wave.wave.instances) {
+            const auto* endpoint = wave.isComplete() || maintained.contains(name) ? nullptr : endpointOf(name);
+            if (endpoint)
+                due.insert(endpoint->id);
+        }
         // Requested by an earlier leader, and not looked at in this term.
         for (const auto& name : wave.requested) {
             if (!wave.isComplete() && !m_progress.contains({ number, name }))
@@ -352,6 +359,7 @@
     }
     m_dispatcher.setCordoned(cordoned);
     m_dispatcher.setTakenDown(takenDown);
+    m_dispatcher.setDueForMaintenance(due);
 }
 
 } // namespace vanillalift::jobs
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -7,10 +7,11 @@
 namespace {
 
     // Placement costs. Each outweighs the sum of those after it, with at most one interfering run.
-    constexpr double leavingCost = 8000;
-    constexpr double failedHereCost = 3600;
-    constexpr double suspectCost = 1600;
-    constexpr double unstableCost = 800;
+    constexpr double failedHereCost = 5600;
+    constexpr double suspectCost = 2800;
+    constexpr double unstableCost = 1400;
+    /// For long-running tasks: each move makes one unavailable for a while, and a wave waits for it.
+    constexpr double leavingCost = 700;
     /// For each run on the endpoint, if endpoints have crashed under the task.
     constexpr double crowdCost = 10;
     constexpr double failureCost = 100;
@@ -50,7 +51,7 @@
     {
         const auto& endpoint = *it.endpoint;
         double sum = leftoverShare(step, it);
-        if (it.isLeaving)
+        if (it.isLeaving && step.isLongRunning)
             sum += leavingCost;
         if (endpoint.id == hints.avoid)
             sum += failedHereCost;
--- a/src/jobs/placement_p.h
+++ b/src/jobs/placement_p.h
@@ -29,7 +29,7 @@
     bool isQuiet = true;
     /// An endpoint at its address crashed recently.
     bool isUnstable = false;
-    /// The instance is about to be taken down or moved.
+    /// The instance is to be taken down by a wave.
     bool isLeaving = false;
     /// Observed speed relative to other endpoints; 1 is equally fast, less is slower.
     double speed = 1;
--- a/tests/jobs/instance_keeper_test.cpp
+++ b/tests/jobs/instance_keeper_test.cpp
@@ -291,3 +291,31 @@
     for (const auto& [serial, job] : site.leader.store.jobs())
         CHECK(job->phase == JobPhase::Completed);
 }
+
+// Guards against a wave that is late because it moves the same long-running tasks again and again (late-wave-gandum: one of them four times).
+TEST_CASE("a wave moves a long-running task once while there is room on instances that it has taken down already or leaves alone", "[keeper]")
+{
+    PooledSite pooled(6);
+    auto& site = pooled.site;
+    JobSpec spec;
+    spec.id = "a";
+    StepSpec step;
+    step.taskCount = 8;
+    step.need = { 1000, 100, 0 };
+    step.isLongRunning = true;
+    step.hasMaxUnavailable = true;
+    step.maxUnavailable = 1;
+    spec.steps.push_back(step);
+    site.world.submittedLongRunningJobs.insert("a");
+    site.submit(spec);
+    site.run(seconds(3));
+    REQUIRE(site.runningTasks() == 8);
+    site.leader.propose(PutWave { { 1, { "m-e0", "m-e1", "m-e2", "m-e3" }, wallClockMs() + 30000, 2 } });
+    site.run(seconds(30));
+    CHECK(site.leader.store.waves().at(1).isComplete());
+    CHECK(site.runningTasks() == 8);
+    const auto& tasks = site.job("a").occurrences.at(0).steps.at(0).tasks;
+    for (const auto& it : tasks)
+        CHECK(it.lastRun <= 2);
+    CHECK(site.world.violations.text().empty());
+}
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -107,6 +107,21 @@
     CHECK_FALSE(choosePlacement(makeStep(9000), {}, candidates));
 }
 
+// Guards against long-running tasks that a wave moves several times, each time onto an instance that it has yet to take down.
+TEST_CASE("a long-running task goes where no wave is to take it down, if it fits there", "[placement]")
+{
+    auto endpoints = makeEndpoints(3);
+    auto candidates = makeCandidates(endpoints);
+    candidates[0].isLeaving = candidates[1].isLeaving = true;
+    candidates[0].free = { 2000, 8000, 0 };
+    auto step = makeStep(1000);
+    CHECK(choosePlacement(step, {}, candidates) == 0);
+    step.isLongRunning = true;
+    CHECK(choosePlacement(step, {}, candidates) == 2);
+    candidates[2].free = {};
+    CHECK(choosePlacement(step, {}, candidates) == 0);
+}
+
 TEST_CASE("a retried task avoids the endpoint where it failed, and endpoints with recent failures are chosen last", "[placement]")
 {
     auto endpoints = makeEndpoints(3);
