Keep the demand of the pools on every controller

What callers saw: pools are planned as if nothing had arrived when a leader begins, and peaks that its predecessor had learned are not prepared for, as arrival rates and forecast lived in the leader's objects.

Every controller now derives them from the jobs that the log applies, and a leader uses what is there.

instance_keeper_test "a new leader knows the demand that arrived before its term ..." does not compile without it; the rate after a change was 0.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -27,9 +27,10 @@
         proposedRuns.erase(it);
 }
 
-Dispatcher::Dispatcher(DispatcherDesc desc, JobStore& store, const Clock& clock, EndpointLinks& links, AdviceService& advice, EventLog& log)
+Dispatcher::Dispatcher(DispatcherDesc desc, JobStore& store, DemandHistory& demand, const Clock& clock, EndpointLinks& links, AdviceService& advice, EventLog& log)
     : m_desc(std::move(desc))
     , m_store(store)
+    , m_demand(demand)
     , m_clock(clock)
     , m_links(links)
     , m_adviceService(advice)
@@ -544,21 +545,16 @@
     }
 }
 
-void Dispatcher::onJob(Job& job)
-{
-    const auto& plan = planOf(job);
-    if (job.isLongRunning() || job.spec.occurrences != 0)
-        return;
-    m_arrivals[m_store.queueOf(job).service].add(plan.estimate.totalWorkMs, plan.estimate.totalMemoryMs / 1000, m_clock.now());
-}
+void Dispatcher::onJob(Job& job) { planOf(job); }
 
 std::map<std::string, Dispatcher::ServiceLoad> Dispatcher::loads()
 {
     std::map<std::string, ServiceLoad> loads;
-    for (auto& [service, arrivals] : m_arrivals) {
-        arrivals.advance(m_clock.now());
-        loads[service].arriving = arrivals.rate();
-        loads[service].isRising = arrivals.isRising();
+    for (const auto& [service, arrivals] : m_demand.arrivals()) {
+        auto& load = loads[service];
+        load.arriving = arrivals.rate();
+        load.isRising = arrivals.isRising();
+        load.expectedPeak = m_demand.expectedPeak(service);
     }
     std::map<std::string, double> counts;
     for (const auto& [serial, plan] : m_plans) {
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "arrival_rate_p.h"
 #include "crash_attribution_p.h"
+#include "demand_history_p.h"
 #include "endpoint_session_p.h"
 #include "job_estimate_p.h"
 #include "job_store_p.h"
@@ -97,7 +97,7 @@
 /// the ends of runs. Lives for one term; state that is not in the store is rebuilt from the endpoints' status replies.
 class Dispatcher final : public StoreObserver {
 public:
-    Dispatcher(DispatcherDesc desc, JobStore& store, const Clock& clock, EndpointLinks& links, AdviceService& advice, EventLog& log);
+    Dispatcher(DispatcherDesc desc, JobStore& store, DemandHistory& demand, const Clock& clock, EndpointLinks& links, AdviceService& advice, EventLog& log);
     ~Dispatcher() override;
 
     /// Calls updateEndpoints() and placeTasks().
@@ -147,6 +147,8 @@
         Resources arriving;
         /// The arrival rate started to rise recently and may still grow.
         bool isRising = false;
+        /// Load of a peak that is due, in units of one instance.
+        double expectedPeak = 0;
         /// Resources of other runs, and of tasks that could run now within their workspaces' limits.
         Resources running;
         Resources ready;
@@ -324,6 +326,7 @@
 
     DispatcherDesc m_desc;
     JobStore& m_store;
+    DemandHistory& m_demand;
     const Clock& m_clock;
     EndpointLinks& m_links;
     AdviceService& m_adviceService;
@@ -346,8 +349,6 @@
     std::map<uint64_t, JobPlan> m_plans;
     std::map<std::string, PlacementState> m_placementStates;
     std::map<std::string, Resources> m_workspaceUsage;
-    /// Recent job arrivals by service.
-    std::map<std::string, ArrivalRate> m_arrivals;
     /// Mean work of a job by queue, in milliseconds of one core.
     std::map<std::string, MovingAverage> m_meanWork;
     /// Mean ratio of measured to declared run time of tasks, by queue.
--- a/src/jobs/instance_manager_p.h
+++ b/src/jobs/instance_manager_p.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "dispatcher_p.h"
-#include "peak_forecast_p.h"
 #include "pool_plan_p.h"
 #include "wave_plan_p.h"
 
@@ -119,7 +118,6 @@
     std::map<std::pair<uint64_t, std::string>, WaveProgress> m_progress;
     std::map<std::string, Move> m_moves;
     std::map<std::string, TimePoint> m_idleSince;
-    PeakForecast m_forecast;
     /// Work has arrived in this term. Until then, idle instances are no sign of low demand.
     bool m_hasDemand = false;
     TimePoint m_nextPoolPlanAt;
--- a/src/jobs/instance_manager_pools.cpp
+++ b/src/jobs/instance_manager_pools.cpp
@@ -22,13 +22,6 @@
     /// Added to the move time before an instance counts as spare, since the platform's timers can fire late.
     constexpr std::chrono::milliseconds spareMoveMargin { 150 };
 
-    /// @returns the larger of the CPU and memory shares of `amount`, in units of one instance.
-    double toInstances(const Resources& amount, const Resources& instance)
-    {
-        auto share = [](int64_t part, int64_t whole) { return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0; };
-        return std::max(share(amount.cpu, instance.cpu), share(amount.memory, instance.memory));
-    }
-
 } // namespace
 
 std::set<std::string_view> InstanceManager::instancesInWaves() const
@@ -73,8 +66,7 @@
             m_idleSince.clear();
         }
         pool.load.isRising = load.isRising;
-        m_forecast.observe(it.name, arriving, m_instances.size(), m_clock.now());
-        pool.load.arriving = std::max(arriving, m_forecast.expected(it.name, m_clock.now()));
+        pool.load.arriving = std::max(arriving, load.expectedPeak);
         pool.load.backlogSeconds = toInstances(load.backlog, instance);
         pool.load.backlogTargetSeconds = std::max(load.objectiveSeconds * backlogObjectiveShare, 0.5);
         pools.push_back(std::move(pool));
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -199,6 +199,8 @@
     auto& added = *job;
     m_jobsById[added.spec.id] = &added;
     m_jobs[added.serial] = std::move(job);
+    if (m_jobListener)
+        m_jobListener(added);
     if (m_observer)
         m_observer->onJob(added);
 }
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -275,6 +275,9 @@
     /// @param observer may be nullptr.
     void setObserver(StoreObserver* observer) { m_observer = observer; }
 
+    /// @param listener called with each job that is added, whether or not there is an observer.
+    void setJobListener(std::function<void(const Job&)> listener) { m_jobListener = std::move(listener); }
+
     /// Applies all commands of one entry. Commands that the current state has made obsolete are ignored; those that cannot be read are
     /// skipped, by every controller of the same version alike.
     void apply(std::string_view entry);
@@ -333,6 +336,7 @@
     void finish(Job& job, JobPhase phase, int64_t atMs);
 
     StoreObserver* m_observer = nullptr;
+    std::function<void(const Job&)> m_jobListener;
     Catalog m_catalog;
     /// Points into m_catalog.
     std::unordered_map<std::string_view, const Queue*> m_queueByName;
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -74,6 +74,7 @@
     , m_log(log)
     , m_desc(std::move(desc))
     , m_dependencies(dependencies)
+    , m_demand(m_store, clock)
     , m_loadMeter(clock)
     , m_storageId(storage.recovered().storageId)
     , m_leaderClient(loop, clock, log, { { m_desc.name, m_desc.availabilityZone, m_storageId }, m_desc.seeds, [this](Request request, std::function<void(Reply)> respond) { handleLocal(std::move(request), std::move(respond)); } })
@@ -81,6 +82,7 @@
     , m_timer(loop, [this] { tick(); })
     , m_listener(loop, m_desc.listen.value_or(net::parseAddress(m_desc.name).value_or(net::Address {})), [this](evutil_socket_t fd) { accept(fd); })
 {
+    m_store.setJobListener([this](const jobs::Job& job) { m_demand.add(job); });
     LogDriver::Handlers handlers;
     handlers.send = [this](raft::Message message) { sendRaftMessage(std::move(message)); };
     handlers.readPendingMessages = [this] { readPendingMessages(); };
@@ -295,7 +297,7 @@
     desc.maxLease = m_desc.maxLease;
     desc.stopTimeout = m_desc.stopTimeout;
     desc.maxCapacityReportAge = m_desc.maxCapacityReportAge;
-    m_dispatcher = std::make_unique<jobs::Dispatcher>(std::move(desc), m_store, m_clock, *m_dependencies.endpoints, *m_dependencies.advice, m_log);
+    m_dispatcher = std::make_unique<jobs::Dispatcher>(std::move(desc), m_store, m_demand, m_clock, *m_dependencies.endpoints, *m_dependencies.advice, m_log);
     m_instanceManager = std::make_unique<jobs::InstanceManager>(
         m_desc.instances, status.term, m_store, *m_dispatcher, *m_dependencies.instances, [this](const jobs::Command& command) { m_batcher.propose(command); }, [this] { return soleLeaderUntil(); }, m_clock, m_log);
     JobService::Desc serviceDesc { [this] { return hasLeaderAuthority(); }, [this] { return m_clock.now() < soleLeaderUntil(); }, [this](const JoinRequest& request) { handleJoin(request); } };
@@ -320,6 +322,7 @@
     auto now = m_clock.now();
     m_loadMeter.recordTick(m_nextTickAt);
     m_closedLinks.clear();
+    m_demand.update();
     if (m_dispatcher) {
         {
             LoadMeter::Span span(m_loadMeter, LoopActivity::UpdateEndpoints);
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -95,6 +95,7 @@
     ControllerDesc m_desc;
     ControllerDependencies m_dependencies;
     jobs::JobStore m_store;
+    jobs::DemandHistory m_demand;
     LoadMeter m_loadMeter;
     std::string m_storageId;
     std::map<uint64_t, InboundLink> m_inboundLinks;
--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -853,10 +853,12 @@
 class SimLeader {
 public:
     explicit SimLeader(World& world)
-        : m_world(world)
+        : demand(store, world.clock)
+        , m_world(world)
         , m_links(world)
         , m_log(world.clock, -1, { 0, 0, 0 })
     {
+        store.setJobListener([this](const Job& job) { demand.add(job); });
         restart();
         tick();
     }
@@ -894,7 +896,7 @@
         desc.propose = [this](const Command& command) { propose(command); };
         desc.placementRetryInterval = m_world.placementRetryInterval;
         desc.leaderConfirmedAt = [this] { return isPartitioned ? leaderConfirmedAt : m_world.clock.time; };
-        dispatcher = std::make_unique<Dispatcher>(std::move(desc), store, m_world.clock, m_links, advice, m_log);
+        dispatcher = std::make_unique<Dispatcher>(std::move(desc), store, demand, m_world.clock, m_links, advice, m_log);
     }
 
     /// Commits the oldest of the held commands.
@@ -909,6 +911,7 @@
     bool isCommitHeld = false;
     std::deque<std::string> heldEntries;
     JobStore store;
+    DemandHistory demand;
     SimAdvice advice;
     std::unique_ptr<Dispatcher> dispatcher;
     bool isPartitioned = false;
@@ -923,6 +926,7 @@
 private:
     void tick()
     {
+        demand.update();
         if (dispatcher)
             dispatcher->tick();
         m_world.eventQueue.after(milliseconds(10), [this] { m_world.thread.postTimer([this] { tick(); }); });
--- a/tests/jobs/instance_keeper_test.cpp
+++ b/tests/jobs/instance_keeper_test.cpp
@@ -319,3 +319,28 @@
         CHECK(it.lastRun <= 2);
     CHECK(site.world.violations.text().empty());
 }
+
+// Guards against pools that lose their instances, and forecasts that are forgotten, when the leader changes during a peak.
+TEST_CASE("a new leader knows the demand that arrived before its term, but not that of a log that it catches up with", "[keeper]")
+{
+    PooledSite pooled(8);
+    auto& site = pooled.site;
+    for (int n = 0; n < 20; n++) {
+        site.submit("a" + std::to_string(n), 4);
+        site.run(milliseconds(50));
+    }
+    auto before = site.leader.dispatcher->loads()["s"];
+    REQUIRE(before.arriving.cpu > 0);
+    pooled.changeLeader();
+    auto after = site.leader.dispatcher->loads()["s"];
+    CHECK(after.arriving.cpu == before.arriving.cpu);
+    CHECK(after.isRising == before.isRising);
+
+    DemandHistory restarted(site.leader.store, site.world.clock);
+    auto old = site.job("a0").spec;
+    old.id = "old";
+    site.leader.store.setJobListener([&](const Job& job) { restarted.add(job); });
+    site.leader.propose(PutJob { old, "", "q", wallClockMs() - 5000 });
+    site.run(milliseconds(50));
+    CHECK(restarted.arrivals().empty());
+}
--- a/tests/jobs/malformed_address_test.cpp
+++ b/tests/jobs/malformed_address_test.cpp
@@ -62,7 +62,8 @@
     desc.term = 1;
     desc.propose = [](const Command&) {};
     desc.leaderConfirmedAt = [&] { return clock.now(); };
-    Dispatcher dispatcher(std::move(desc), store, clock, links, advice, log);
+    DemandHistory demand(store, clock);
+    Dispatcher dispatcher(std::move(desc), store, demand, clock, links, advice, log);
     put("recorded-now", "10.0.0.1:65536");
     put("moved", "127.0.0.1:9");
     put("moved", "nowhere");
