--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -188,7 +188,7 @@
         candidate.free = session->freeCapacity();
         candidate.recentFailures = session->consecutiveFailures;
         candidate.speed = session->speed.at(now);
-        candidate.isLeaving = session->isDueForMaintenance;
+        candidate.isDueForMaintenance = session->isDueForMaintenance;
         setRunCounts(candidate, *session);
         candidate.isUnstable = now < session->unstableUntil;
         candidate.isReserved = now < session->reservedUntil;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -11,7 +11,7 @@
     constexpr double suspectCost = 2800;
     constexpr double unstableCost = 1400;
     /// For long-running tasks: each move makes one unavailable for a while, and a wave waits for it.
-    constexpr double leavingCost = 700;
+    constexpr double maintenanceCost = 700;
     /// For each run on the endpoint, if endpoints have crashed under the task.
     constexpr double crowdCost = 10;
     constexpr double failureCost = 100;
@@ -51,8 +51,8 @@
     {
         const auto& endpoint = *it.endpoint;
         double sum = leftoverShare(step, it);
-        if (it.isLeaving && step.isLongRunning)
-            sum += leavingCost;
+        if (it.isDueForMaintenance && step.isLongRunning)
+            sum += maintenanceCost;
         if (endpoint.id == hints.avoid)
             sum += failedHereCost;
         if (hints.crashes > 0 && it.suspectRuns > 0)
--- a/src/jobs/placement_p.h
+++ b/src/jobs/placement_p.h
@@ -30,7 +30,7 @@
     /// An endpoint at its address crashed recently.
     bool isUnstable = false;
     /// The instance is to be taken down by a wave.
-    bool isLeaving = false;
+    bool isDueForMaintenance = false;
     /// Observed speed relative to other endpoints; 1 is equally fast, less is slower.
     double speed = 1;
 };
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -112,7 +112,7 @@
 {
     auto endpoints = makeEndpoints(3);
     auto candidates = makeCandidates(endpoints);
-    candidates[0].isLeaving = candidates[1].isLeaving = true;
+    candidates[0].isDueForMaintenance = candidates[1].isDueForMaintenance = true;
     candidates[0].free = { 2000, 8000, 0 };
     auto step = makeStep(1000);
     CHECK(choosePlacement(step, {}, candidates) == 0);
