Log why a process ends and what its host limits

A process that refused to start or stopped on a storage error left a line on standard error only, one that was ended by a signal nothing, and connections that were cut were not counted.

New lines: host (user, limits), exit (status, reason, memory, descriptors), connections (open ones and requests at the exit), unfinished-runs (runs in a row that a signal ended, from a file in the data folder). New metrics: memory, descriptors and their limit, connections open, refused and abandoned.

--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -90,6 +90,16 @@
     std::string m_body;
 };
 
+/// Counters of an HttpServer.
+struct HttpServerStats {
+    /// Connections closed at once because too many were open.
+    uint64_t refusedConnections = 0;
+    /// Requests whose connection closed before their response was written.
+    uint64_t abandonedRequests = 0;
+    /// Messages that could not be parsed or exceeded the limits.
+    uint64_t malformedRequests = 0;
+};
+
 /// HTTP/1.1 server with keep-alive connections. Requests on one connection are handled one at a time.
 class HttpServer {
 public:
@@ -107,6 +117,8 @@
     void startDraining() { m_isDraining = true; }
     /// Number of connections with a request in progress, response bytes not yet handed to the kernel, or unparsed input.
     [[nodiscard]] size_t openRequests() const;
+    [[nodiscard]] size_t openConnections() const { return m_connections.size(); }
+    [[nodiscard]] const HttpServerStats& stats() const { return m_stats; }
 
 private:
     struct Connection;
@@ -121,6 +133,7 @@
     Handler m_handler;
     std::unordered_map<uint64_t, std::unique_ptr<Connection>> m_connections;
     uint64_t m_lastId = 0;
+    HttpServerStats m_stats;
     bool m_isDraining = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     Listener m_listener;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -33,6 +33,7 @@
 {
     if (m_connections.size() >= m_maxConnections) {
         evutil_closesocket(fd);
+        m_stats.refusedConnections++;
         LOG_EVERY_N(WARNING, 100) << "connection refused: the limit of " << m_connections.size() << " open connections is reached";
         return;
     }
@@ -43,7 +44,15 @@
         Stream::Handlers { nullptr, [this, id](std::string_view bytes) { return receive(id, bytes); }, [this, id](StreamCloseReason) { drop(id); } });
 }
 
-void HttpServer::drop(uint64_t id) { m_connections.erase(id); }
+void HttpServer::drop(uint64_t id)
+{
+    auto it = m_connections.find(id);
+    if (it == m_connections.end())
+        return;
+    if (it->second->request != 0)
+        m_stats.abandonedRequests++;
+    m_connections.erase(it);
+}
 
 size_t HttpServer::openRequests() const
 {
@@ -59,6 +68,7 @@
     }
     auto used = connection.parser.feed(bytes);
     if (connection.parser.hasFailed()) {
+        m_stats.malformedRequests++;
         connection.request = ++m_lastId;
         connection.isKeptAlive = false;
         HttpResponse response { connection.parser.isTooLarge() ? 413 : 400, {}, {} };
--- /dev/null
+++ b/src/node/process_metrics.cpp
@@ -0,0 +1,19 @@
+#include "process_metrics_p.h"
+
+#include "process_usage_p.h"
+
+namespace vanillalift::node {
+
+void visitProcessMetrics(const net::HttpServer& server, const std::function<void(std::string_view name, std::string_view help, double value)>& visit)
+{
+    auto usage = processUsage();
+    visit("resident_bytes", "Resident memory of this process.", static_cast<double>(usage.residentBytes));
+    visit("descriptors", "Open file descriptors of this process.", static_cast<double>(usage.descriptors));
+    visit("descriptors_limit", "Limit of open file descriptors that the host sets; 0 for none.", static_cast<double>(processLimits().descriptors));
+    visit("connections", "Open connections of callers.", static_cast<double>(server.openConnections()));
+    visit("connections_refused_total", "Connections closed at once because too many were open.", static_cast<double>(server.stats().refusedConnections));
+    visit("requests_abandoned_total", "Requests whose connection closed before their response was written.", static_cast<double>(server.stats().abandonedRequests));
+    visit("requests_malformed_total", "Messages that could not be parsed or exceeded the limits.", static_cast<double>(server.stats().malformedRequests));
+}
+
+} // namespace vanillalift::node
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -2,6 +2,9 @@
 #include "core/event_log_p.h"
 #include "node/controller_p.h"
 #include "node/metrics_page_p.h"
+#include "node/process_metrics_p.h"
+#include "node/process_usage_p.h"
+#include "node/run_record_p.h"
 #include "platform/incoming_p.h"
 #include "platform/outgoing_p.h"
 #include "platform/program_p.h"
@@ -57,17 +60,17 @@
     net::EventLoop loop;
     EventLog log(clock, STDOUT_FILENO, {});
     log.stateLine("start").field("node", settings->node).field("name", settings->controller.name).field("version", std::string_view(VANILLALIFT_VERSION)).field("first", settings->isFirstStart);
+    node::logHost(log);
 
     auto disk = raft::openFolder(settings->dataFolder);
-    if (!disk) {
-        LOG(ERROR) << raft::describe(disk.error());
-        return 1;
-    }
+    if (!disk)
+        return node::logExit(log, 1, raft::describe(disk.error()));
+    node::RunRecord runRecord(settings->dataFolder);
+    if (runRecord.unfinishedRuns() > 0)
+        log.stateLine("unfinished-runs").field("count", runRecord.unfinishedRuns());
     auto storage = node::openStorage(**disk, settings->controller);
-    if (!storage) {
-        LOG(ERROR) << raft::describe(storage.error());
-        return 1;
-    }
+    if (!storage)
+        return node::logExit(log, 1, raft::describe(storage.error()));
     auto limits = connectionLimits(settings->maxDescriptors);
     platform::HttpEndpointLinks endpoints(loop, clock, limits.toEndpoints);
     platform::HttpAdviceService advice(loop, clock, settings->adviceAddress);
@@ -75,11 +78,17 @@
     node::Controller controller(loop, clock, log, settings->controller, { &endpoints, &advice, &instances }, std::move(*storage));
     auto forwardCall = [&](node::Request request, TimePoint deadline, node::LeaderClient::Handler handler) { controller.call(std::move(request), deadline, std::move(handler)); };
     platform::ControlApi control(loop, clock, log, *settings->controlAddress, limits.incoming, forwardCall, [&](std::string_view zone, std::string_view id) { return controlAddress(controller.heartbeatReceiver(zone, id), settings->controlAddress->port); });
-    node::MetricsPage metrics(loop, { settings->controlAddress->ip, settings->metricsPort }, "vanillalift_controller_", [&](const auto& visit) { controller.visitMetrics(visit); });
+    node::MetricsPage metrics(loop, { settings->controlAddress->ip, settings->metricsPort }, "vanillalift_controller_", [&](const auto& visit) {
+        node::visitProcessMetrics(control.server(), visit);
+        visit("unfinished_runs", "Runs in a row before this one that ended without being stopped.", static_cast<double>(runRecord.unfinishedRuns()));
+        controller.visitMetrics(visit);
+    });
     if (!control.isOpen() || !metrics.isOpen() || !controller.isOpen())
-        return 1;
+        return node::logExit(log, 1, "an address cannot be listened on");
+    bool isStopping = false;
     loop.onSignal(SIGTERM, [&] {
         log.stateLine("stop").field("reason", std::string_view("SIGTERM"));
+        isStopping = true;
         controller.stop([&] { loop.stop(); });
     });
     loop.onSignal(SIGHUP, [&] {
@@ -89,6 +98,8 @@
             controller.addSeeds(changed->seeds);
     });
     loop.run();
-    log.flush();
-    return 0;
+    if (isStopping)
+        runRecord.finish();
+    log.stateLine("connections").field("open", control.server().openConnections()).field("requests", control.server().openRequests());
+    return node::logExit(log, 0, isStopping ? "stopped" : "the storage has failed");
 }
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -2,6 +2,8 @@
 #include "core/event_log_p.h"
 #include "node/leader_client_p.h"
 #include "node/metrics_page_p.h"
+#include "node/process_metrics_p.h"
+#include "node/process_usage_p.h"
 #include "platform/gateway_shutdown_p.h"
 #include "platform/program_p.h"
 
@@ -38,6 +40,7 @@
     net::EventLoop loop;
     EventLog log(clock, STDOUT_FILENO, {});
     log.stateLine("start").field("node", settings->node).field("version", std::string_view(VANILLALIFT_VERSION));
+    node::logHost(log);
     node::LeaderClient leaderClient(loop, clock, log, { { "", settings->availabilityZone, "" }, settings->seeds, nullptr });
     bool isStopping = false;
     platform::ClientApi::Desc desc { *settings->clientAddress, *settings->readinessAddress, settings->maxDescriptors - std::min(settings->maxDescriptors / 2, reservedDescriptors) };
@@ -45,6 +48,7 @@
     platform::ClientApi clients(loop, clock, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && !isStopping; });
     platform::GatewayShutdown stop(clients, leaderClient);
     node::MetricsPage metrics(loop, { settings->clientAddress->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
+        node::visitProcessMetrics(clients.clientServer(), visit);
         visit("requests_accepted_total", "Requests that succeeded.", static_cast<double>(clients.counters().accepted));
         visit("requests_refused_total", "Requests refused without being executed.", static_cast<double>(clients.counters().refused));
         visit("requests_unanswered_total", "Requests whose outcome is unknown.", static_cast<double>(clients.counters().unanswered));
@@ -54,7 +58,7 @@
         visit("log_lines_dropped_total", "Log lines dropped by the rate limit or because of a slow reader.", static_cast<double>(log.dropped()));
     });
     if (!clients.isOpen() || !metrics.isOpen())
-        return 1;
+        return node::logExit(log, 1, "an address cannot be listened on");
     net::Timer* tickTimer = nullptr;
     net::Timer timer(loop, [&] {
         auto now = clock.now();
@@ -77,6 +81,6 @@
             leaderClient.addSeeds(changed->seeds);
     });
     loop.run();
-    log.flush();
-    return 0;
+    log.stateLine("connections").field("open", clients.clientServer().openConnections()).field("requests", clients.openRequests());
+    return node::logExit(log, 0, "stopped");
 }
