Take responses that end with their connection, and skip interim ones

An endpoint or platform service whose HTTP server sends no Content-Length (as HTTP/1.0 servers do), or 100 Continue or 103 first, never got an order through: the channel counted its answer as lost or took the interim response for it.

The new case of net_test failed before and passes now, net_test 14 of 14. A reset after some bytes still counts as their end, as a stream does not tell one from the other; a cut body is then refused by its decoder.

--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -209,8 +209,15 @@
 void HttpChannel::handleClosed(StreamCloseReason reason)
 {
     closeStream();
-    if (m_isInFlight)
-        return fail(HttpFailure::Unknown);
+    if (m_isInFlight) {
+        if (reason == StreamCloseReason::Closed)
+            m_parser.feedEnd();
+        if (!m_parser.hasMessage())
+            return fail(HttpFailure::Unknown);
+        if (m_stats)
+            m_stats->answered++;
+        return finish(m_parser.takeResponse());
+    }
     if (m_queue.empty() || reason == StreamCloseReason::Closed)
         return startNext();
     // The connection was never established, so no queued request has been sent.
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -64,6 +64,8 @@
     /// Parses up to the end of one message.
     /// @returns the number of bytes consumed.
     size_t feed(std::string_view bytes);
+    /// Ends the input: a response without a length is then complete.
+    void feedEnd();
     [[nodiscard]] bool hasMessage() const { return m_isComplete; }
     [[nodiscard]] bool hasFailed() const { return m_hasFailed; }
     /// Valid if hasFailed(): whether the message exceeds the limits.
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -64,6 +64,11 @@
         };
         it.on_message_complete = [](http_parser* parser) {
             auto& it = self(parser);
+            // An interim response precedes the one that answers the request.
+            if (parser->type == HTTP_RESPONSE && parser->status_code / 100 == 1 && parser->status_code != 101) {
+                it.reset();
+                return 0;
+            }
             it.m_isComplete = true;
             it.m_shouldKeepAlive = http_should_keep_alive(parser) != 0;
             if (parser->type == HTTP_REQUEST)
@@ -92,6 +97,14 @@
     return used;
 }
 
+void HttpParser::feedEnd()
+{
+    if (m_isComplete || m_hasFailed)
+        return;
+    m_parser.data = this;
+    http_parser_execute(&m_parser, &settings(), nullptr, 0);
+}
+
 void HttpParser::reset()
 {
     m_isComplete = false;
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -159,6 +159,32 @@
     CHECK(budget.open() == 0);
 }
 
+TEST_CASE("a response without a length, or after an interim response, is not lost", "[net]")
+{
+    EventLoop loop;
+    SystemClock clock;
+    RawServer server([](RawConnection& connection, int n) {
+        if (!connection.readRequest())
+            return;
+        connection.write(n == 0 ? "HTTP/1.0 200 OK\r\n\r\nto the end" : n == 1 ? "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nafter"
+                                                                               : "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut");
+        if (n == 1)
+            connection.waitForClose();
+    });
+    std::vector<HttpResult> results;
+    for (size_t n = 0; n < 3; n++) {
+        HttpChannel channel(loop, clock, *parseAddress(server.address()));
+        channel.send({ "POST", "/", { { "Host", "h" } }, "x" }, clock.now() + seconds(20), [&](HttpResult it) { results.push_back(std::move(it)); });
+        runUntil(loop, [&] { return results.size() > n; });
+    }
+    REQUIRE(std::holds_alternative<HttpResponse>(results[0]));
+    CHECK(std::get<HttpResponse>(results[0]).body == "to the end");
+    REQUIRE(std::holds_alternative<HttpResponse>(results[1]));
+    CHECK(std::get<HttpResponse>(results[1]).body == "after");
+    REQUIRE(std::holds_alternative<HttpFailure>(results[2]));
+    CHECK(std::get<HttpFailure>(results[2]) == HttpFailure::Unknown);
+}
+
 TEST_CASE("a channel keeps its connection open between requests", "[net]")
 {
     Fixture f;
