Keep the processes alive when their log cannot be written

A log without a reader could end a process that had not made its event loop yet with SIGPIPE.

Cause: SIGXFSZ had its default action, SIGPIPE was ignored only from the event loop on, and a failed write of the log kept the buffer as if the reader were slow, so that it was tried for ever and its lines were counted as dropped only once it was full.

Both signals are ignored first thing in main (node::prepareHost). A write that fails, or a reader that is gone, drops the buffered lines and counts them; the count is reported once a line could be written, so that a log that never can be written does not report its own reports.

--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -1,6 +1,7 @@
 #include "event_log_p.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <poll.h>
 #include <unistd.h>
 
@@ -95,7 +96,7 @@
 
 void EventLog::flush()
 {
-    if (m_dropped != m_reportedDropped && m_buffer.size() < m_limits.maxBufferedBytes / 2) {
+    if (m_dropped != m_reportedDropped && !m_isFailing && m_buffer.size() < m_limits.maxBufferedBytes / 2) {
         m_buffer += "time=" + std::to_string(wallClockMs()) + " event=log-dropped lines=" + std::to_string(m_dropped - m_reportedDropped) + '\n';
         m_reportedDropped = m_dropped;
     }
@@ -103,13 +104,32 @@
         // A pipe that polls as writable accepts PIPE_BUF (4096) bytes without blocking.
         constexpr size_t chunk = 4096;
         pollfd ready { m_fd, POLLOUT, 0 };
-        if (poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT))
+        if (poll(&ready, 1, 0) != 1)
+            return;
+        if (ready.revents & (POLLERR | POLLNVAL))
+            return dropBuffer();
+        if (!(ready.revents & POLLOUT))
             return;
         auto n = write(m_fd, m_buffer.data(), std::min(chunk, m_buffer.size()));
-        if (n <= 0)
+        if (n < 0 && (errno == EAGAIN || errno == EINTR))
             return;
+        if (n <= 0)
+            return dropBuffer();
         m_buffer.erase(0, static_cast<size_t>(n));
+        if (m_buffer.empty()) {
+            m_isFailing = false;
+            m_writtenDropped = m_reportedDropped;
+        }
     }
 }
 
+void EventLog::dropBuffer()
+{
+    m_dropped += static_cast<uint64_t>(std::count(m_buffer.begin(), m_buffer.end(), '\n'));
+    m_buffer.clear();
+    // The lines that a lost report counted are reported again once a line could be written.
+    m_reportedDropped = m_writtenDropped;
+    m_isFailing = true;
+}
+
 } // namespace vanillalift
--- a/src/core/event_log_p.h
+++ b/src/core/event_log_p.h
@@ -10,7 +10,7 @@
 namespace vanillalift {
 
 /// Structured log with one line per event: "time=… event=… name=value …". Never blocks: lines that exceed the rate limit,
-/// or that do not fit the buffer because the reader is too slow, are dropped and counted.
+/// that do not fit the buffer because the reader is too slow, or whose write fails, are dropped and counted.
 class EventLog {
 public:
     /// Builder of one log line, which is appended to the log on destruction.
@@ -60,6 +60,8 @@
     /// @returns whether the rate limit permits a line; counts it as dropped otherwise.
     bool takeToken();
     void append(std::string_view text);
+    /// Drops and counts the buffered lines after a failed write.
+    void dropBuffer();
 
     const Clock& m_clock;
     int m_fd;
@@ -68,7 +70,11 @@
     TimePoint m_refilledAt;
     std::string m_buffer;
     uint64_t m_dropped = 0;
+    /// Value of m_dropped at the last report, and at the last report that was written.
     uint64_t m_reportedDropped = 0;
+    uint64_t m_writtenDropped = 0;
+    /// Whether the last write failed.
+    bool m_isFailing = false;
 };
 
 } // namespace vanillalift
--- /dev/null
+++ b/tests/plain_hosts_e2e.py
@@ -0,0 +1,96 @@
+"""Runs a small site of plain processes on hosts that lack something, a case per condition of the host."""
+import contextlib
+import os
+import resource
+import subprocess
+import sys
+import tempfile
+
+from plain_site import METRICS_PORT, Site, call, wait_for
+
+NET = "127.0.72"
+START_SECONDS = 20
+FILE_BYTES = 1 << 20
+
+
+@contextlib.contextmanager
+def small_site(build, **conditions):
+    """One controller and one gateway, not started yet."""
+    site = Site(build, NET, 1, 1, **conditions)
+    try:
+        yield site
+    finally:
+        site.end()
+
+
+def serves(site, job):
+    """Returns what is missing for the site to serve: None if it accepts a job and tells its state."""
+    if not site.put_catalog(START_SECONDS):
+        return f"no configuration was acknowledged; exits: {site.exits()}"
+    if not wait_for(site.is_ready, START_SECONDS):
+        return f"the gateways are not ready; exits: {site.exits()}"
+    if not wait_for(lambda: site.submit("g0", job) == 200, START_SECONDS):
+        return f"no job was accepted; exits: {site.exits()}"
+    if not isinstance(site.job_state("g0", job), str):
+        return "the state of an accepted job cannot be read"
+    return f"processes ended: {site.exits()}" if site.exits() else None
+
+
+def metric(site, name, metric_name):
+    status, body = call(site.ips[name], METRICS_PORT, "GET", "/metrics")
+    lines = body.decode().splitlines() if status == 200 else []
+    return next((float(it.split()[1]) for it in lines if it.startswith(metric_name + " ")), None)
+
+
+def limit_file_size():
+    resource.setrlimit(resource.RLIMIT_FSIZE, (FILE_BYTES, FILE_BYTES))
+
+
+def log_file_at_its_largest_size(build):
+    """A log file that can grow no more ends no process, at the start or later."""
+    with small_site(build, before=limit_file_size) as site:
+        for name in site.controllers + site.gateways:
+            with open(site.log_path(name), "wb") as log:
+                log.write(b"x" * FILE_BYTES)
+        site.start()
+        fault = serves(site, "full-log")
+        if not fault and not metric(site, "g0", "vanillalift_gateway_log_lines_dropped_total"):
+            fault = "the dropped log lines are not counted"
+        return fault
+
+
+def errors_before_the_settings(build):
+    """An error that cannot be written because of the largest file size, or because nobody reads, is no signal's end."""
+    for program in ("vanillalift-controller", "vanillalift-gateway"):
+        command = [f"{build}/bin/{program}", "--settings", "/does-not-exist", "--check"]
+        with tempfile.TemporaryFile() as log:
+            log.write(b"x" * FILE_BYTES)
+            log.flush()
+            status = subprocess.run(command, stdout=log, stderr=log, preexec_fn=limit_file_size, check=False).returncode
+        if status != 2:
+            return f"{program} ends with {status} when its log is full"
+        read_end, write_end = os.pipe()
+        os.close(read_end)
+        status = subprocess.run(command, stdout=write_end, stderr=write_end, check=False).returncode
+        os.close(write_end)
+        if status != 2:
+            return f"{program} ends with {status} when nobody reads its log"
+    return None
+
+
+CASES = [log_file_at_its_largest_size, errors_before_the_settings]
+
+
+def main():
+    build, names = os.path.abspath(sys.argv[1]), sys.argv[2:]
+    faults = 0
+    for case in CASES:
+        if names and case.__name__ not in names:
+            continue
+        fault = case(build)
+        print(f"{case.__name__}: {fault or 'passed'}", flush=True)
+        faults += fault is not None
+    return 1 if faults else 0
+
+
+sys.exit(main())
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -1,6 +1,7 @@
 // A controller on the target platform: replicates the state with its peers, and schedules while it is the leader.
 #include "core/event_log_p.h"
 #include "node/controller_p.h"
+#include "node/host_setup_p.h"
 #include "node/metrics_page_p.h"
 #include "node/process_metrics_p.h"
 #include "node/process_usage_p.h"
@@ -47,6 +48,7 @@
 
 int main(int argc, const char** argv)
 {
+    node::prepareHost();
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
     auto settings = platform::loadProgramSettings(argc, argv, "");
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -1,5 +1,6 @@
 // A gateway on the target platform: accepts clients' requests and forwards them to the leading controller.
 #include "core/event_log_p.h"
+#include "node/host_setup_p.h"
 #include "node/leader_client_p.h"
 #include "node/metrics_page_p.h"
 #include "node/process_metrics_p.h"
@@ -23,6 +24,7 @@
 
 int main(int argc, const char** argv)
 {
+    node::prepareHost();
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
     auto settings = platform::loadProgramSettings(argc, argv, "");
