Open a data folder whose parent cannot be opened or synced

Cause: opening the folder synced its parent each time, and took every failure for a failure of the storage. That sync only matters for a folder that this process has just created.

The parent is still synced where that works. If it does not, a folder that was there needs nothing; the name of a new one is made durable by a sync of its file system, and if that fails too, a warning is logged. File systems that cannot sync a folder (EINVAL, ENOSYS, EOPNOTSUPP) are synced as a whole, also after a file was replaced.

Not tested: a file system that cannot sync folders.

--- a/src/replica/posix_disk.cpp
+++ b/src/replica/posix_disk.cpp
@@ -1,5 +1,7 @@
 #include "disk_p.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
@@ -23,6 +25,10 @@
             : m_fd(::open(path.c_str(), flags | O_CLOEXEC, 0600))
         {
         }
+        File(const File& folder, const char* name, int flags)
+            : m_fd(::openat(folder.fd(), name, flags | O_CLOEXEC))
+        {
+        }
         ~File()
         {
             if (m_fd >= 0)
@@ -65,6 +71,26 @@
         return true;
     }
 
+    /// Makes the names in a folder durable. Some file systems cannot sync a folder alone, and are synced as a whole instead.
+    bool syncFolder(int fd)
+    {
+        if (::fsync(fd) == 0)
+            return true;
+        bool isUnsupported = errno == EINVAL || errno == ENOSYS || errno == EOPNOTSUPP;
+        return isUnsupported && ::syncfs(fd) == 0;
+    }
+
+    /// Makes the name of a folder in its parent durable. The parent may belong to someone else.
+    void syncFolderName(const File& folder, const std::string& path, bool isCreated)
+    {
+        File parent(folder, "..", O_RDONLY | O_DIRECTORY);
+        bool isDurable = parent.isOpen() && syncFolder(parent.fd());
+        // The name of a folder that was there before this process does not depend on it.
+        if (isDurable || !isCreated || ::syncfs(folder.fd()) == 0)
+            return;
+        LOG(WARNING) << path << ": a power loss soon may undo the creation of this folder: " << std::generic_category().message(errno);
+    }
+
     class PosixDisk final : public Disk {
     public:
         PosixDisk(std::string path, File folder, File lock)
@@ -136,7 +162,7 @@
                 return systemError(StorageErrorCode::SyncFailed, name);
             if (::rename(temporaryPath.c_str(), path(name).c_str()) != 0)
                 return systemError(StorageErrorCode::WriteFailed, name);
-            if (::fsync(m_folder.fd()) != 0)
+            if (!syncFolder(m_folder.fd()))
                 return systemError(StorageErrorCode::SyncFailed, name);
             return {};
         }
@@ -180,7 +206,7 @@
 StorageResult<std::unique_ptr<Disk>> openFolder(const std::string& path)
 {
     std::error_code ec;
-    std::filesystem::create_directories(path, ec);
+    bool isCreated = std::filesystem::create_directories(path, ec);
     File folder(path, O_RDONLY | O_DIRECTORY);
     if (!folder.isOpen())
         return systemError(StorageErrorCode::ReadFailed, path);
@@ -189,10 +215,7 @@
         return systemError(StorageErrorCode::WriteFailed, path);
     if (::flock(lock.fd(), LOCK_EX | LOCK_NB) != 0)
         return systemError(StorageErrorCode::Locked, path);
-    // Makes the folder's entry in its parent directory durable.
-    File parent(std::filesystem::absolute(path).parent_path().string(), O_RDONLY | O_DIRECTORY);
-    if (!parent.isOpen() || ::fsync(parent.fd()) != 0)
-        return systemError(StorageErrorCode::SyncFailed, path);
+    syncFolderName(folder, path, isCreated);
     return std::make_unique<PosixDisk>(path, std::move(folder), std::move(lock));
 }
 
