Start without a folder lock where none is granted, and wait for a held one

Now only EWOULDBLOCK means that the folder is in use. EINTR is repeated; after any other error the folder is used without a lock, with a warning. A controller that finds its folder locked logs storage-wait and tries again for up to 10 s, then ends with status 1 as before. The wait runs the event loop, so that signals that are handled there are handled meanwhile.

The case of the bounded wait tests a new class.

--- a/src/replica/disk_p.h
+++ b/src/replica/disk_p.h
@@ -3,6 +3,7 @@
 #include <tl/expected.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -51,8 +52,13 @@
     virtual StorageResult<void> remove(const std::string& name) = 0;
 };
 
-/// Opens a folder, creates it if it is missing, and takes an advisory lock on it.
+/// flock(2) or a stand-in for it.
+using LockCall = std::function<int(int fd, int operation)>;
+
+/// Opens a folder, creates it if it is missing, and takes an advisory lock on it. Where the host grants no locks, the folder
+/// is used without one.
 /// @returns Locked if another process holds the lock.
+StorageResult<std::unique_ptr<Disk>> openFolder(const std::string& path, const LockCall& lock);
 StorageResult<std::unique_ptr<Disk>> openFolder(const std::string& path);
 
 } // namespace vanillalift::raft
--- a/src/replica/posix_disk.cpp
+++ b/src/replica/posix_disk.cpp
@@ -91,6 +91,20 @@
         LOG(WARNING) << path << ": a power loss soon may undo the creation of this folder: " << std::generic_category().message(errno);
     }
 
+    /// @returns false if another process holds the lock. Where the host grants no locks, the file is left unlocked.
+    bool lockUnlessHeld(const File& file, const std::string& path, const LockCall& lock)
+    {
+        while (lock(file.fd(), LOCK_EX | LOCK_NB) != 0) {
+            if (errno == EWOULDBLOCK)
+                return false;
+            if (errno == EINTR)
+                continue;
+            LOG(WARNING) << path << ": cannot be locked, so nothing keeps a second process from using it: " << std::generic_category().message(errno);
+            return true;
+        }
+        return true;
+    }
+
     class PosixDisk final : public Disk {
     public:
         PosixDisk(std::string path, File folder, File lock)
@@ -203,20 +217,22 @@
     return error.file + ": " + names[static_cast<size_t>(error.code)] + (error.detail.empty() ? "" : ": " + error.detail);
 }
 
-StorageResult<std::unique_ptr<Disk>> openFolder(const std::string& path)
+StorageResult<std::unique_ptr<Disk>> openFolder(const std::string& path) { return openFolder(path, ::flock); }
+
+StorageResult<std::unique_ptr<Disk>> openFolder(const std::string& path, const LockCall& lock)
 {
     std::error_code ec;
     bool isCreated = std::filesystem::create_directories(path, ec);
     File folder(path, O_RDONLY | O_DIRECTORY);
     if (!folder.isOpen())
         return systemError(StorageErrorCode::ReadFailed, path);
-    File lock(path + "/" + lockFileName, O_RDWR | O_CREAT);
-    if (!lock.isOpen())
+    File lockFile(path + "/" + lockFileName, O_RDWR | O_CREAT);
+    if (!lockFile.isOpen())
         return systemError(StorageErrorCode::WriteFailed, path);
-    if (::flock(lock.fd(), LOCK_EX | LOCK_NB) != 0)
+    if (!lockUnlessHeld(lockFile, path, lock))
         return systemError(StorageErrorCode::Locked, path);
     syncFolderName(folder, path, isCreated);
-    return std::make_unique<PosixDisk>(path, std::move(folder), std::move(lock));
+    return std::make_unique<PosixDisk>(path, std::move(folder), std::move(lockFile));
 }
 
 } // namespace vanillalift::raft
--- a/tests/jobs/data_folder_test.cpp
+++ b/tests/jobs/data_folder_test.cpp
@@ -1,12 +1,17 @@
+#include "core/event_log_p.h"
+#include "node/storage_retry_p.h"
 #include "replica/disk_p.h"
 
 #include <catch2/catch.hpp>
 
+#include <cerrno>
 #include <filesystem>
 #include <functional>
+#include <sys/file.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+using namespace vanillalift::node;
 using namespace vanillalift::raft;
 
 namespace {
@@ -48,6 +53,12 @@
         REQUIRE(::chown(path.c_str(), unprivilegedUser, unprivilegedUser) == 0);
 }
 
+/// Time that passes only while the code under test waits.
+struct WaitClock final : vanillalift::Clock {
+    [[nodiscard]] vanillalift::TimePoint now() const override { return time; }
+    vanillalift::TimePoint time { std::chrono::seconds(1) };
+};
+
 } // namespace
 
 // Guards against a controller that ends at each start because it may not read the folder above its own.
@@ -67,3 +78,53 @@
         }));
     }
 }
+
+// Guards against a controller that ends at each start because the host grants no locks.
+TEST_CASE("a folder on a host without locks is used without one", "[storage]")
+{
+    for (auto error : { ENOLCK, EOPNOTSUPP, ENOSYS, EINVAL }) {
+        INFO(error);
+        TemporaryFolder folder;
+        auto disk = openFolder(folder.path.string(), [&](int, int) {
+            errno = error;
+            return -1;
+        });
+        REQUIRE(disk);
+        CHECK((*disk)->replace("file", "bytes"));
+    }
+}
+
+TEST_CASE("a signal during the locking of a folder does not leave it without its lock", "[storage]")
+{
+    TemporaryFolder folder;
+    bool isInterrupted = false;
+    auto disk = openFolder(folder.path.string(), [&](int fd, int operation) {
+        if (std::exchange(isInterrupted, true))
+            return ::flock(fd, operation);
+        errno = EINTR;
+        return -1;
+    });
+    REQUIRE(disk);
+    auto second = openFolder(folder.path.string());
+    REQUIRE_FALSE(second);
+    CHECK(second.error().code == StorageErrorCode::Locked);
+}
+
+// Guards against a controller that refuses to start because the process before it is still ending.
+TEST_CASE("a start waits for the process before it to release the folder, and not for ever", "[storage]")
+{
+    WaitClock clock;
+    size_t pauses = 0;
+    vanillalift::EventLog log(clock, STDERR_FILENO, {});
+    StorageRetry retry(clock, log, [&](vanillalift::Duration it) {
+        clock.time += it;
+        pauses++;
+    });
+    StorageError locked { StorageErrorCode::Locked, "folder", "" };
+    auto startedAt = clock.time;
+    while (retry.wait(locked))
+        REQUIRE(pauses < 10000);
+    CHECK(pauses > 1);
+    CHECK(clock.time - startedAt <= StorageRetry::lockTimeout);
+    CHECK_FALSE(retry.wait({ StorageErrorCode::ReadFailed, "folder", "" }));
+}
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -5,6 +5,7 @@
 #include "node/process_metrics_p.h"
 #include "node/process_usage_p.h"
 #include "node/run_record_p.h"
+#include "node/storage_retry_p.h"
 #include "platform/incoming_p.h"
 #include "platform/outgoing_p.h"
 #include "platform/program_p.h"
@@ -62,7 +63,16 @@
     log.stateLine("start").field("node", settings->node).field("name", settings->controller.name).field("version", std::string_view(VANILLALIFT_VERSION)).field("first", settings->isFirstStart);
     node::logHost(log);
 
+    auto pause = [&](Duration it) {
+        net::Timer timer(loop, [&] { loop.stop(); });
+        auto now = clock.now();
+        timer.armAt(now + it, now);
+        loop.run();
+    };
+    node::StorageRetry retry(clock, log, pause);
     auto disk = raft::openFolder(settings->dataFolder);
+    while (!disk && retry.wait(disk.error()))
+        disk = raft::openFolder(settings->dataFolder);
     if (!disk)
         return node::logExit(log, 1, raft::describe(disk.error()));
     node::RunRecord runRecord(settings->dataFolder);
