Wait for descriptors, memory and file limits as for a full disk

Cause: only ENOSPC and EDQUOT counted as something that passes. Any other error of a write ended the process, and main returned 0 for it.

EMFILE, ENFILE, ENOMEM, ENOBUFS, EAGAIN, EINTR and EFBIG are now in the same class, OutOfResources (was DiskFull): the writer acknowledges nothing and repeats the same write every 0.1 s. The disk-full event has the resource in its field error. A segment that could not be opened is opened again, instead of being written through a closed descriptor. After a real failure of the storage the process ends with status 1, and counts as an unfinished run.

The handlers of the log driver are renamed in its tests; no check changed.

A log at the largest file allowed stays there until the limit is raised.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -100,8 +100,10 @@
     };
     handlers.resolve = [this](uint64_t proposal, LogDriver::Outcome outcome) { m_batcher.resolve(proposal, outcome.has_value()); };
     handlers.roleChanged = [this](const ReplicaStatus& status) { handleRoleChange(status); };
-    handlers.diskFull = [this](bool isFull) { m_log.stateLine(isFull ? "disk-full" : "disk-has-room"); };
+    handlers.outOfResources = [this](const StorageError& error) { m_log.stateLine("disk-full").field("error", describe(error)); };
+    handlers.resourcesAvailable = [this] { m_log.stateLine("disk-has-room"); };
     handlers.failed = [this](const StorageError& error) {
+        m_hasStorageFailed = true;
         m_log.stateLine("storage-failed").field("error", describe(error));
         m_log.flush();
         LOG(ERROR) << "replica storage failed, stopping: " << describe(error);
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -54,6 +54,8 @@
     /// @returns the name of the controller to which the endpoint should send its next heartbeats; empty if none is known.
     [[nodiscard]] std::string heartbeatReceiver(std::string_view availabilityZone, std::string_view endpointId) const;
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
+    /// Whether the loop was stopped because what was acknowledged can no longer be kept here.
+    [[nodiscard]] bool hasStorageFailed() const { return m_hasStorageFailed; }
     /// Transfers leadership to another controller. The process may end once done is called.
     void stop(std::function<void()> done);
     /// Passes each metric to visit.
@@ -120,6 +122,7 @@
     std::function<void()> m_onStopped;
     TimePoint m_stopDeadline;
     uint64_t m_leadershipCount = 0;
+    bool m_hasStorageFailed = false;
     net::Timer m_timer;
     net::Listener m_listener;
 };
--- a/src/replica/disk_p.h
+++ b/src/replica/disk_p.h
@@ -20,7 +20,8 @@
     WriteFailed,
     /// After a failed fsync the kernel may have dropped the dirty pages, so a later fsync that succeeds proves nothing.
     SyncFailed,
-    DiskFull,
+    /// The disk is full, a limit is reached, or descriptors or memory are short. Nothing is damaged, and the same may work later.
+    OutOfResources,
     StorageErrorCodeCount,
 };
 
--- a/src/replica/log_driver.cpp
+++ b/src/replica/log_driver.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-    /// Time until a write that failed on a full disk is retried.
-    constexpr std::chrono::milliseconds diskFullRetryInterval { 100 };
+    /// Time until a write that failed for want of a resource is retried.
+    constexpr std::chrono::milliseconds writeRetryInterval { 100 };
     /// Bytes of commands applied in one iteration of the event loop, so that replaying a long log does not delay heartbeats.
     constexpr size_t maxApplyBytesPerIteration = 128U << 10U;
 
@@ -67,14 +67,14 @@
         lock.unlock();
         auto result = writeBatch(batch);
         bool isReported = false;
-        while (!result && result.error().code == StorageErrorCode::DiskFull) {
+        while (!result && result.error().code == StorageErrorCode::OutOfResources) {
             if (!std::exchange(isReported, true))
                 reportResult(result);
             lock.lock();
-            if (m_wakeWriter.wait_for(lock, diskFullRetryInterval, [this] { return m_isStopping; }))
+            if (m_wakeWriter.wait_for(lock, writeRetryInterval, [this] { return m_isStopping; }))
                 return;
             lock.unlock();
-            result = m_storage.resumeAfterFullDisk();
+            result = m_storage.resume();
             if (result)
                 result = writeBatch(batch);
         }
@@ -241,11 +241,12 @@
 
 void LogDriver::finishWrite(const StorageResult<void>& result)
 {
-    bool isFull = !result && result.error().code == StorageErrorCode::DiskFull;
-    if (isFull != std::exchange(m_isDiskFull, isFull))
-        m_handlers.diskFull(isFull);
-    if (isFull)
-        return;
+    bool isOutOfResources = !result && result.error().code == StorageErrorCode::OutOfResources;
+    bool wasOutOfResources = std::exchange(m_isOutOfResources, isOutOfResources);
+    if (isOutOfResources)
+        return m_handlers.outOfResources(result.error());
+    if (wasOutOfResources)
+        m_handlers.resourcesAvailable();
     if (!result)
         return m_handlers.failed(result.error());
     m_isWriting = false;
--- a/src/replica/log_driver_p.h
+++ b/src/replica/log_driver_p.h
@@ -12,13 +12,14 @@
 
 namespace vanillalift {
 
-/// Writes to a replica's storage on a separate thread, so that a slow disk does not block the event loop. While the disk is
-/// full it retries the same write: nothing is acknowledged meanwhile, and the other replicas continue without this one.
+/// Writes to a replica's storage on a separate thread, so that a slow disk does not block the event loop. While it is
+/// out of resources, such as disk space, it retries the same write: nothing is acknowledged meanwhile, and the other replicas
+/// continue without this one.
 /// @remarks m_mutex guards the batch and the results, and is not held during I/O.
 class StorageWriter {
 public:
-    /// @param onDone called on the event loop's thread after each batch, and before that once with DiskFull if the batch
-    /// has to wait for disk space.
+    /// @param onDone called on the event loop's thread after each batch, and before that once with OutOfResources if the batch
+    /// has to wait.
     StorageWriter(net::EventLoop& loop, raft::RaftStorage storage, std::function<void(raft::StorageResult<void>)> onDone);
     ~StorageWriter();
     StorageWriter(const StorageWriter&) = delete;
@@ -59,8 +60,9 @@
         std::function<std::string()> snapshot;
         std::function<void(uint64_t proposal, Outcome outcome)> resolve;
         std::function<void(const ReplicaStatus& status)> roleChanged;
-        /// Called with true when the disk is full, after which nothing becomes durable here until the call with false.
-        std::function<void(bool isFull)> diskFull;
+        /// Called when the storage is out of resources, after which nothing becomes durable here until resourcesAvailable().
+        std::function<void(const raft::StorageError& error)> outOfResources;
+        std::function<void()> resourcesAvailable;
         /// The replica takes no further part in the group after a storage error; the process has to exit.
         std::function<void(const raft::StorageError& error)> failed;
     };
@@ -122,7 +124,7 @@
     std::vector<raft::Message> m_deferredMessages;
     std::vector<raft::Message> m_deferredMessagesOfWrite;
     bool m_isWriting = false;
-    bool m_isDiskFull = false;
+    bool m_isOutOfResources = false;
     uint64_t m_writtenLastIndex = 0;
     uint64_t m_writtenLastTerm = 0;
     net::Timer m_timer;
--- a/src/replica/posix_disk.cpp
+++ b/src/replica/posix_disk.cpp
@@ -51,11 +51,16 @@
         int m_fd = -1;
     };
 
-    tl::unexpected<StorageError> systemError(StorageErrorCode code, const std::string& file)
+    /// Whether a call failed for want of something that may be had later.
+    bool isOutOfResources(int error)
     {
-        int error = errno;
-        bool isFull = error == ENOSPC || error == EDQUOT;
-        return tl::unexpected(StorageError { isFull ? StorageErrorCode::DiskFull : code, file, std::generic_category().message(error) });
+        constexpr int errors[] = { ENOSPC, EDQUOT, EFBIG, EMFILE, ENFILE, ENOMEM, ENOBUFS, EAGAIN, EINTR };
+        return std::find(std::begin(errors), std::end(errors), error) != std::end(errors);
+    }
+
+    tl::unexpected<StorageError> systemError(StorageErrorCode code, const std::string& file, int error = errno)
+    {
+        return tl::unexpected(StorageError { isOutOfResources(error) ? StorageErrorCode::OutOfResources : code, file, std::generic_category().message(error) });
     }
 
     bool writeAll(int fd, std::string_view bytes)
@@ -64,7 +69,7 @@
             auto n = ::write(fd, bytes.data(), bytes.size());
             if (n < 0 && errno == EINTR)
                 continue;
-            if (n <= 0)
+            if (n < 0)
                 return false;
             bytes.remove_prefix(static_cast<size_t>(n));
         }
@@ -124,7 +129,7 @@
                     names.push_back(std::move(name));
             }
             if (ec)
-                return tl::unexpected(StorageError { StorageErrorCode::ReadFailed, m_path, ec.message() });
+                return systemError(StorageErrorCode::ReadFailed, m_path, ec.value());
             std::sort(names.begin(), names.end());
             return names;
         }
@@ -150,7 +155,7 @@
 
         StorageResult<void> append(const std::string& name, std::string_view bytes) override
         {
-            if (m_appendFileName != name) {
+            if (m_appendFileName != name || !m_appendFile.isOpen()) {
                 m_appendFile = File(path(name), O_WRONLY | O_APPEND);
                 m_appendFileName = name;
             }
@@ -161,7 +166,9 @@
 
         StorageResult<void> sync(const std::string& name) override
         {
-            if (m_appendFileName != name || ::fdatasync(m_appendFile.fd()) != 0)
+            if (m_appendFileName != name)
+                return systemError(StorageErrorCode::SyncFailed, name, EBADF);
+            if (::fdatasync(m_appendFile.fd()) != 0)
                 return systemError(StorageErrorCode::SyncFailed, name);
             return {};
         }
@@ -212,7 +219,7 @@
 
 std::string describe(const StorageError& error)
 {
-    constexpr const char* names[] = { "locked by another process", "damaged", "cannot be read", "cannot be written", "cannot be synced", "disk full" };
+    constexpr const char* names[] = { "locked by another process", "damaged", "cannot be read", "cannot be written", "cannot be synced", "out of resources" };
     static_assert(std::size(names) == static_cast<size_t>(StorageErrorCode::StorageErrorCodeCount));
     return error.file + ": " + names[static_cast<size_t>(error.code)] + (error.detail.empty() ? "" : ": " + error.detail);
 }
@@ -230,7 +237,7 @@
     if (!lockFile.isOpen())
         return systemError(StorageErrorCode::WriteFailed, path);
     if (!lockUnlessHeld(lockFile, path, lock))
-        return systemError(StorageErrorCode::Locked, path);
+        return tl::unexpected(StorageError { StorageErrorCode::Locked, path, {} });
     syncFolderName(folder, path, isCreated);
     return std::make_unique<PosixDisk>(path, std::move(folder), std::move(lockFile));
 }
--- a/src/replica/raft_storage.cpp
+++ b/src/replica/raft_storage.cpp
@@ -327,13 +327,13 @@
     return m_status;
 }
 
-StorageResult<void> RaftStorage::resumeAfterFullDisk()
+StorageResult<void> RaftStorage::resume()
 {
-    if (m_status || m_status.error().code != StorageErrorCode::DiskFull)
+    if (m_status || m_status.error().code != StorageErrorCode::OutOfResources)
         return m_status;
     // The next write would append after the remains of the failed one, which were never synced.
     if (auto result = m_disk->truncate(segmentName(m_segmentNumber), m_durableSegmentSize); !result) {
-        if (result.error().code != StorageErrorCode::DiskFull)
+        if (result.error().code != StorageErrorCode::OutOfResources)
             m_status = result;
         return result;
     }
--- a/src/replica/raft_storage_p.h
+++ b/src/replica/raft_storage_p.h
@@ -11,7 +11,7 @@
 /// - `log-{number}.seg`: log segments. The newest one starts with a record of the snapshot's index and term, followed by the
 ///   log entries after it.
 /// A record consists of a magic number, length, CRC-32 and payload (CBOR). The entries of one sync share a record, each
-/// prefixed by its length. Errors are sticky: every later call returns the first one; only DiskFull can be cleared.
+/// prefixed by its length. Errors are sticky: every later call returns the first one; only OutOfResources can be cleared.
 class RaftStorage {
 public:
     /// Reads the folder and truncates a torn write at the end of the log.
@@ -27,9 +27,9 @@
     StorageResult<void> write(const Persist& persist);
     /// Makes all buffered entries durable with one sync of the segment.
     StorageResult<void> sync();
-    /// Clears DiskFull and truncates the partial write. Everything written since the last sync has to be written again.
-    /// @returns DiskFull if there is still no space. Other errors are not cleared.
-    StorageResult<void> resumeAfterFullDisk();
+    /// Clears OutOfResources and truncates the partial write. Everything written since the last sync has to be written again.
+    /// @returns OutOfResources if the resource is still missing. Other errors are not cleared.
+    StorageResult<void> resume();
 
 private:
     explicit RaftStorage(Disk& disk)
--- a/tests/data_folder_e2e.py
+++ b/tests/data_folder_e2e.py
@@ -1,6 +1,7 @@
 """Three controllers and a gateway whose data folders get into trouble: what may pass is waited for, and nothing acknowledged is lost."""
 import fcntl
 import os
+import resource
 import signal
 import sys
 
@@ -9,6 +10,7 @@
 
 NETWORK = "127.0.73"
 PATIENCE = 20
+STANDARD_STREAMS = 3
 
 
 def check(holds, what):
@@ -38,7 +40,55 @@
     return bool(lines) and "event=role" in lines[-1] and "role=unknown" not in lines[-1] and 'leader="" ' not in lines[-1]
 
 
-TESTS = [test_locked_folder]
+def test_no_descriptors(site):
+    """The descriptors of all controllers run out during a change of leader, whose vote has to be written."""
+    pids = {name: site.processes[name].pid for name in site.controllers}
+    limits = {name: resource.prlimit(pid, resource.RLIMIT_NOFILE) for name, pid in pids.items()}
+    lengths = {name: len(site.log(name)) for name in site.controllers}
+    for name, pid in pids.items():
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (STANDARD_STREAMS, limits[name][1]))
+    leader = next(it for it in site.controllers if is_leading(site, it))
+    site.signal(leader, signal.SIGSTOP)
+    others = [it for it in site.controllers if it != leader]
+
+    def has_logged(event):
+        return any(f"event={event}" in site.log(it)[lengths[it]:] for it in others)
+
+    wait_for(lambda: has_logged("disk-full") or site.exits(), PATIENCE)
+    check(not site.exits(), "a controller ended for want of descriptors")
+    check(has_logged("disk-full"), "no controller had to write")
+    for name, pid in pids.items():
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, limits[name])
+    site.signal(leader, signal.SIGCONT)
+    check(wait_for(lambda: has_logged("disk-has-room"), PATIENCE), "the controllers write nothing more")
+    check(wait_for(lambda: any(is_leading(site, it) for it in site.controllers), PATIENCE), "no controller leads")
+
+
+def test_storage_failure(site):
+    """A write fails for good: the process says so with its status, and the group goes on without it."""
+    leader = next(it for it in site.controllers if is_leading(site, it))
+    failing = next(it for it in site.controllers if it != leader)
+    hard_state, saved = f"{site.data_folder(failing)}/hard-state", f"{site.folder}/hard-state"
+    os.rename(hard_state, saved)
+    os.mkdir(hard_state)
+    site.signal(leader, signal.SIGKILL)
+    site.processes[leader].wait()
+    site.launch(leader)
+    check(wait_for(lambda: has_ended(site, failing), PATIENCE), "a controller goes on without its storage")
+    status = site.processes[failing].poll()
+    os.rmdir(hard_state)
+    os.rename(saved, hard_state)
+    site.launch(failing)
+    check(status == 1, f"after a failure of its storage a controller ended with status {status}")
+    check(wait_for(lambda: is_voting(site, failing), PATIENCE), "the controller did not come back")
+
+
+def is_leading(site, name):
+    role = [it for it in site.log(name).splitlines() if "event=lead " in it or "event=lead-lost" in it or "event=start " in it]
+    return bool(role) and "event=lead " in role[-1]
+
+
+TESTS = [test_locked_folder, test_no_descriptors, test_storage_failure]
 
 
 def main():
@@ -46,7 +96,7 @@
     try:
         site.start()
         check(site.put_catalog(PATIENCE), "the group did not form")
-        for test in TESTS:
+        for test in [it for it in TESTS if not sys.argv[2:] or it.__name__ in sys.argv[2:]]:
             test(site)
             print(f"{test.__name__}: ok", flush=True)
     except AssertionError as error:
--- a/tests/jobs/data_folder_test.cpp
+++ b/tests/jobs/data_folder_test.cpp
@@ -1,13 +1,15 @@
 #include "core/event_log_p.h"
 #include "node/storage_retry_p.h"
-#include "replica/disk_p.h"
+#include "replica/raft_storage_p.h"
 
 #include <catch2/catch.hpp>
 
 #include <cerrno>
+#include <csignal>
 #include <filesystem>
 #include <functional>
 #include <sys/file.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -59,6 +61,28 @@
     vanillalift::TimePoint time { std::chrono::seconds(1) };
 };
 
+/// Lowers the soft limit of a resource of this process while it lives.
+class LoweredLimit {
+public:
+    LoweredLimit(__rlimit_resource resource, rlim_t value)
+        : m_resource(resource)
+    {
+        ::getrlimit(m_resource, &m_previous);
+        auto lowered = m_previous;
+        lowered.rlim_cur = value;
+        ::setrlimit(m_resource, &lowered);
+    }
+    ~LoweredLimit() { ::setrlimit(m_resource, &m_previous); }
+    LoweredLimit(const LoweredLimit&) = delete;
+    LoweredLimit& operator=(const LoweredLimit&) = delete;
+
+private:
+    __rlimit_resource m_resource;
+    rlimit m_previous {};
+};
+
+LogEntry command(uint64_t index) { return { index, 1, EntryKind::Command, "entry" }; }
+
 } // namespace
 
 // Guards against a controller that ends at each start because it may not read the folder above its own.
@@ -128,3 +152,67 @@
     CHECK(clock.time - startedAt <= StorageRetry::lockTimeout);
     CHECK_FALSE(retry.wait({ StorageErrorCode::ReadFailed, "folder", "" }));
 }
+
+// Guards against a controller that ends when connections have taken all of its descriptors.
+TEST_CASE("a write without a free descriptor fails for the moment and works again later", "[storage]")
+{
+    TemporaryFolder folder;
+    auto disk = openFolder(folder.path.string());
+    REQUIRE(disk);
+    auto storage = RaftStorage::open(**disk, "first");
+    REQUIRE(storage);
+    Persist persist { .hardState = HardState { 2, "a" }, .entries = { command(1) } };
+    {
+        LoweredLimit limit(RLIMIT_NOFILE, 0);
+        CHECK_FALSE(storage->write(persist));
+        CHECK(storage->sync().error().code == StorageErrorCode::OutOfResources);
+        CHECK(storage->resume().error().code == StorageErrorCode::OutOfResources);
+        CHECK((*disk)->list().error().code == StorageErrorCode::OutOfResources);
+        CHECK(openFolder(folder.path.string()).error().code == StorageErrorCode::OutOfResources);
+    }
+    REQUIRE(storage->resume());
+    REQUIRE(storage->write(persist));
+    REQUIRE(storage->sync());
+    CHECK(RaftStorage::open(**disk, "second")->recovered().entries == persist.entries);
+}
+
+// Guards against appending to a segment that could not be opened once.
+TEST_CASE("an append without a free descriptor works again later", "[storage]")
+{
+    TemporaryFolder folder;
+    auto disk = openFolder(folder.path.string());
+    REQUIRE(disk);
+    auto storage = RaftStorage::open(**disk, "first");
+    REQUIRE(storage);
+    REQUIRE(storage->write({ .entries = { command(1) } }));
+    {
+        LoweredLimit limit(RLIMIT_NOFILE, 0);
+        CHECK(storage->sync().error().code == StorageErrorCode::OutOfResources);
+    }
+    REQUIRE(storage->resume());
+    REQUIRE(storage->write({ .entries = { command(1) } }));
+    REQUIRE(storage->sync());
+}
+
+// Guards against a controller that ends when its log has grown to the largest file allowed.
+TEST_CASE("a log at the largest file allowed is a full disk", "[storage]")
+{
+    TemporaryFolder folder;
+    auto disk = openFolder(folder.path.string());
+    REQUIRE(disk);
+    auto storage = RaftStorage::open(**disk, "first");
+    REQUIRE(storage);
+    REQUIRE(storage->write({ .entries = { command(1) } }));
+    REQUIRE(storage->sync());
+    auto previousHandler = std::signal(SIGXFSZ, SIG_IGN);
+    {
+        LoweredLimit limit(RLIMIT_FSIZE, 60);
+        CHECK(storage->write({ .entries = { command(2) } }));
+        CHECK(storage->sync().error().code == StorageErrorCode::OutOfResources);
+    }
+    std::signal(SIGXFSZ, previousHandler);
+    REQUIRE(storage->resume());
+    REQUIRE(storage->write({ .entries = { command(2) } }));
+    REQUIRE(storage->sync());
+    CHECK(RaftStorage::open(**disk, "second")->recovered().entries == std::vector<LogEntry> { command(1), command(2) });
+}
--- a/tests/jobs/log_driver_late_test.cpp
+++ b/tests/jobs/log_driver_late_test.cpp
@@ -43,7 +43,8 @@
         handlers.snapshot = [] { return std::string(); };
         handlers.resolve = [](uint64_t, const LogDriver::Outcome&) {};
         handlers.roleChanged = [this](const ReplicaStatus& status) { terms.insert(status.term); };
-        handlers.diskFull = [](bool) {};
+        handlers.outOfResources = [](const StorageError&) {};
+        handlers.resourcesAvailable = [] {};
         handlers.failed = [](const StorageError&) { FAIL(); };
         LogDriver::Desc desc;
         desc.core.name = "a";
--- a/tests/jobs/log_driver_test.cpp
+++ b/tests/jobs/log_driver_test.cpp
@@ -37,7 +37,8 @@
             if (driver->isReadyLeader())
                 appliedWhenReady = applied.size();
         };
-        handlers.diskFull = [](bool) {};
+        handlers.outOfResources = [](const StorageError&) {};
+        handlers.resourcesAvailable = [] {};
         handlers.failed = [](const StorageError&) {};
         LogDriver::Desc desc;
         desc.core.name = "a";
--- a/tests/raft_storage_test.cpp
+++ b/tests/raft_storage_test.cpp
@@ -141,7 +141,7 @@
 // Guards against an acknowledgement after a failed write or sync, even if a later sync would succeed.
 TEST_CASE("an error at any file operation is reported with its code and is sticky", "[storage]")
 {
-    for (auto code : { StorageErrorCode::WriteFailed, StorageErrorCode::SyncFailed, StorageErrorCode::DiskFull }) {
+    for (auto code : { StorageErrorCode::WriteFailed, StorageErrorCode::SyncFailed, StorageErrorCode::OutOfResources }) {
         for (size_t operation = 0;; operation++) {
             INFO("error at operation " << operation);
             MemoryDisk disk;
@@ -192,7 +192,7 @@
     for (size_t operation = 0, failures = 1; failures != 0; operation++) {
         failures = 0;
         MemoryDisk disk;
-        disk.injectedError = StorageErrorCode::DiskFull;
+        disk.injectedError = StorageErrorCode::OutOfResources;
         auto storage = RaftStorage::open(disk, "first");
         REQUIRE(storage);
         disk.firstFaultyOperation = disk.operationCount + operation;
@@ -207,9 +207,9 @@
                     break;
                 failures++;
                 REQUIRE(failures < 10);
-                CHECK(result.error().code == StorageErrorCode::DiskFull);
+                CHECK(result.error().code == StorageErrorCode::OutOfResources);
                 CHECK_FALSE(storage->sync());
-                while (!storage->resumeAfterFullDisk()) {
+                while (!storage->resume()) {
                     failures++;
                     REQUIRE(failures < 10);
                 }
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -108,8 +108,10 @@
             controller.addSeeds(changed->seeds);
     });
     loop.run();
-    if (isStopping)
+    if (isStopping && !controller.hasStorageFailed())
         runRecord.finish();
     log.stateLine("connections").field("open", control.server().openConnections()).field("requests", control.server().openRequests());
-    return node::logExit(log, 0, isStopping ? "stopped" : "the storage has failed");
+    if (controller.hasStorageFailed())
+        return node::logExit(log, 1, "the storage has failed");
+    return node::logExit(log, 0, "stopped");
 }
--- a/tools/log-bench/main.cpp
+++ b/tools/log-bench/main.cpp
@@ -127,7 +127,8 @@
         handlers.snapshot = [this] { return m_store.snapshot(); };
         handlers.resolve = [this](uint64_t number, LogDriver::Outcome outcome) { m_batcher.resolve(number, outcome.has_value()); };
         handlers.roleChanged = [](const ReplicaStatus&) {};
-        handlers.diskFull = [](bool) {};
+        handlers.outOfResources = [](const StorageError&) {};
+        handlers.resourcesAvailable = [] {};
         handlers.failed = [](const StorageError&) { std::abort(); };
         auto storage = RaftStorage::open(m_disk, "storage");
         Persist persist;
