Wait at the start for room and descriptors instead of ending

Seen: a controller with a new disk that was started while nothing could be written ended with status 1 at each start ("out of resources: File too large"). One with its data ended so too if files of an earlier run could not be removed.

Cause: the wait for missing resources began only once the process ran.

Tests, each seen to fail on the code before: "a start waits for resources" in data_folder_test, "a folder opens although older files cannot be removed" in raft_storage_test, and test_full_disk_at_start in data_folder_e2e ("a controller ended at its start on a full disk"). A start of the process without any free descriptor is not covered: the event loop itself needs some.

--- a/src/node/storage_retry.cpp
+++ b/src/node/storage_retry.cpp
@@ -33,6 +33,8 @@
 
 bool StorageRetry::isWorthwhile(const raft::StorageError& error)
 {
+    if (error.code == raft::StorageErrorCode::OutOfResources)
+        return true;
     if (error.code != raft::StorageErrorCode::Locked)
         return false;
     if (!m_lockDeadline)
--- a/src/replica/posix_disk.cpp
+++ b/src/replica/posix_disk.cpp
@@ -232,7 +232,7 @@
     bool isCreated = std::filesystem::create_directories(path, ec);
     File folder(path, O_RDONLY | O_DIRECTORY);
     if (!folder.isOpen())
-        return systemError(StorageErrorCode::ReadFailed, path);
+        return systemError(StorageErrorCode::ReadFailed, path, ec ? ec.value() : errno);
     File lockFile(path + "/" + lockFileName, O_RDWR | O_CREAT);
     if (!lockFile.isOpen())
         return systemError(StorageErrorCode::WriteFailed, path);
--- a/src/replica/raft_storage.cpp
+++ b/src/replica/raft_storage.cpp
@@ -1,5 +1,6 @@
 #include "raft_storage_p.h"
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 #include <zlib.h>
 
@@ -164,9 +165,16 @@
             return corrupted(hardStateName, "missing");
         return format(storageId);
     }
-    if (auto result = removeOlderFiles(segmentPrefix, segmentName(m_segmentNumber)); !result)
-        return result;
-    return snapshot.empty() ? StorageResult<void> {} : removeOlderFiles(snapshotPrefix, snapshot);
+    removeLeftovers(segmentPrefix, segmentName(m_segmentNumber));
+    if (!snapshot.empty())
+        removeLeftovers(snapshotPrefix, snapshot);
+    return {};
+}
+
+void RaftStorage::removeLeftovers(const std::string& prefix, const std::string& newest)
+{
+    if (auto result = removeOlderFiles(prefix, newest); !result)
+        LOG(WARNING) << "files of an earlier run are left until the next snapshot: " << describe(result.error());
 }
 
 StorageResult<void> RaftStorage::format(const std::string& storageId)
--- a/src/replica/raft_storage_p.h
+++ b/src/replica/raft_storage_p.h
@@ -46,6 +46,8 @@
     StorageResult<void> writeHardState(const HardState& state);
     StorageResult<void> writeSnapshot(const Persist& persist);
     StorageResult<void> removeOlderFiles(const std::string& prefix, const std::string& newest);
+    /// Removes what an earlier run should have removed. The state is complete with and without these files.
+    void removeLeftovers(const std::string& prefix, const std::string& newest);
     StorageResult<void> recordFirstError(const StorageResult<void>& result);
 
     Disk* m_disk;
--- a/tests/data_folder_e2e.py
+++ b/tests/data_folder_e2e.py
@@ -2,7 +2,9 @@
 import fcntl
 import os
 import resource
+import shutil
 import signal
+import subprocess
 import sys
 
 import plain_site
@@ -83,12 +85,38 @@
     check(wait_for(lambda: is_voting(site, failing), PATIENCE), "the controller did not come back")
 
 
+def test_full_disk_at_start(site):
+    """A controller with a new disk starts while nothing can be written."""
+    name = "c1"
+    site.signal(name, signal.SIGKILL)
+    site.processes[name].wait()
+    shutil.rmtree(site.data_folder(name))
+    length = len(site.log(name))
+    # The limit concerns the log file as well, so that another process writes it.
+    with open(site.log_path(name), "ab") as log:
+        writer = subprocess.Popen(["cat"], stdin=subprocess.PIPE, stdout=log)
+    site.before = write_nothing
+    site.launch(name, stdout=writer.stdin)
+    site.before = None
+    writer.stdin.close()
+    wait_for(lambda: "event=storage-wait" in site.log(name)[length:] or has_ended(site, name), PATIENCE)
+    check(not has_ended(site, name), "a controller ended at its start on a full disk")
+    hard_limit = resource.prlimit(site.processes[name].pid, resource.RLIMIT_FSIZE)[1]
+    resource.prlimit(site.processes[name].pid, resource.RLIMIT_FSIZE, (hard_limit, hard_limit))
+    check(wait_for(lambda: is_voting(site, name), PATIENCE), "the controller did not come back once there was room")
+
+
+def write_nothing():
+    signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+    resource.setrlimit(resource.RLIMIT_FSIZE, (0, resource.getrlimit(resource.RLIMIT_FSIZE)[1]))
+
+
 def is_leading(site, name):
     role = [it for it in site.log(name).splitlines() if "event=lead " in it or "event=lead-lost" in it or "event=start " in it]
     return bool(role) and "event=lead " in role[-1]
 
 
-TESTS = [test_locked_folder, test_no_descriptors, test_storage_failure]
+TESTS = [test_locked_folder, test_no_descriptors, test_storage_failure, test_full_disk_at_start]
 
 
 def main():
--- a/tests/jobs/data_folder_test.cpp
+++ b/tests/jobs/data_folder_test.cpp
@@ -216,3 +216,14 @@
     REQUIRE(storage->sync());
     CHECK(RaftStorage::open(**disk, "second")->recovered().entries == std::vector<LogEntry> { command(1), command(2) });
 }
+
+// Guards against a controller that ends at each start while the disk is full.
+TEST_CASE("a start waits for resources for as long as they are missing", "[storage]")
+{
+    WaitClock clock;
+    vanillalift::EventLog log(clock, STDERR_FILENO, {});
+    StorageRetry retry(clock, log, [&](vanillalift::Duration it) { clock.time += it; });
+    auto startedAt = clock.time;
+    while (clock.time - startedAt < std::chrono::minutes(10))
+        REQUIRE(retry.wait({ StorageErrorCode::OutOfResources, "folder", "" }));
+}
--- a/tests/raft_storage_test.cpp
+++ b/tests/raft_storage_test.cpp
@@ -224,6 +224,31 @@
     }
 }
 
+// Guards against a replica that does not start on a full disk because it cannot clean up.
+TEST_CASE("a folder opens although older files cannot be removed", "[storage]")
+{
+    MemoryDisk disk;
+    size_t ackedCount = 0;
+    REQUIRE_FALSE(runWorkload(disk, ackedCount));
+    auto expected = RaftStorage::open(disk, "x")->recovered().entries;
+    auto oldSegment = std::string("log-00000000000000000000.seg");
+    auto oldSnapshot = std::string("snapshot-00000000000000000001.cbor");
+    disk.files[oldSegment] = { "old", 3 };
+    disk.files[oldSnapshot] = { "old", 3 };
+    for (auto code : { StorageErrorCode::OutOfResources, StorageErrorCode::WriteFailed }) {
+        disk.injectedError = code;
+        disk.firstFaultyOperation = disk.operationCount;
+        disk.faultyOperationCount = 100;
+        auto storage = RaftStorage::open(disk, "x");
+        REQUIRE(storage);
+        CHECK(storage->recovered().entries == expected);
+    }
+    disk.firstFaultyOperation = SIZE_MAX;
+    REQUIRE(RaftStorage::open(disk, "x"));
+    CHECK_FALSE(disk.files.contains(oldSegment));
+    CHECK_FALSE(disk.files.contains(oldSnapshot));
+}
+
 // Guards against reading a corrupted entry, and against truncating acknowledged entries because an earlier one is corrupted.
 TEST_CASE("a flipped bit is detected and loses at most the last record", "[storage]")
 {
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -79,6 +79,8 @@
     if (runRecord.unfinishedRuns() > 0)
         log.stateLine("unfinished-runs").field("count", runRecord.unfinishedRuns());
     auto storage = node::openStorage(**disk, settings->controller);
+    while (!storage && retry.wait(storage.error()))
+        storage = node::openStorage(**disk, settings->controller);
     if (!storage)
         return node::logExit(log, 1, raft::describe(storage.error()));
     auto limits = connectionLimits(settings->maxDescriptors);
