--- a/src/replica/posix_disk.cpp
+++ b/src/replica/posix_disk.cpp
@@ -1,5 +1,7 @@
 #include "disk_p.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
@@ -23,6 +25,10 @@
             : m_fd(::open(path.c_str(), flags | O_CLOEXEC, 0600))
         {
         }
+        File(const File& folder, const char* name, int flags)
+            : m_fd(::openat(folder.fd(), name, flags | O_CLOEXEC))
+        {
+        }
         ~File()
         {
             if (m_fd >= 0)
@@ -45,11 +51,16 @@
         int m_fd = -1;
     };
 
-    tl::unexpected<StorageError> systemError(StorageErrorCode code, const std::string& file)
+    /// Whether a call failed for want of something that may be had later.
+    bool isOutOfResources(int error)
+    {
+        constexpr int errors[] = { ENOSPC, EDQUOT, EFBIG, EMFILE, ENFILE, ENOMEM, ENOBUFS, EAGAIN, EINTR };
+        return std::find(std::begin(errors), std::end(errors), error) != std::end(errors);
+    }
+
+    tl::unexpected<StorageError> systemError(StorageErrorCode code, const std::string& file, int error = errno)
     {
-        int error = errno;
-        bool isFull = error == ENOSPC || error == EDQUOT;
-        return tl::unexpected(StorageError { isFull ? StorageErrorCode::DiskFull : code, file, std::generic_category().message(error) });
+        return tl::unexpected(StorageError { isOutOfResources(error) ? StorageErrorCode::OutOfResources : code, file, std::generic_category().message(error) });
     }
 
     bool writeAll(int fd, std::string_view bytes)
@@ -58,13 +69,47 @@
             auto n = ::write(fd, bytes.data(), bytes.size());
             if (n < 0 && errno == EINTR)
                 continue;
-            if (n <= 0)
+            if (n < 0)
                 return false;
             bytes.remove_prefix(static_cast<size_t>(n));
         }
         return true;
     }
 
+    /// Makes the names in a folder durable. Some file systems cannot sync a folder alone, and are synced as a whole instead.
+    bool syncFolder(int fd)
+    {
+        if (::fsync(fd) == 0)
+            return true;
+        bool isUnsupported = errno == EINVAL || errno == ENOSYS || errno == EOPNOTSUPP;
+        return isUnsupported && ::syncfs(fd) == 0;
+    }
+
+    /// Makes the name of a folder in its parent durable. The parent may belong to someone else.
+    void syncFolderName(const File& folder, const std::string& path, bool isCreated)
+    {
+        File parent(folder, "..", O_RDONLY | O_DIRECTORY);
+        bool isDurable = parent.isOpen() && syncFolder(parent.fd());
+        // The name of a folder that was there before this process does not depend on it.
+        if (isDurable || !isCreated || ::syncfs(folder.fd()) == 0)
+            return;
+        LOG(WARNING) << path << ": a power loss soon may undo the creation of this folder: " << std::generic_category().message(errno);
+    }
+
+    /// @returns false if another process holds the lock. Where the host grants no locks, the file is left unlocked.
+    bool lockUnlessHeld(const File& file, const std::string& path, const LockCall& lock)
+    {
+        while (lock(file.fd(), LOCK_EX | LOCK_NB) != 0) {
+            if (errno == EWOULDBLOCK)
+                return false;
+            if (errno == EINTR)
+                continue;
+            LOG(WARNING) << path << ": cannot be locked, so nothing keeps a second process from using it: " << std::generic_category().message(errno);
+            return true;
+        }
+        return true;
+    }
+
     class PosixDisk final : public Disk {
     public:
         PosixDisk(std::string path, File folder, File lock)
@@ -84,7 +129,7 @@
                     names.push_back(std::move(name));
             }
             if (ec)
-                return tl::unexpected(StorageError { StorageErrorCode::ReadFailed, m_path, ec.message() });
+                return systemError(StorageErrorCode::ReadFailed, m_path, ec.value());
             std::sort(names.begin(), names.end());
             return names;
         }
@@ -110,7 +155,7 @@
 
         StorageResult<void> append(const std::string& name, std::string_view bytes) override
         {
-            if (m_appendFileName != name) {
+            if (m_appendFileName != name || !m_appendFile.isOpen()) {
                 m_appendFile = File(path(name), O_WRONLY | O_APPEND);
                 m_appendFileName = name;
             }
@@ -121,7 +166,9 @@
 
         StorageResult<void> sync(const std::string& name) override
         {
-            if (m_appendFileName != name || ::fdatasync(m_appendFile.fd()) != 0)
+            if (m_appendFileName != name)
+                return systemError(StorageErrorCode::SyncFailed, name, EBADF);
+            if (::fdatasync(m_appendFile.fd()) != 0)
                 return systemError(StorageErrorCode::SyncFailed, name);
             return {};
         }
@@ -136,7 +183,7 @@
                 return systemError(StorageErrorCode::SyncFailed, name);
             if (::rename(temporaryPath.c_str(), path(name).c_str()) != 0)
                 return systemError(StorageErrorCode::WriteFailed, name);
-            if (::fsync(m_folder.fd()) != 0)
+            if (!syncFolder(m_folder.fd()))
                 return systemError(StorageErrorCode::SyncFailed, name);
             return {};
         }
@@ -172,28 +219,27 @@
 
 std::string describe(const StorageError& error)
 {
-    constexpr const char* names[] = { "locked by another process", "damaged", "cannot be read", "cannot be written", "cannot be synced", "disk full" };
+    constexpr const char* names[] = { "locked by another process", "damaged", "cannot be read", "cannot be written", "cannot be synced", "out of resources" };
     static_assert(std::size(names) == static_cast<size_t>(StorageErrorCode::StorageErrorCodeCount));
     return error.file + ": " + names[static_cast<size_t>(error.code)] + (error.detail.empty() ? "" : ": " + error.detail);
 }
 
-StorageResult<std::unique_ptr<Disk>> openFolder(const std::string& path)
+StorageResult<std::unique_ptr<Disk>> openFolder(const std::string& path) { return openFolder(path, ::flock); }
+
+StorageResult<std::unique_ptr<Disk>> openFolder(const std::string& path, const LockCall& lock)
 {
     std::error_code ec;
-    std::filesystem::create_directories(path, ec);
+    bool isCreated = std::filesystem::create_directories(path, ec);
     File folder(path, O_RDONLY | O_DIRECTORY);
     if (!folder.isOpen())
-        return systemError(StorageErrorCode::ReadFailed, path);
-    File lock(path + "/" + lockFileName, O_RDWR | O_CREAT);
-    if (!lock.isOpen())
+        return systemError(StorageErrorCode::ReadFailed, path, ec ? ec.value() : errno);
+    File lockFile(path + "/" + lockFileName, O_RDWR | O_CREAT);
+    if (!lockFile.isOpen())
         return systemError(StorageErrorCode::WriteFailed, path);
-    if (::flock(lock.fd(), LOCK_EX | LOCK_NB) != 0)
-        return systemError(StorageErrorCode::Locked, path);
-    // Makes the folder's entry in its parent directory durable.
-    File parent(std::filesystem::absolute(path).parent_path().string(), O_RDONLY | O_DIRECTORY);
-    if (!parent.isOpen() || ::fsync(parent.fd()) != 0)
-        return systemError(StorageErrorCode::SyncFailed, path);
-    return std::make_unique<PosixDisk>(path, std::move(folder), std::move(lock));
+    if (!lockUnlessHeld(lockFile, path, lock))
+        return tl::unexpected(StorageError { StorageErrorCode::Locked, path, {} });
+    syncFolderName(folder, path, isCreated);
+    return std::make_unique<PosixDisk>(path, std::move(folder), std::move(lockFile));
 }
 
 } // namespace vanillalift::raft
--- a/tests/raft_storage_test.cpp
+++ b/tests/raft_storage_test.cpp
@@ -141,7 +141,7 @@
 // Guards against an acknowledgement after a failed write or sync, even if a later sync would succeed.
 TEST_CASE("an error at any file operation is reported with its code and is sticky", "[storage]")
 {
-    for (auto code : { StorageErrorCode::WriteFailed, StorageErrorCode::SyncFailed, StorageErrorCode::DiskFull }) {
+    for (auto code : { StorageErrorCode::WriteFailed, StorageErrorCode::SyncFailed, StorageErrorCode::OutOfResources }) {
         for (size_t operation = 0;; operation++) {
             INFO("error at operation " << operation);
             MemoryDisk disk;
@@ -192,7 +192,7 @@
     for (size_t operation = 0, failures = 1; failures != 0; operation++) {
         failures = 0;
         MemoryDisk disk;
-        disk.injectedError = StorageErrorCode::DiskFull;
+        disk.injectedError = StorageErrorCode::OutOfResources;
         auto storage = RaftStorage::open(disk, "first");
         REQUIRE(storage);
         disk.firstFaultyOperation = disk.operationCount + operation;
@@ -207,9 +207,9 @@
                     break;
                 failures++;
                 REQUIRE(failures < 10);
-                CHECK(result.error().code == StorageErrorCode::DiskFull);
+                CHECK(result.error().code == StorageErrorCode::OutOfResources);
                 CHECK_FALSE(storage->sync());
-                while (!storage->resumeAfterFullDisk()) {
+                while (!storage->resume()) {
                     failures++;
                     REQUIRE(failures < 10);
                 }
@@ -224,6 +224,31 @@
     }
 }
 
+// Guards against a replica that does not start on a full disk because it cannot clean up.
+TEST_CASE("a folder opens although older files cannot be removed", "[storage]")
+{
+    MemoryDisk disk;
+    size_t ackedCount = 0;
+    REQUIRE_FALSE(runWorkload(disk, ackedCount));
+    auto expected = RaftStorage::open(disk, "x")->recovered().entries;
+    auto oldSegment = std::string("log-00000000000000000000.seg");
+    auto oldSnapshot = std::string("snapshot-00000000000000000001.cbor");
+    disk.files[oldSegment] = { "old", 3 };
+    disk.files[oldSnapshot] = { "old", 3 };
+    for (auto code : { StorageErrorCode::OutOfResources, StorageErrorCode::WriteFailed }) {
+        disk.injectedError = code;
+        disk.firstFaultyOperation = disk.operationCount;
+        disk.faultyOperationCount = 100;
+        auto storage = RaftStorage::open(disk, "x");
+        REQUIRE(storage);
+        CHECK(storage->recovered().entries == expected);
+    }
+    disk.firstFaultyOperation = SIZE_MAX;
+    REQUIRE(RaftStorage::open(disk, "x"));
+    CHECK_FALSE(disk.files.contains(oldSegment));
+    CHECK_FALSE(disk.files.contains(oldSnapshot));
+}
+
 // Guards against reading a corrupted entry, and against truncating acknowledged entries because an earlier one is corrupted.
 TEST_CASE("a flipped bit is detected and loses at most the last record", "[storage]")
 {
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -6,6 +6,7 @@
 #include "node/process_metrics_p.h"
 #include "node/process_usage_p.h"
 #include "node/run_record_p.h"
+#include "node/storage_retry_p.h"
 #include "platform/incoming_p.h"
 #include "platform/outgoing_p.h"
 #include "platform/program_p.h"
@@ -64,13 +65,24 @@
     log.stateLine("start").field("node", settings->node).field("name", settings->controller.name).field("version", std::string_view(VANILLALIFT_VERSION)).field("first", settings->isFirstStart);
     node::logHost(log);
 
+    auto pause = [&](Duration it) {
+        net::Timer timer(loop, [&] { loop.stop(); });
+        auto now = clock.now();
+        timer.armAt(now + it, now);
+        loop.run();
+    };
+    node::StorageRetry retry(clock, log, pause);
     auto disk = raft::openFolder(settings->dataFolder);
+    while (!disk && retry.wait(disk.error()))
+        disk = raft::openFolder(settings->dataFolder);
     if (!disk)
         return node::logExit(log, 1, raft::describe(disk.error()));
     node::RunRecord runRecord(settings->dataFolder);
     if (runRecord.unfinishedRuns() > 0)
         log.stateLine("unfinished-runs").field("count", runRecord.unfinishedRuns());
     auto storage = node::openStorage(**disk, settings->controller);
+    while (!storage && retry.wait(storage.error()))
+        storage = node::openStorage(**disk, settings->controller);
     if (!storage)
         return node::logExit(log, 1, raft::describe(storage.error()));
     auto limits = connectionLimits(settings->maxDescriptors);
@@ -100,8 +112,10 @@
             controller.addSeeds(changed->seeds);
     });
     loop.run();
-    if (isStopping)
+    if (isStopping && !controller.hasStorageFailed())
         runRecord.finish();
     log.stateLine("connections").field("open", control.server().openConnections()).field("requests", control.server().openRequests());
-    return node::logExit(log, 0, isStopping ? "stopped" : "the storage has failed");
+    if (controller.hasStorageFailed())
+        return node::logExit(log, 1, "the storage has failed");
+    return node::logExit(log, 0, "stopped");
 }
