Serve kept connections to the end when a gateway stops

Cause: the gateway ended as soon as no request was open, although the next one was on its way on kept connections; its responses did not say before that that the connection ends unless one came in that moment. Closing the listening socket reset the connections that were established but not accepted.

Now the stop is in one class for both programs, node::Shutdown, in place of platform::GatewayShutdown. Once the load balancer has taken the gateway out (2.5 s, as before), each response ends its connection, and the process ends when all connections are closed or its time is over. The responses do not end connections sooner: clients would only come back to the same gateway, with a connection for each request. Connections that only idle are kept up to 5.6 s, then the sending side is ended, after what has arrived was read and answered. Before the listening socket closes, new SYN segments are dropped by a socket filter, handshakes under way get 0.1 s to complete, and the queue is accepted. If the filter cannot be set, that is logged and the queue is accepted all the same. Requests that were read together with the last one are answered too.

A request that arrives after the sending side of its idle connection was ended cannot be answered; it is not carried out, logged and counted as abandoned.

The whole test suite was not run.

--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -111,10 +111,15 @@
     ~HttpServer();
 
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
-    /// Closes the listening socket; open connections stay.
-    void stopAccepting() { m_listener.close(); }
-    /// Closes each connection after its next response, which carries "Connection: close".
+    /// Closes each connection after its next response, which carries "Connection: close", unless further requests have been read from it.
     void startDraining() { m_isDraining = true; }
+    /// Ignores further attempts to connect, see Listener::ignoreNew().
+    void ignoreNewConnections() { m_listener.ignoreNew(); }
+    /// Accepts the connections that are already established, and closes the listening socket; open connections stay.
+    void stopAccepting() { m_listener.close(); }
+    /// Ends the sending direction of the connections that carry no request. Requests that have arrived are handled first; those that arrive
+    /// later count as abandoned.
+    void endIdleConnections();
     /// Number of connections with a request in progress, response bytes not yet handed to the kernel, or unparsed input.
     [[nodiscard]] size_t openRequests() const;
     [[nodiscard]] size_t openConnections() const { return m_connections.size(); }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillalift::net {
 
@@ -14,6 +15,10 @@
     /// Number of the request in progress, 0 for none.
     uint64_t request = 0;
     bool isKeptAlive = true;
+    /// Whether the sending direction has ended.
+    bool hasEnded = false;
+    /// Bytes read after the request in progress.
+    size_t unparsedBytes = 0;
 
     [[nodiscard]] bool isOpen() const { return request != 0 || stream->unsentBytes() != 0 || (isKeptAlive && stream->unreadBytes() != 0); }
 };
@@ -59,9 +64,34 @@
     return static_cast<size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto& it) { return it.second->isOpen(); }));
 }
 
+void HttpServer::endIdleConnections()
+{
+    std::vector<uint64_t> ids;
+    for (const auto& [id, connection] : m_connections)
+        ids.push_back(id);
+    for (auto id : ids) {
+        auto it = m_connections.find(id);
+        if (it != m_connections.end())
+            it->second->stream->readPendingInput();
+        it = m_connections.find(id);
+        if (it == m_connections.end() || it->second->isOpen() || !it->second->isKeptAlive)
+            continue;
+        it->second->hasEnded = true;
+        it->second->stream->shutdownSend();
+    }
+}
+
 size_t HttpServer::receive(uint64_t id, std::string_view bytes)
 {
     auto& connection = *m_connections.at(id);
+    if (connection.hasEnded) {
+        if (!std::exchange(connection.isKeptAlive, false))
+            return bytes.size();
+        m_stats.abandonedRequests++;
+        LOG(WARNING) << "a request arrived after its idle connection had been ended";
+        return bytes.size();
+    }
+    connection.unparsedBytes = bytes.size();
     if (connection.request != 0 || !connection.isKeptAlive) {
         connection.stream->setReading(false);
         return 0;
@@ -78,6 +108,7 @@
     if (!connection.parser.hasMessage())
         return used;
     connection.request = ++m_lastId;
+    connection.unparsedBytes = bytes.size() - used;
     connection.isKeptAlive = connection.parser.shouldKeepAlive();
     auto respondToRequest = [this, id, request = connection.request, isAlive = m_isAlive](const HttpResponse& response) {
         if (*isAlive)
@@ -94,7 +125,7 @@
         return;
     auto& connection = *it->second;
     connection.request = 0;
-    connection.isKeptAlive = connection.isKeptAlive && !m_isDraining;
+    connection.isKeptAlive = connection.isKeptAlive && (!m_isDraining || connection.unparsedBytes != 0);
     std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ' + http_status_str(static_cast<http_status>(response.status)) + "\r\n";
     for (const auto& header : response.headers)
         head += header.name + ": " + header.value + "\r\n";
--- a/src/net/stream_p.h
+++ b/src/net/stream_p.h
@@ -68,6 +68,8 @@
     [[nodiscard]] size_t unsentBytes() const;
     /// Bytes read from the kernel that onBytes has not consumed yet.
     [[nodiscard]] size_t unreadBytes() const;
+    /// Ends the sending direction: the peer sees the end of input, and may still send.
+    void shutdownSend();
     /// Closes the stream after all written bytes were handed to the kernel, and then calls onClosed.
     void closeAfterWrite();
     /// Closes the stream at once, without calling onClosed. When called from one of the stream's handlers, the object can be
@@ -95,7 +97,11 @@
     Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept);
     /// @returns whether the listener is bound and not closed.
     [[nodiscard]] bool isOpen() const { return m_listener != nullptr; }
-    void close() { m_listener.reset(); }
+    /// Ignores further attempts to connect. Connections that are being established are completed and accepted until close(): closing a
+    /// listening socket resets those that it has not accepted.
+    void ignoreNew();
+    /// Accepts the connections that are already established, then closes the listening socket.
+    void close();
 
 private:
     struct Deleter {
--- a/tests/jobs/gateway_stop_test.cpp
+++ b/tests/jobs/gateway_stop_test.cpp
@@ -2,7 +2,8 @@
 
 #include "core/event_log_p.h"
 #include "net_fixture.h"
-#include "platform/gateway_shutdown_p.h"
+#include "node/shutdown_p.h"
+#include "platform/incoming_p.h"
 #include "raw_client.h"
 
 #include <fcntl.h>
@@ -45,15 +46,18 @@
     net::Address clientAddress = net::freeAddress();
     ClientApi clientApi { loop, clock, log, { clientAddress, net::freeAddress(), 8 },
         [this](node::Request request, TimePoint sendDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaderClient.call(std::move(request), sendDeadline, deadline, std::move(handler)); }, [] { return true; } };
-    GatewayShutdown shutdown { clientApi, leaderClient };
+    node::Shutdown shutdown { clientApi.clientServer(), node::gatewayShutdown, { nullptr, [this] { leaderClient.close(); } } };
     TimePoint startedAt = clock.now();
 
     void runUntilExit(milliseconds sinceSignal)
     {
-        net::runUntil(loop, [&] { return shutdown.tick(startedAt + sinceSignal); });
+        if (!shutdown.tick(startedAt + sinceSignal))
+            net::runUntil(loop, [&] { return shutdown.tick(startedAt + sinceSignal + node::Shutdown::handshakeTime); });
     }
 };
 
+/// Late enough for everything but the answers to requests that are still in progress.
+constexpr milliseconds beforeAnswerAll = node::gatewayShutdown.answerAll - node::Shutdown::handshakeTime - milliseconds(1);
 constexpr const char* request = "GET /queue/0123456789abcdef HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 60000\r\n\r\n";
 
 } // namespace
@@ -65,11 +69,11 @@
     REQUIRE(client.send(request));
     net::runUntil(it.loop, [&] { return it.leader.calls >= 1; });
     it.shutdown.begin(it.startedAt);
-    CHECK_FALSE(it.shutdown.tick(it.startedAt + GatewayShutdown::drainDelay));
-    CHECK_FALSE(it.shutdown.tick(it.startedAt + GatewayShutdown::drainTimeout - milliseconds(1)));
+    CHECK_FALSE(it.shutdown.tick(it.startedAt + node::gatewayShutdown.announce));
+    CHECK_FALSE(it.shutdown.tick(it.startedAt + node::gatewayShutdown.answerAll - milliseconds(1)));
     net::runUntil(it.loop, [] { return true; });
     CHECK(client.hasNoInput());
-    it.runUntilExit(GatewayShutdown::drainTimeout);
+    it.runUntilExit(node::gatewayShutdown.answerAll);
     CHECK(client.readResponse().starts_with("HTTP/1.1 504"));
 }
 
@@ -81,7 +85,7 @@
     REQUIRE(client.send(request));
     net::runUntil(it.loop, [&] { return it.leaderClient.pendingCalls() == 1; });
     it.shutdown.begin(it.startedAt);
-    it.runUntilExit(GatewayShutdown::drainTimeout);
+    it.runUntilExit(node::gatewayShutdown.answerAll);
     auto response = client.readResponse();
     CHECK(response.starts_with("HTTP/1.1 503"));
     CHECK(response.find("Retry-After: 1\r\n") != std::string::npos);
@@ -97,7 +101,7 @@
     net::runUntil(it.loop, [&] { return it.leader.calls >= 1 && !reused.hasNoInput(); });
     REQUIRE(reused.readResponse().starts_with("HTTP/1.1 400"));
     it.shutdown.begin(it.startedAt);
-    CHECK_FALSE(it.shutdown.tick(it.startedAt + GatewayShutdown::drainTimeout));
+    CHECK_FALSE(it.shutdown.tick(it.startedAt + node::gatewayShutdown.answerAll));
     REQUIRE(reused.send(request));
     net::runUntil(it.loop, [&] { return !reused.hasNoInput(); });
     CHECK(reused.readResponse().starts_with("HTTP/1.1 503"));
@@ -110,6 +114,79 @@
     REQUIRE(client.send(request));
     net::runUntil(it.loop, [&] { return it.leader.calls >= 1; });
     it.shutdown.begin(it.startedAt);
-    CHECK_FALSE(it.shutdown.tick(it.startedAt + GatewayShutdown::drainTimeout));
-    CHECK(it.shutdown.tick(it.startedAt + GatewayShutdown::exitTimeout));
+    CHECK_FALSE(it.shutdown.tick(it.startedAt + node::gatewayShutdown.answerAll));
+    CHECK(it.shutdown.tick(it.startedAt + node::gatewayShutdown.exit));
+}
+
+// Guards against a gateway that exits between two requests of a client that keeps its connection.
+TEST_CASE("an idle connection keeps the gateway until its next request has been answered as the last one", "[gateway]")
+{
+    Gateway it;
+    RawClient client(it.clientAddress.port);
+    REQUIRE(client.send("PUT /1 HTTP/1.1\r\n\r\n"));
+    net::runUntil(it.loop, [&] { return !client.hasNoInput(); });
+    CHECK(client.readResponse().find("Connection: close") == std::string::npos);
+    it.shutdown.begin(it.startedAt);
+    CHECK_FALSE(it.shutdown.tick(it.startedAt + node::gatewayShutdown.stopAccepting));
+    CHECK_FALSE(it.shutdown.tick(it.startedAt + node::gatewayShutdown.answerAll - milliseconds(1)));
+    REQUIRE(client.send("PUT /2 HTTP/1.1\r\n\r\n"));
+    it.runUntilExit(beforeAnswerAll);
+    auto response = client.readResponse();
+    CHECK(response.starts_with("HTTP/1.1 400"));
+    CHECK(response.find("Connection: close\r\n") != std::string::npos);
+    CHECK(client.waitForEof());
+}
+
+// Guards against a reset of connections that wait in the listen queue when the listening socket closes.
+TEST_CASE("a connection that is established but not accepted when the gateway stops accepting is served", "[gateway]")
+{
+    Gateway it;
+    RawClient client(it.clientAddress.port);
+    REQUIRE(client.send("PUT /1 HTTP/1.1\r\n\r\n"));
+    it.shutdown.begin(it.startedAt);
+    it.shutdown.tick(it.startedAt + node::gatewayShutdown.stopAccepting);
+    it.shutdown.tick(it.startedAt + node::gatewayShutdown.stopAccepting + node::Shutdown::handshakeTime);
+    CHECK_FALSE(it.clientApi.isOpen());
+    it.runUntilExit(beforeAnswerAll);
+    CHECK(client.readResponse().starts_with("HTTP/1.1 400"));
+}
+
+TEST_CASE("an idle client sees the end of its connection before the gateway exits, and the gateway waits for its close", "[gateway]")
+{
+    Gateway it;
+    RawClient client(it.clientAddress.port);
+    REQUIRE(client.send("PUT /1 HTTP/1.1\r\n\r\n"));
+    net::runUntil(it.loop, [&] { return !client.hasNoInput(); });
+    client.readResponse();
+    it.shutdown.begin(it.startedAt);
+    CHECK_FALSE(it.shutdown.tick(it.startedAt + node::gatewayShutdown.endIdle));
+    CHECK(client.waitForEof());
+    client.close();
+    it.runUntilExit(node::gatewayShutdown.endIdle);
+}
+
+// Guards against a request that arrived before its idle connection ends, but has not been read yet.
+TEST_CASE("a request that arrives as idle connections end is refused as not run", "[gateway]")
+{
+    Gateway it;
+    RawClient client(it.clientAddress.port);
+    REQUIRE(client.send("PUT /1 HTTP/1.1\r\n\r\n"));
+    net::runUntil(it.loop, [&] { return !client.hasNoInput(); });
+    client.readResponse();
+    it.shutdown.begin(it.startedAt);
+    REQUIRE(client.send(request));
+    it.runUntilExit(node::gatewayShutdown.endIdle);
+    CHECK(client.readResponse().starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("all requests that a client sent at once are answered while the gateway drains", "[gateway]")
+{
+    Gateway it;
+    RawClient client(it.clientAddress.port);
+    it.shutdown.begin(it.startedAt);
+    it.shutdown.tick(it.startedAt + node::gatewayShutdown.announce);
+    REQUIRE(client.send("PUT /1 HTTP/1.1\r\n\r\nPUT /2 HTTP/1.1\r\n\r\n"));
+    it.runUntilExit(beforeAnswerAll);
+    CHECK(client.readResponse().find("Connection: close") == std::string::npos);
+    CHECK(client.readResponse().find("Connection: close") != std::string::npos);
 }
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -4,7 +4,8 @@
 #include "node/metrics_page_p.h"
 #include "node/process_metrics_p.h"
 #include "node/process_usage_p.h"
-#include "platform/gateway_shutdown_p.h"
+#include "node/shutdown_p.h"
+#include "platform/incoming_p.h"
 #include "platform/program_p.h"
 
 #include <glog/logging.h>
@@ -42,11 +43,11 @@
     log.stateLine("start").field("node", settings->node).field("version", std::string_view(VANILLALIFT_VERSION));
     node::logHost(log);
     node::LeaderClient leaderClient(loop, clock, log, { { "", settings->availabilityZone, "" }, settings->seeds, nullptr });
-    bool isStopping = false;
     platform::ClientApi::Desc desc { *settings->clientAddress, *settings->readinessAddress, settings->maxDescriptors - std::min(settings->maxDescriptors / 2, reservedDescriptors) };
     auto forwardCall = [&](node::Request request, TimePoint sendDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaderClient.call(std::move(request), sendDeadline, deadline, std::move(handler)); };
+    bool isStopping = false;
     platform::ClientApi clients(loop, clock, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && !isStopping; });
-    platform::GatewayShutdown stop(clients, leaderClient);
+    node::Shutdown stop(clients.clientServer(), node::gatewayShutdown, { nullptr, [&] { leaderClient.close(); } });
     node::MetricsPage metrics(loop, { settings->clientAddress->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
         node::visitProcessMetrics(clients.clientServer(), visit);
         visit("requests_accepted_total", "Requests that succeeded.", static_cast<double>(clients.counters().accepted));
@@ -81,6 +82,6 @@
             leaderClient.addSeeds(changed->seeds);
     });
     loop.run();
-    log.stateLine("connections").field("open", clients.clientServer().openConnections()).field("requests", clients.openRequests());
+    log.stateLine("connections").field("open", clients.clientServer().openConnections()).field("requests", clients.clientServer().openRequests());
     return node::logExit(log, 0, "stopped");
 }
