Answer clients that close their sending side after a request

A client that ended its input while its request was in progress was dropped without an answer, and so were whole requests that waited behind it: the stream took the end of the peer's data for the end of the connection. A stream now reports the end of input apart from its own end, after all bytes; the server keeps the connection until its responses are written, and answers 400 to a request that is not whole. Resets, failed writes and TCP_USER_TIMEOUT still drop it.

--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -64,6 +64,8 @@
     /// Parses up to the end of one message.
     /// @returns the number of bytes consumed.
     size_t feed(std::string_view bytes);
+    /// @returns whether a message has begun and is not complete.
+    [[nodiscard]] bool isInMessage() const { return m_hasBegun && !m_isComplete; }
     [[nodiscard]] bool hasMessage() const { return m_isComplete; }
     [[nodiscard]] bool hasFailed() const { return m_hasFailed; }
     /// Valid if hasFailed(): whether the message exceeds the limits.
@@ -78,6 +80,7 @@
 
     Limits m_limits;
     http_parser m_parser {};
+    bool m_hasBegun = false;
     bool m_isComplete = false;
     bool m_hasFailed = false;
     bool m_isTooLarge = false;
@@ -107,7 +110,7 @@
     using Respond = std::function<void(HttpResponse)>;
     using Handler = std::function<void(HttpRequest, Respond)>;
 
-    HttpServer(EventLoop& loop, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
+    HttpServer(EventLoop& loop, const Clock& clock, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
     ~HttpServer();
 
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
@@ -125,9 +128,12 @@
     void accept(evutil_socket_t fd);
     size_t receive(uint64_t id, std::string_view bytes);
     void respond(uint64_t id, uint64_t request, const HttpResponse& response);
+    void handleInputEnd(uint64_t id);
+    void refuse(uint64_t id, int status);
     void drop(uint64_t id);
 
     EventLoop& m_loop;
+    const Clock& m_clock;
     size_t m_maxBodyBytes;
     size_t m_maxConnections;
     Handler m_handler;
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -30,6 +30,10 @@
     static const auto callbacks = [] {
         http_parser_settings it;
         http_parser_settings_init(&it);
+        it.on_message_begin = [](http_parser* parser) {
+            self(parser).m_hasBegun = true;
+            return 0;
+        };
         it.on_url = [](http_parser* parser, const char* at, size_t n) {
             self(parser).m_target.append(at, n);
             return countHeadBytes(self(parser), n);
@@ -94,6 +98,7 @@
 
 void HttpParser::reset()
 {
+    m_hasBegun = false;
     m_isComplete = false;
     m_isInValue = false;
     m_headBytes = 0;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -18,8 +18,9 @@
     [[nodiscard]] bool isOpen() const { return request != 0 || stream->unsentBytes() != 0 || (isKeptAlive && stream->unreadBytes() != 0); }
 };
 
-HttpServer::HttpServer(EventLoop& loop, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler)
+HttpServer::HttpServer(EventLoop& loop, const Clock& clock, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler)
     : m_loop(loop)
+    , m_clock(clock)
     , m_maxBodyBytes(maxBodyBytes)
     , m_maxConnections(maxConnections)
     , m_handler(std::move(handler))
@@ -41,7 +42,7 @@
     auto connection = std::make_unique<Connection>(Connection { HttpParser(HttpParser::Kind::Request, { config::maxHttpHeadBytes, m_maxBodyBytes }), nullptr });
     auto& inserted = *(m_connections[id] = std::move(connection));
     inserted.stream = std::make_unique<Stream>(m_loop, fd,
-        Stream::Handlers { nullptr, [this, id](std::string_view bytes) { return receive(id, bytes); }, [this, id](StreamCloseReason) { drop(id); } });
+        Stream::Handlers { nullptr, [this, id](std::string_view bytes) { return receive(id, bytes); }, [this, id](StreamCloseReason) { drop(id); }, [this, id] { handleInputEnd(id); } });
 }
 
 void HttpServer::drop(uint64_t id)
@@ -68,11 +69,7 @@
     }
     auto used = connection.parser.feed(bytes);
     if (connection.parser.hasFailed()) {
-        m_stats.malformedRequests++;
-        connection.request = ++m_lastId;
-        connection.isKeptAlive = false;
-        HttpResponse response { connection.parser.isTooLarge() ? 413 : 400, {}, {} };
-        respond(id, connection.request, response);
+        refuse(id, connection.parser.isTooLarge() ? 413 : 400);
         return bytes.size();
     }
     if (!connection.parser.hasMessage())
@@ -87,6 +84,27 @@
     return used;
 }
 
+void HttpServer::handleInputEnd(uint64_t id)
+{
+    // All bytes have been delivered, and those of a request in progress are delivered after its response, followed by this call.
+    auto& connection = *m_connections.at(id);
+    if (connection.request != 0 || !connection.isKeptAlive)
+        return;
+    if (connection.parser.isInMessage())
+        return refuse(id, 400);
+    connection.isKeptAlive = false;
+    connection.stream->closeAfterWrite();
+}
+
+void HttpServer::refuse(uint64_t id, int status)
+{
+    auto& connection = *m_connections.at(id);
+    m_stats.malformedRequests++;
+    connection.request = ++m_lastId;
+    connection.isKeptAlive = false;
+    respond(id, connection.request, { status, {}, {} });
+}
+
 void HttpServer::respond(uint64_t id, uint64_t request, const HttpResponse& response)
 {
     auto it = m_connections.find(id);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -77,7 +77,7 @@
     auto write = [](bufferevent*, void* self) {
         auto* stream = static_cast<Stream*>(self);
         if (stream->m_isClosing && stream->unsentBytes() == 0)
-            stream->handleEvent(BEV_EVENT_EOF);
+            stream->finish(StreamCloseReason::Closed);
     };
     auto event = [](bufferevent*, short what, void* self) { static_cast<Stream*>(self)->handleEvent(what); };
     bufferevent_setcb(m_buffer.get(), read, write, event, this);
@@ -127,9 +127,18 @@
             m_handlers.onConnected();
         return;
     }
+    // One call may report the end of input and a failed write.
+    bool isInputEnd = (what & BEV_EVENT_EOF) && !(what & (BEV_EVENT_ERROR | BEV_EVENT_WRITING));
+    if (isInputEnd && m_isConnected && m_handlers.onInputEnd)
+        return m_handlers.onInputEnd();
     auto reason = m_isConnected ? StreamCloseReason::Closed : StreamCloseReason::NotConnected;
     if (!m_isConnected && (what & BEV_EVENT_ERROR) && EVUTIL_SOCKET_ERROR() == ECONNREFUSED)
         reason = StreamCloseReason::Refused;
+    finish(reason);
+}
+
+void Stream::finish(StreamCloseReason reason)
+{
     bufferevent_disable(m_buffer.get(), EV_READ | EV_WRITE);
     // Moved out first: the handler may destroy this stream and with it the function object.
     auto onClosed = std::move(m_handlers.onClosed);
--- a/src/net/stream_p.h
+++ b/src/net/stream_p.h
@@ -46,6 +46,9 @@
         std::function<size_t(std::string_view)> onBytes;
         /// Called once, when the stream has closed. The handler may destroy the stream.
         std::function<void(StreamCloseReason)> onClosed;
+        /// If set, the end of the peer's data does not close the stream: it is reported here after all bytes, and again whenever
+        /// reading is resumed after it.
+        std::function<void()> onInputEnd = {};
     };
 
     /// Connects to an address.
@@ -77,6 +80,7 @@
 private:
     void handleRead();
     void handleEvent(short what);
+    void finish(StreamCloseReason reason);
     void configure(evutil_socket_t fd) const;
     void enable();
 
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -31,7 +31,7 @@
     SystemClock clock;
     Address address = freeAddress();
     std::vector<HttpRequest> requests;
-    HttpServer server { loop, address, 1000, 8, [this](const HttpRequest& request, const HttpServer::Respond& respond) {
+    HttpServer server { loop, clock, address, 1000, 8, [this](const HttpRequest& request, const HttpServer::Respond& respond) {
                            requests.push_back(request);
                            if (request.target != "/silent")
                                respond({ 200, {}, "seen " + request.body });
@@ -174,7 +174,7 @@
     SystemClock clock;
     auto address = freeAddress();
     HttpServer::Respond respond;
-    auto server = std::make_unique<HttpServer>(loop, address, 1000, 8, [&](const HttpRequest&, HttpServer::Respond it) { respond = std::move(it); });
+    auto server = std::make_unique<HttpServer>(loop, clock, address, 1000, 8, [&](const HttpRequest&, HttpServer::Respond it) { respond = std::move(it); });
     RawClient client(address.port);
     REQUIRE(client.send("GET /x HTTP/1.1\r\n\r\n"));
     runUntil(loop, [&] { return respond != nullptr; });
@@ -192,8 +192,9 @@
     // Larger than the kernel's socket buffers.
     const std::string large(64U << 20U, 'x');
     EventLoop loop;
+    SystemClock clock;
     auto address = freeAddress();
-    HttpServer server(loop, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, large }); });
+    HttpServer server(loop, clock, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, large }); });
     RawClient slow(address.port);
     RawClient dropped(address.port);
     REQUIRE(slow.send("GET /x HTTP/1.1\r\n\r\n"));
@@ -213,7 +214,7 @@
     EventLoop loop;
     SystemClock clock;
     auto address = freeAddress();
-    HttpServer server(loop, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, "seen" }); });
+    HttpServer server(loop, clock, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, "seen" }); });
     RawClient client(address.port);
     REQUIRE(client.send("GET /1 HTTP/1.1\r\n\r\n"));
     runUntil(loop, [&] { return !client.hasNoInput(); });
--- a/tests/raw_client.h
+++ b/tests/raw_client.h
@@ -39,6 +39,14 @@
         m_socket = -1;
     }
 
+    /// Closes the connection with a reset.
+    void reset()
+    {
+        linger none { 1, 0 };
+        setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+        close();
+    }
+
     void shutdownSend() const { shutdown(m_socket, SHUT_WR); }
 
     bool send(std::string_view text) const { return ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()); }
--- a/tests/soak/site.cpp
+++ b/tests/soak/site.cpp
@@ -110,7 +110,7 @@
     };
     handlers.move = [](const std::string&, const std::string&, uint64_t) { return InstanceReplyStatus::Impossible; };
     handlers.maintain = [this](const std::string& instance, uint64_t wave, uint64_t) { return maintain(instance, wave); };
-    m_instanceServer = std::make_unique<InstanceServer>(m_loop, address(endpointNetwork, firstGatewayHost, instancePort), std::move(handlers));
+    m_instanceServer = std::make_unique<InstanceServer>(m_loop, m_clock, address(endpointNetwork, firstGatewayHost, instancePort), std::move(handlers));
     isOpen = isOpen && m_instanceServer->isOpen();
 
     for (size_t n = 0; n < m_desc.endpoints; n++) {
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -47,7 +47,7 @@
     auto forwardCall = [&](node::Request request, TimePoint sendDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaderClient.call(std::move(request), sendDeadline, deadline, std::move(handler)); };
     platform::ClientApi clients(loop, clock, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && !isStopping; });
     platform::GatewayShutdown stop(clients, leaderClient);
-    node::MetricsPage metrics(loop, { settings->clientAddress->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
+    node::MetricsPage metrics(loop, clock, { settings->clientAddress->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
         node::visitProcessMetrics(clients.clientServer(), visit);
         visit("requests_accepted_total", "Requests that succeeded.", static_cast<double>(clients.counters().accepted));
         visit("requests_refused_total", "Requests refused without being executed.", static_cast<double>(clients.counters().refused));
