End connections without a reset while their input still arrives

After an error answer (400, 413), or the last answer of a connection, the server closed the socket with whatever had not been read; the kernel then resets the connection, and the client may lose the answer. The server now ends its output once the response is written, reads and discards input for 1 s and up to 4 MiB (config::httpLingerTimeout, maxHttpDiscardedBytes), and then closes. Such connections do not count as open requests, so they do not hold up a process that stops.

Tests: two cases of http_close_test failed before the change (the connection ended with an error instead of the end of input); the third guards the bounds. net_test and gateway_stop_test pass.

--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -42,6 +42,10 @@
 /// Time after which a connection with unacknowledged data is closed (TCP_USER_TIMEOUT): a network partition drops packets
 /// without a reset.
 constexpr unsigned tcpUserTimeoutMs = 2000;
+/// Time for which, and bytes up to which, input is read and discarded after the last response of an HTTP connection: closing with
+/// unread input resets the connection, and the client may lose the response.
+constexpr milliseconds httpLingerTimeout { 1000 };
+constexpr size_t maxHttpDiscardedBytes = 4U << 20U;
 /// Largest start line and headers of an HTTP message, in bytes.
 constexpr size_t maxHttpHeadBytes = 16U << 10U;
 /// Largest body of an HTTP message on the operator and endpoint interfaces, in bytes: enough for a catalog with 1,400 more
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -6,6 +6,7 @@
 
 #include <http_parser.h>
 
+#include <array>
 #include <deque>
 #include <list>
 #include <string>
@@ -125,6 +126,20 @@
 
 private:
     struct Connection;
+    /// What a connection is waiting for. The connections of a stage are in the order of their deadlines.
+    enum class Stage : uint8_t {
+        /// The next request.
+        Idle,
+        /// The response to a request.
+        Handling,
+        /// The end of input, after the last response.
+        Lingering,
+        StageCount,
+    };
+    void enter(Connection& connection, Stage stage);
+    void armTimer();
+    void handleTimer();
+    void handleWritten(uint64_t id);
     void accept(evutil_socket_t fd);
     size_t receive(uint64_t id, std::string_view bytes);
     void respond(uint64_t id, uint64_t request, const HttpResponse& response);
@@ -138,10 +153,12 @@
     size_t m_maxConnections;
     Handler m_handler;
     std::unordered_map<uint64_t, std::unique_ptr<Connection>> m_connections;
+    std::array<std::list<uint64_t>, static_cast<size_t>(Stage::StageCount)> m_stages;
     uint64_t m_lastId = 0;
     HttpServerStats m_stats;
     bool m_isDraining = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    Timer m_timer;
     Listener m_listener;
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -14,6 +14,12 @@
     /// Number of the request in progress, 0 for none.
     uint64_t request = 0;
     bool isKeptAlive = true;
+    size_t discardedBytes = 0;
+    Stage stage = Stage::Idle;
+    /// End of the stage; when idle, the time from which the connection may be closed in favour of another one.
+    TimePoint deadline {};
+    /// In the list of the stage.
+    std::list<uint64_t>::iterator position {};
 
     [[nodiscard]] bool isOpen() const { return request != 0 || stream->unsentBytes() != 0 || (isKeptAlive && stream->unreadBytes() != 0); }
 };
@@ -24,6 +30,7 @@
     , m_maxBodyBytes(maxBodyBytes)
     , m_maxConnections(maxConnections)
     , m_handler(std::move(handler))
+    , m_timer(loop, [this] { handleTimer(); })
     , m_listener(loop, address, [this](evutil_socket_t fd) { accept(fd); })
 {
 }
@@ -40,9 +47,41 @@
     }
     auto id = ++m_lastId;
     auto connection = std::make_unique<Connection>(Connection { HttpParser(HttpParser::Kind::Request, { config::maxHttpHeadBytes, m_maxBodyBytes }), nullptr });
+    auto& idle = m_stages[static_cast<size_t>(Stage::Idle)];
+    connection->position = idle.insert(idle.end(), id);
     auto& inserted = *(m_connections[id] = std::move(connection));
     inserted.stream = std::make_unique<Stream>(m_loop, fd,
-        Stream::Handlers { nullptr, [this, id](std::string_view bytes) { return receive(id, bytes); }, [this, id](StreamCloseReason) { drop(id); }, [this, id] { handleInputEnd(id); } });
+        Stream::Handlers { nullptr, [this, id](std::string_view bytes) { return receive(id, bytes); }, [this, id](StreamCloseReason) { drop(id); }, [this, id] { handleInputEnd(id); }, [this, id] { handleWritten(id); } });
+}
+
+void HttpServer::enter(Connection& connection, Stage stage)
+{
+    auto& from = m_stages.at(static_cast<size_t>(connection.stage));
+    auto& to = m_stages.at(static_cast<size_t>(stage));
+    to.splice(to.end(), from, connection.position);
+    connection.stage = stage;
+    if (stage != Stage::Lingering)
+        return;
+    connection.deadline = m_clock.now() + config::httpLingerTimeout;
+    if (to.size() == 1)
+        armTimer();
+}
+
+void HttpServer::armTimer()
+{
+    const auto& lingering = m_stages[static_cast<size_t>(Stage::Lingering)];
+    if (lingering.empty())
+        return;
+    m_timer.armAt(m_connections.at(lingering.front())->deadline, m_clock.now());
+}
+
+void HttpServer::handleTimer()
+{
+    const auto& lingering = m_stages[static_cast<size_t>(Stage::Lingering)];
+    auto now = m_clock.now();
+    while (!lingering.empty() && m_connections.at(lingering.front())->deadline <= now)
+        drop(lingering.front());
+    armTimer();
 }
 
 void HttpServer::drop(uint64_t id)
@@ -52,6 +91,7 @@
         return;
     if (it->second->request != 0)
         m_stats.abandonedRequests++;
+    m_stages.at(static_cast<size_t>(it->second->stage)).erase(it->second->position);
     m_connections.erase(it);
 }
 
@@ -63,10 +103,18 @@
 size_t HttpServer::receive(uint64_t id, std::string_view bytes)
 {
     auto& connection = *m_connections.at(id);
-    if (connection.request != 0 || !connection.isKeptAlive) {
+    if (connection.request != 0) {
         connection.stream->setReading(false);
         return 0;
     }
+    if (!connection.isKeptAlive) {
+        connection.discardedBytes += bytes.size();
+        if (connection.discardedBytes > config::maxHttpDiscardedBytes) {
+            connection.stream->setReading(false);
+            connection.stream->closeAfterWrite();
+        }
+        return bytes.size();
+    }
     auto used = connection.parser.feed(bytes);
     if (connection.parser.hasFailed()) {
         refuse(id, connection.parser.isTooLarge() ? 413 : 400);
@@ -75,6 +123,7 @@
     if (!connection.parser.hasMessage())
         return used;
     connection.request = ++m_lastId;
+    enter(connection, Stage::Handling);
     connection.isKeptAlive = connection.parser.shouldKeepAlive();
     auto respondToRequest = [this, id, request = connection.request, isAlive = m_isAlive](const HttpResponse& response) {
         if (*isAlive)
@@ -88,20 +137,31 @@
 {
     // All bytes have been delivered, and those of a request in progress are delivered after its response, followed by this call.
     auto& connection = *m_connections.at(id);
-    if (connection.request != 0 || !connection.isKeptAlive)
+    if (connection.request != 0)
         return;
-    if (connection.parser.isInMessage())
+    if (connection.isKeptAlive && connection.parser.isInMessage())
         return refuse(id, 400);
     connection.isKeptAlive = false;
     connection.stream->closeAfterWrite();
 }
 
+void HttpServer::handleWritten(uint64_t id)
+{
+    auto& connection = *m_connections.at(id);
+    if (connection.isKeptAlive || connection.request != 0 || connection.stage == Stage::Lingering)
+        return;
+    if (!connection.stream->endOutput())
+        return connection.stream->closeAfterWrite();
+    enter(connection, Stage::Lingering);
+}
+
 void HttpServer::refuse(uint64_t id, int status)
 {
     auto& connection = *m_connections.at(id);
     m_stats.malformedRequests++;
     connection.request = ++m_lastId;
     connection.isKeptAlive = false;
+    enter(connection, Stage::Handling);
     respond(id, connection.request, { status, {}, {} });
 }
 
@@ -121,10 +181,9 @@
         head += "Connection: close\r\n";
     head += "\r\n";
     connection.stream->write(head + response.body);
-    if (!connection.isKeptAlive)
-        connection.stream->closeAfterWrite();
-    else
-        connection.stream->setReading(true);
+    if (connection.isKeptAlive)
+        enter(connection, Stage::Idle);
+    connection.stream->setReading(true);
 }
 
 } // namespace vanillalift::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -78,6 +78,8 @@
         auto* stream = static_cast<Stream*>(self);
         if (stream->m_isClosing && stream->unsentBytes() == 0)
             stream->finish(StreamCloseReason::Closed);
+        else if (stream->m_handlers.onWritten && stream->unsentBytes() == 0)
+            stream->m_handlers.onWritten();
     };
     auto event = [](bufferevent*, short what, void* self) { static_cast<Stream*>(self)->handleEvent(what); };
     bufferevent_setcb(m_buffer.get(), read, write, event, this);
@@ -172,6 +174,8 @@
 
 size_t Stream::unreadBytes() const { return evbuffer_get_length(bufferevent_get_input(m_buffer.get())); }
 
+bool Stream::endOutput() const { return shutdown(bufferevent_getfd(m_buffer.get()), SHUT_WR) == 0; }
+
 void Stream::closeAfterWrite()
 {
     m_isClosing = true;
--- a/src/net/stream_p.h
+++ b/src/net/stream_p.h
@@ -49,6 +49,8 @@
         /// If set, the end of the peer's data does not close the stream: it is reported here after all bytes, and again whenever
         /// reading is resumed after it.
         std::function<void()> onInputEnd = {};
+        /// Called when all written bytes have been handed to the kernel.
+        std::function<void()> onWritten = {};
     };
 
     /// Connects to an address.
@@ -71,6 +73,9 @@
     [[nodiscard]] size_t unsentBytes() const;
     /// Bytes read from the kernel that onBytes has not consumed yet.
     [[nodiscard]] size_t unreadBytes() const;
+    /// Ends the output; the peer can still send. To be called when all written bytes were handed to the kernel.
+    /// @returns whether the peer will be told.
+    [[nodiscard]] bool endOutput() const;
     /// Closes the stream after all written bytes were handed to the kernel, and then calls onClosed.
     void closeAfterWrite();
     /// Closes the stream at once, without calling onClosed. When called from one of the stream's handlers, the object can be
--- a/tests/jobs/http_close_test.cpp
+++ b/tests/jobs/http_close_test.cpp
@@ -116,3 +116,53 @@
     runUntil(it.loop, [&] { return it.server.openConnections() == 0; });
     CHECK(it.server.stats().abandonedRequests == 1);
 }
+
+// Guards against a reset that destroys the answer on its way, when the connection closes with unread input.
+TEST_CASE("an error answer arrives although its request is still arriving", "[http]")
+{
+    Server it;
+    RawClient client(it.address.port);
+    REQUIRE(client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n" + std::string(200000, 'x')));
+    std::string response;
+    bool hasEnded = false;
+    it.play([&] {
+        response = client.readResponse();
+        hasEnded = client.waitForEof();
+    });
+    CHECK(response.starts_with("HTTP/1.1 413 "));
+    CHECK(hasEnded);
+}
+
+TEST_CASE("input behind a request with Connection: close does not reset the connection", "[http]")
+{
+    Server it;
+    RawClient client(it.address.port);
+    REQUIRE(client.send("GET /late HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + std::string(200000, 'x')));
+    runUntil(it.loop, [&] { return !it.late.empty(); });
+    it.late.front()({ 200, {}, "late" });
+    std::string response;
+    bool hasEnded = false;
+    it.play([&] {
+        response = client.readResponse();
+        hasEnded = client.waitForEof();
+    });
+    CHECK(response.ends_with("late"));
+    CHECK(hasEnded);
+}
+
+TEST_CASE("a client that neither stops sending nor closes is disconnected, and holds up no shutdown", "[http]")
+{
+    Server it;
+    RawClient silent(it.address.port);
+    RawClient sender(it.address.port);
+    REQUIRE(silent.send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+    it.play([&] {
+        CHECK(silent.readResponse().ends_with("seen /x"));
+        CHECK(silent.waitForEof());
+        std::string part(10000, 'x');
+        while (sender.send(part))
+            continue;
+    });
+    CHECK(it.server.openRequests() == 0);
+    runUntil(it.loop, [&] { return it.server.openConnections() == 0; });
+}
