--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -6,6 +6,7 @@
 
 #include <http_parser.h>
 
+#include <array>
 #include <deque>
 #include <list>
 #include <string>
@@ -66,6 +67,8 @@
     size_t feed(std::string_view bytes);
     /// Ends the input: a response without a length is then complete.
     void feedEnd();
+    /// @returns whether a message has begun and is not complete.
+    [[nodiscard]] bool isInMessage() const { return m_hasBegun && !m_isComplete; }
     [[nodiscard]] bool hasMessage() const { return m_isComplete; }
     [[nodiscard]] bool hasFailed() const { return m_hasFailed; }
     /// Valid if hasFailed(): whether the message exceeds the limits.
@@ -80,6 +83,7 @@
 
     Limits m_limits;
     http_parser m_parser {};
+    bool m_hasBegun = false;
     bool m_isComplete = false;
     bool m_hasFailed = false;
     bool m_isTooLarge = false;
@@ -109,7 +113,7 @@
     using Respond = std::function<void(HttpResponse)>;
     using Handler = std::function<void(HttpRequest, Respond)>;
 
-    HttpServer(EventLoop& loop, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
+    HttpServer(EventLoop& loop, const Clock& clock, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
     ~HttpServer();
 
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
@@ -129,20 +133,39 @@
 
 private:
     struct Connection;
+    /// What a connection is waiting for. The connections of a stage are in the order of their deadlines.
+    enum class Stage : uint8_t {
+        /// The next request.
+        Idle,
+        /// The response to a request.
+        Handling,
+        /// The end of input, after the last response.
+        Lingering,
+        StageCount,
+    };
+    void enter(Connection& connection, Stage stage);
+    void armTimer();
+    void handleTimer();
+    void handleWritten(uint64_t id);
     void accept(evutil_socket_t fd);
     size_t receive(uint64_t id, std::string_view bytes);
     void respond(uint64_t id, uint64_t request, const HttpResponse& response);
+    void handleInputEnd(uint64_t id);
+    void refuse(uint64_t id, int status);
     void drop(uint64_t id);
 
     EventLoop& m_loop;
+    const Clock& m_clock;
     size_t m_maxBodyBytes;
     size_t m_maxConnections;
     Handler m_handler;
     std::unordered_map<uint64_t, std::unique_ptr<Connection>> m_connections;
+    std::array<std::list<uint64_t>, static_cast<size_t>(Stage::StageCount)> m_stages;
     uint64_t m_lastId = 0;
     HttpServerStats m_stats;
     bool m_isDraining = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    Timer m_timer;
     Listener m_listener;
 };
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -80,7 +80,9 @@
     auto write = [](bufferevent*, void* self) {
         auto* stream = static_cast<Stream*>(self);
         if (stream->m_isClosing && stream->unsentBytes() == 0)
-            stream->handleEvent(BEV_EVENT_EOF);
+            stream->finish(StreamCloseReason::Closed);
+        else if (stream->m_handlers.onWritten && stream->unsentBytes() == 0)
+            stream->m_handlers.onWritten();
     };
     auto event = [](bufferevent*, short what, void* self) { static_cast<Stream*>(self)->handleEvent(what); };
     bufferevent_setcb(m_buffer.get(), read, write, event, this);
@@ -130,9 +132,18 @@
             m_handlers.onConnected();
         return;
     }
+    // One call may report the end of input and a failed write.
+    bool isInputEnd = (what & BEV_EVENT_EOF) && !(what & (BEV_EVENT_ERROR | BEV_EVENT_WRITING));
+    if (isInputEnd && m_isConnected && m_handlers.onInputEnd)
+        return m_handlers.onInputEnd();
     auto reason = m_isConnected ? StreamCloseReason::Closed : StreamCloseReason::NotConnected;
     if (!m_isConnected && (what & BEV_EVENT_ERROR) && EVUTIL_SOCKET_ERROR() == ECONNREFUSED)
         reason = StreamCloseReason::Refused;
+    finish(reason);
+}
+
+void Stream::finish(StreamCloseReason reason)
+{
     bufferevent_disable(m_buffer.get(), EV_READ | EV_WRITE);
     // Moved out first: the handler may destroy this stream and with it the function object.
     auto onClosed = std::move(m_handlers.onClosed);
@@ -166,6 +177,8 @@
 
 size_t Stream::unreadBytes() const { return evbuffer_get_length(bufferevent_get_input(m_buffer.get())); }
 
+bool Stream::endOutput() const { return shutdown(bufferevent_getfd(m_buffer.get()), SHUT_WR) == 0; }
+
 void Stream::closeAfterWrite()
 {
     m_isClosing = true;
@@ -173,13 +186,6 @@
         bufferevent_trigger(m_buffer.get(), EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS);
 }
 
-void Stream::shutdownSend()
-{
-    auto fd = bufferevent_getfd(m_buffer.get());
-    if (fd >= 0)
-        shutdown(fd, SHUT_WR);
-}
-
 Listener::Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept)
     : m_onAccept(std::move(onAccept))
 {
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -50,7 +50,7 @@
     bool isStopping = false;
     platform::ClientApi clients(loop, clock, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && !isStopping; });
     node::Shutdown stop(clients.clientServer(), node::gatewayShutdown, { nullptr, [&] { leaderClient.close(); } });
-    node::MetricsPage metrics(loop, { settings->clientAddress->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
+    node::MetricsPage metrics(loop, clock, { settings->clientAddress->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
         node::visitProcessMetrics(clients.clientServer(), visit);
         visit("requests_accepted_total", "Requests that succeeded.", static_cast<double>(clients.counters().accepted));
         visit("requests_refused_total", "Requests refused without being executed.", static_cast<double>(clients.counters().refused));
