Let a controller that stops hand over, answer and drain

Cause: the controller ended once its leadership was transferred, whatever was open or on its way on its connections. Two that stopped at the same time could transfer the leadership to each other.

Now it stops with node::Shutdown like a gateway. From SIGTERM on each response ends its connection, as callers may go to any other controller at once; leadership is transferred first, for at most 1.5 s, while the control port serves and forwards to the new leader; then it takes no new connections and ends when all are closed, after 4.5 s at the latest. Calls of gateways that it had begun are sent to the new leader by the gateways, as before. A replica that is leaving is no candidate any more, also when asked by a leader. A second SIGTERM has no effect.

The new case of raft_core_test failed with both new rules switched off. raft_core_test, raft_history_test, leader_client_test, message_decode_test and gateway_stop_test pass. The whole test suite was not run.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -2,6 +2,7 @@
 
 #include "core/event_log_p.h"
 #include "heartbeat_route_p.h"
+#include "shutdown_p.h"
 
 #include <vanillalift/config.h>
 
@@ -22,8 +23,6 @@
     constexpr std::chrono::milliseconds tickInterval { 10 };
     constexpr std::chrono::milliseconds joinInterval { 400 };
     constexpr std::chrono::milliseconds housekeepingInterval { 500 };
-    /// Longest time that a stopping process waits for the transfer of its leadership.
-    constexpr std::chrono::milliseconds leadershipTransferTimeout { 1500 };
 
     std::string generateStorageId()
     {
@@ -154,7 +153,7 @@
 {
     std::vector<HeartbeatReceiver> receivers;
     for (const auto& it : m_driver->core().status().members) {
-        bool isUsable = it.name == m_desc.name ? !m_onStopped : m_leaderClient.isLinked(it.name);
+        bool isUsable = it.name == m_desc.name ? !m_isStopping : m_leaderClient.isStaying(it.name);
         if (!isUsable || it.name == m_leaderClient.leader())
             continue;
         auto info = m_store.replicas().find(it.name);
@@ -164,11 +163,35 @@
     return chosen.empty() ? m_leaderClient.leader() : std::string(chosen);
 }
 
-void Controller::stop(std::function<void()> done)
+void Controller::beginStop()
 {
-    m_onStopped = std::move(done);
-    m_stopDeadline = m_clock.now() + leadershipTransferTimeout;
-    m_driver->transferLeadership();
+    if (std::exchange(m_isStopping, true))
+        return;
+    m_handOverDeadline = m_clock.now() + controllerShutdown.stopAccepting;
+    handOver();
+    sendStatus();
+}
+
+void Controller::handOver()
+{
+    std::vector<std::string> avoid;
+    for (const auto& it : m_driver->core().status().members) {
+        if (it.name != m_desc.name && !m_leaderClient.isStaying(it.name))
+            avoid.push_back(it.name);
+    }
+    m_driver->leave(std::move(avoid));
+}
+
+bool Controller::hasHandedOver() const
+{
+    if (!m_isStopping)
+        return false;
+    if (m_clock.now() >= m_handOverDeadline)
+        return true;
+    if (!m_driver->isLeader())
+        return !m_driver->hasPendingWrites();
+    auto members = m_driver->core().status().members;
+    return std::none_of(members.begin(), members.end(), [this](const auto& it) { return it.name != m_desc.name && it.isVoter && m_leaderClient.isStaying(it.name); });
 }
 
 void Controller::accept(evutil_socket_t fd)
@@ -242,7 +265,7 @@
 ControllerStatus Controller::status() const
 {
     auto replica = m_driver->core().status();
-    ControllerStatus status { replica.term, hasLeaderAuthority() && m_service, replica.leader, {} };
+    ControllerStatus status { replica.term, hasLeaderAuthority() && m_service, replica.leader, {}, m_isStopping };
     for (const auto& it : replica.members)
         status.members.push_back(it.name);
     return status;
@@ -253,7 +276,7 @@
 TimePoint Controller::soleLeaderUntil() const
 {
     // A leader that transfers its leadership causes an election at once.
-    if (!m_driver->isReadyLeader() || m_onStopped)
+    if (!m_driver->isReadyLeader() || m_isStopping)
         return {};
     return m_driver->core().lastQuorumContactAt() + config::controlElectionTimeout;
 }
@@ -348,8 +371,9 @@
     if (now >= m_nextLoadLogAt)
         logLoad();
     m_log.flush();
-    if (m_onStopped && ((!m_driver->isLeader() && !m_driver->hasPendingWrites()) || now >= m_stopDeadline))
-        return std::exchange(m_onStopped, nullptr)();
+    // A transfer fails if its target has ended or begun to stop meanwhile.
+    if (m_isStopping && m_driver->isLeader() && now < m_handOverDeadline)
+        handOver();
     m_nextTickAt = now + tickInterval;
     m_timer.armAt(m_nextTickAt, now);
 }
@@ -401,7 +425,7 @@
 {
     auto now = m_clock.now();
     m_nextJoinAt = now + joinInterval;
-    if (m_onStopped)
+    if (m_isStopping)
         return;
     auto status = m_driver->core().status();
     auto self = std::find_if(status.members.begin(), status.members.end(), [this](const auto& it) { return it.name == m_desc.name; });
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -54,8 +54,13 @@
     /// @returns the name of the controller to which the endpoint should send its next heartbeats; empty if none is known.
     [[nodiscard]] std::string heartbeatReceiver(std::string_view availabilityZone, std::string_view endpointId) const;
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
-    /// Transfers leadership to another controller. The process may end once done is called.
-    void stop(std::function<void()> done);
+    /// Begins to leave: transfers leadership to another controller, and is no candidate any more. Requests are forwarded until the process
+    /// ends. Further calls have no effect.
+    void beginStop();
+    /// @returns whether this controller has stopped leading, or no other one can take over.
+    [[nodiscard]] bool hasHandedOver() const;
+    /// Completes all requests in progress without a reply, and each later one at once.
+    void closeCalls() { m_leaderClient.close(); }
     /// Passes each metric to visit.
     void visitMetrics(const std::function<void(std::string_view name, std::string_view help, double value)>& visit) const;
 
@@ -88,6 +93,7 @@
     /// that have been removed since are left out.
     void repeatHeartbeats();
     void logLoad();
+    void handOver();
 
     net::EventLoop& m_loop;
     const Clock& m_clock;
@@ -117,8 +123,8 @@
     /// Counters at the last load log entry.
     jobs::DispatcherStats m_lastLoggedStats;
     CallStats m_lastLoggedCalls;
-    std::function<void()> m_onStopped;
-    TimePoint m_stopDeadline;
+    bool m_isStopping = false;
+    TimePoint m_handOverDeadline;
     uint64_t m_leadershipCount = 0;
     net::Timer m_timer;
     net::Listener m_listener;
--- a/src/node/leader_client.cpp
+++ b/src/node/leader_client.cpp
@@ -85,6 +85,8 @@
     return it != m_peers.end() && it->second.link && it->second.link->isConnected() && it->second.status.term != 0;
 }
 
+bool LeaderClient::isStaying(const std::string& name) const { return isLinked(name) && !m_peers.at(name).status.isStopping; }
+
 void LeaderClient::tick()
 {
     auto now = m_clock.now();
--- a/src/node/leader_client_p.h
+++ b/src/node/leader_client_p.h
@@ -55,6 +55,8 @@
     void maintainLink(const std::string& name);
     /// @returns whether there is a link to the controller on which it reports its status.
     [[nodiscard]] bool isLinked(const std::string& name) const;
+    /// @returns whether the controller can take over from one that ends: it is linked and not about to end itself.
+    [[nodiscard]] bool isStaying(const std::string& name) const;
     [[nodiscard]] bool hasLeader() const { return m_isLocalLeader || !m_leader.empty(); }
     [[nodiscard]] const std::string& leader() const { return m_leader; }
     /// @returns the term of the last known leader.
--- a/src/node/messages_p.h
+++ b/src/node/messages_p.h
@@ -27,7 +27,9 @@
     bool isLeader = false;
     std::string leader;
     std::vector<std::string> members;
-    MSGPACK_DEFINE(term, isLeader, leader, members)
+    /// Whether the sender is about to end; senders of an earlier version leave it out.
+    bool isStopping = false;
+    MSGPACK_DEFINE(term, isLeader, leader, members, isStopping)
 };
 
 /// Encoded Raft messages.
--- a/src/node/shutdown_p.h
+++ b/src/node/shutdown_p.h
@@ -26,6 +26,12 @@
     std::chrono::milliseconds(2500), std::chrono::milliseconds(2500), std::chrono::milliseconds(5400), std::chrono::milliseconds(5600), std::chrono::milliseconds(5800)
 };
 
+/// Callers of a controller may go to any other one at once. It stops accepting once its leadership has been transferred. The senders of
+/// heartbeats, which come back within 3 s, are told on their connection that it ends.
+constexpr ShutdownTimes controllerShutdown {
+    std::chrono::milliseconds(0), std::chrono::milliseconds(1500), std::chrono::milliseconds(4000), std::chrono::milliseconds(4300), std::chrono::milliseconds(4500)
+};
+
 /// Graceful shutdown of a process with one HTTP server for its callers. Ends as soon as all connections are closed: a request may be on its
 /// way on each of them.
 class Shutdown {
--- a/src/replica/log_driver.cpp
+++ b/src/replica/log_driver.cpp
@@ -131,7 +131,7 @@
 
 void LogDriver::removeMember(const std::string& name) { step(RemoveMember { 0, name }); }
 
-void LogDriver::transferLeadership() { step(TransferLeadership {}); }
+void LogDriver::leave(std::vector<std::string> avoid) { step(TransferLeadership { std::move(avoid), true }); }
 
 bool LogDriver::isReadyLeader() const { return isLeader() && m_appliedIndex >= m_termStartIndex; }
 
--- a/src/replica/log_driver_p.h
+++ b/src/replica/log_driver_p.h
@@ -78,8 +78,9 @@
     /// Neither call reports an outcome; the caller checks the members and retries.
     void replaceMember(const std::string& name, const std::string& storageId);
     void removeMember(const std::string& name);
-    /// Transfers leadership to another replica, if this is the leader.
-    void transferLeadership();
+    /// Transfers leadership to another replica, if this is the leader. From now on this replica is no candidate.
+    /// @param avoid replicas that are not to become the leader.
+    void leave(std::vector<std::string> avoid);
 
     [[nodiscard]] const raft::RaftCore& core() const { return m_core; }
     [[nodiscard]] bool isLeader() const { return m_role == ReplicaRole::Leader; }
--- a/src/replica/raft_core.cpp
+++ b/src/replica/raft_core.cpp
@@ -52,7 +52,7 @@
         if (m_now < m_electionDeadline)
             return;
         resetElectionDeadline();
-        if (isSelfVoter())
+        if (isSelfVoter() && !m_isLeaving)
             startElection(true);
         return;
     }
@@ -193,7 +193,7 @@
 
 void RaftCore::handleBody(const Message& message, const TimeoutNow& /*request*/)
 {
-    if (message.term == m_hardState.term && m_role == ReplicaRole::Follower && isSelfVoter())
+    if (message.term == m_hardState.term && m_role == ReplicaRole::Follower && isSelfVoter() && !m_isLeaving)
         startElection(false);
 }
 
--- a/src/replica/raft_core_p.h
+++ b/src/replica/raft_core_p.h
@@ -77,7 +77,7 @@
     void handle(const ReadIndex& read);
     void handle(const ReplaceMember& change);
     void handle(const RemoveMember& change);
-    void handle(TransferLeadership);
+    void handle(const TransferLeadership& transfer);
     void handle(const Persisted& persisted);
     void handle(Compact& compact);
 
@@ -158,6 +158,7 @@
     uint64_t m_lastSequence = 0;
     std::string m_transferTarget;
     TimePoint m_transferDeadline;
+    bool m_isLeaving = false;
     /// Data of the snapshot being received, with its index and the term of the sending leader.
     std::string m_receivedChunks;
     uint64_t m_receivedSnapshotIndex = 0;
--- a/src/replica/raft_leader.cpp
+++ b/src/replica/raft_leader.cpp
@@ -250,8 +250,9 @@
     changeMembers(changed, 0);
 }
 
-void RaftCore::handle(TransferLeadership)
+void RaftCore::handle(const TransferLeadership& transfer)
 {
+    m_isLeaving = m_isLeaving || transfer.isLeaving;
     if (m_role != ReplicaRole::Leader || !m_transferTarget.empty())
         return;
     uint64_t best = 0;
@@ -259,6 +260,8 @@
         auto progress = m_progress.find(it.name);
         if (!it.isVoter || progress == m_progress.end() || progress->second.storageId != it.storageId || progress->second.matchIndex <= best)
             continue;
+        if (std::find(transfer.avoid.begin(), transfer.avoid.end(), it.name) != transfer.avoid.end())
+            continue;
         best = progress->second.matchIndex;
         m_transferTarget = it.name;
     }
--- a/src/replica/raft_types_p.h
+++ b/src/replica/raft_types_p.h
@@ -121,7 +121,12 @@
     uint64_t id = 0;
     std::string name;
 };
-struct TransferLeadership { };
+struct TransferLeadership {
+    /// Replicas that are not to become the leader.
+    std::vector<std::string> avoid;
+    /// Whether this replica is about to end: from now on it votes, but is no candidate.
+    bool isLeaving = false;
+};
 /// Reports that all entries up to the index are durable.
 struct Persisted {
     uint64_t index = 0;
--- a/tests/raft_core_test.cpp
+++ b/tests/raft_core_test.cpp
@@ -388,3 +388,31 @@
     CHECK_FALSE(read(json::object({ { "round", 1 } })));
     CHECK_FALSE(read(1));
 }
+
+// Guards against two replicas that stop at once and pass the leadership to each other.
+TEST_CASE("a replica that is leaving is no candidate, and transfers its leadership to none that it is to avoid", "[raft]")
+{
+    auto targets = [](const Actions& actions) {
+        std::vector<std::string> names;
+        for (const auto& it : actions) {
+            const auto* send = std::get_if<Send>(&it);
+            if (send && std::holds_alternative<TimeoutNow>(send->message.body))
+                names.push_back(send->message.to);
+        }
+        return names;
+    };
+    Fixture leader;
+    auto term = leader.elect();
+    auto index = leader.core.lastIndex();
+    leader.receive("b", term, AppendReply { 1, true, index, 0, 0 });
+    leader.receive("c", term, AppendReply { 1, true, index, 0, 0 });
+    CHECK(targets(leader.step(TransferLeadership { { "b", "c" }, true })).empty());
+    CHECK(leader.core.status().role == ReplicaRole::Leader);
+    CHECK(targets(leader.step(TransferLeadership { { "b" }, true })) == std::vector<std::string> { "c" });
+
+    Fixture follower;
+    follower.step(TransferLeadership { {}, true });
+    follower.wait(milliseconds(10000));
+    follower.receive("b", follower.core.status().term, TimeoutNow {});
+    CHECK(follower.core.status().role == ReplicaRole::Follower);
+}
--- a/tests/stop_e2e.py
+++ b/tests/stop_e2e.py
@@ -1,4 +1,4 @@
-"""Stops gateways of a site while clients keep their connections and send one request after the other.
+"""Stops gateways and controllers of a site while clients keep their connections and send one request after the other.
 
 Every request that a client could send has to be answered. Connections that are refused while no process listens are counted only.
 """
@@ -9,11 +9,12 @@
 import threading
 import time
 
-from plain_site import CLIENT_PORT, KEY, Site, wait_for
+from plain_site import CLIENT_PORT, CONTROL_PORT, KEY, Site, wait_for
 
 NET = "127.0.75"
 GRACE_S = 6
 READ_JOB = f"GET /jobs/none HTTP/1.1\r\nHost: plain.example\r\nX-Credential: {KEY}\r\nX-Deadline-Ms: 3000\r\n\r\n".encode()
+READ_CONFIG = b"GET /-/config HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
 class Client:
@@ -131,6 +132,9 @@
     def gateway_targets(self):
         return [(self.site.ips[it], CLIENT_PORT, READ_JOB) for it in self.site.gateways]
 
+    def controller_targets(self):
+        return [(self.site.ips[it], CONTROL_PORT, READ_CONFIG) for it in self.site.controllers]
+
     def await_end(self, names):
         """Waits until the processes have ended. Returns the longest time and the exit statuses."""
         begun = time.monotonic()
@@ -177,10 +181,36 @@
         self.check(f"{what}: no request without an answer", not clients.unanswered,
                    f"answers {clients.statuses}, refused {clients.refused}, unanswered {len(clients.unanswered)} {sorted(set(clients.unanswered))}")
 
+    def play_idle(self, what, name, port, request, idle_s):
+        """A client that sends its next request some time after the process was told to stop."""
+        with socket.create_connection((self.site.ips[name], port), timeout=GRACE_S) as connection:
+            connection.sendall(request)
+            is_kept = b"connection: close" not in connection.recv(65536).lower()
+            self.site.signal(name, signal.SIGTERM)
+            time.sleep(idle_s)
+            answer = b""
+            try:
+                connection.sendall(request)
+                answer = connection.recv(65536)
+            except OSError as error:
+                print(f"{what}: {type(error).__name__}")
+        waited, statuses = self.await_end([name])
+        self.check(f"{what}: the next request on an idle connection is answered as the last one", is_kept and b"connection: close" in answer.lower(), answer[:40])
+        self.check(f"{what}: {name} ends in time", statuses == [0] and idle_s + waited < GRACE_S, f"{idle_s + waited:.2f} s, status {statuses}")
+        self.site.launch(name)
+
     def run(self):
-        gateways = self.site.gateways
+        gateways, controllers = self.site.gateways, self.site.controllers
+        one_each = [[it] for it in controllers]
         self.play("gateways in turn", self.gateway_targets(), 40, [[it] for it in gateways])
-        self.play("gateways at once, twice", self.gateway_targets(), 200, [gateways], times=2)
+        self.play("controllers in turn", self.controller_targets(), 40, one_each)
+        self.play("controllers in turn, twice each, seen by clients of gateways", self.gateway_targets(), 40, one_each, times=2)
+        self.play("200 clients, two controllers and a gateway at once", self.gateway_targets() + self.controller_targets(), 200, [controllers[:2] + gateways[:1]])
+        self.play("all at once", self.gateway_targets() + self.controller_targets(), 40, [controllers + gateways], times=2, settle_s=2.0)
+        self.check("the site serves again", wait_for(self.site.is_ready, 20))
+        self.play_idle("idle client of a controller", controllers[0], CONTROL_PORT, READ_CONFIG, 2)
+        self.play_idle("idle client of a gateway", gateways[1], CLIENT_PORT, READ_JOB, 4)
+        self.play_start("controller's start", self.controller_targets(), controllers[0], (0.05, 0.3))
         self.play_start("gateway's start", self.gateway_targets(), gateways[0], (0.05,))
         self.check("the site serves again", wait_for(self.site.is_ready, 20))
         self.site.end()
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -5,6 +5,7 @@
 #include "node/process_metrics_p.h"
 #include "node/process_usage_p.h"
 #include "node/run_record_p.h"
+#include "node/shutdown_p.h"
 #include "platform/incoming_p.h"
 #include "platform/outgoing_p.h"
 #include "platform/program_p.h"
@@ -24,6 +25,7 @@
 /// Share of the other descriptors for connections to endpoints: the rest is for those that endpoints and operators open.
 constexpr double endpointConnectionShare = 0.6;
 constexpr size_t minConnections = 64;
+constexpr std::chrono::milliseconds shutdownTickInterval { 10 };
 
 struct ConnectionLimits {
     size_t toEndpoints = minConnections;
@@ -86,10 +88,22 @@
     if (!control.isOpen() || !metrics.isOpen() || !controller.isOpen())
         return node::logExit(log, 1, "an address cannot be listened on");
     bool isStopping = false;
+    node::Shutdown shutdown(control.server(), node::controllerShutdown, { [&] { return controller.hasHandedOver(); }, [&] { controller.closeCalls(); } });
+    net::Timer* nextTick = nullptr;
+    net::Timer shutdownTimer(loop, [&] {
+        auto now = clock.now();
+        if (shutdown.tick(now))
+            return loop.stop();
+        nextTick->armAt(now + shutdownTickInterval, now);
+    });
+    nextTick = &shutdownTimer;
     loop.onSignal(SIGTERM, [&] {
         log.stateLine("stop").field("reason", std::string_view("SIGTERM"));
         isStopping = true;
-        controller.stop([&] { loop.stop(); });
+        auto now = clock.now();
+        controller.beginStop();
+        shutdown.begin(now);
+        shutdownTimer.armAt(now, now);
     });
     loop.onSignal(SIGHUP, [&] {
         auto changed = platform::loadPlatformSettings(settings->path);
