Refuse what has arrived in part when a process stops

Callers saw: a request whose body was still arriving when the process ended was cut without an answer.

The whole test suite was not run.

--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -117,8 +117,8 @@
     void ignoreNewConnections() { m_listener.ignoreNew(); }
     /// Accepts the connections that are already established, and closes the listening socket; open connections stay.
     void stopAccepting() { m_listener.close(); }
-    /// Ends the sending direction of the connections that carry no request. Requests that have arrived are handled first; those that arrive
-    /// later count as abandoned.
+    /// Ends the sending direction of the connections that carry no request. Requests that have arrived are handled first, those that have
+    /// arrived in part are refused with 503, and those that arrive later count as abandoned.
     void endIdleConnections();
     /// Number of connections with a request in progress, response bytes not yet handed to the kernel, or unparsed input.
     [[nodiscard]] size_t openRequests() const;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -17,6 +17,8 @@
     bool isKeptAlive = true;
     /// Whether the sending direction has ended.
     bool hasEnded = false;
+    /// Whether a request has arrived in part.
+    bool hasPartialRequest = false;
     /// Bytes read after the request in progress.
     size_t unparsedBytes = 0;
 
@@ -76,8 +78,15 @@
         it = m_connections.find(id);
         if (it == m_connections.end() || it->second->isOpen() || !it->second->isKeptAlive)
             continue;
-        it->second->hasEnded = true;
-        it->second->stream->shutdownSend();
+        auto& connection = *it->second;
+        if (connection.hasPartialRequest) {
+            connection.request = ++m_lastId;
+            connection.isKeptAlive = false;
+            respond(id, connection.request, { 503, { { "Retry-After", "1" } }, {} });
+            continue;
+        }
+        connection.hasEnded = true;
+        connection.stream->shutdownSend();
     }
 }
 
@@ -105,7 +114,8 @@
         respond(id, connection.request, response);
         return bytes.size();
     }
-    if (!connection.parser.hasMessage())
+    connection.hasPartialRequest = !connection.parser.hasMessage();
+    if (connection.hasPartialRequest)
         return used;
     connection.request = ++m_lastId;
     connection.unparsedBytes = bytes.size() - used;
--- a/tests/jobs/gateway_stop_test.cpp
+++ b/tests/jobs/gateway_stop_test.cpp
@@ -190,3 +190,34 @@
     CHECK(client.readResponse().find("Connection: close") == std::string::npos);
     CHECK(client.readResponse().find("Connection: close") != std::string::npos);
 }
+
+// Guards against a connection that is cut while its request is arriving.
+TEST_CASE("a request that has not arrived completely when idle connections end is refused as not run", "[gateway]")
+{
+    Gateway it;
+    RawClient client(it.clientAddress.port);
+    REQUIRE(client.send("POST /queue/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{"));
+    net::runUntil(it.loop, [&] { return it.clientApi.clientServer().openConnections() == 1; });
+    it.shutdown.begin(it.startedAt);
+    it.runUntilExit(node::gatewayShutdown.endIdle);
+    auto response = client.readResponse();
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(response.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(response.find("Connection: close\r\n") != std::string::npos);
+}
+
+TEST_CASE("a controller that could not pass a request on says when to try again", "[gateway]")
+{
+    net::EventLoop loop;
+    SystemClock clock;
+    EventLog log { clock, open("/dev/null", O_WRONLY | O_CLOEXEC), {} };
+    auto address = net::freeAddress();
+    ControlApi control(
+        loop, clock, log, address, 8, [](const node::Request&, TimePoint, const node::LeaderClient::Handler& handler) { handler({ std::nullopt, false }); }, [](std::string_view, std::string_view) { return std::string(); });
+    RawClient client(address.port);
+    REQUIRE(client.send("GET /-/config HTTP/1.1\r\n\r\n"));
+    net::runUntil(loop, [&] { return !client.hasNoInput(); });
+    auto response = client.readResponse();
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(response.find("Retry-After: 1\r\n") != std::string::npos);
+}
