Close the listening socket of a process that stops without a wait

Callers saw: attempts to connect within 0.1 s before the listening socket closed were not refused but repeated 1 s later.

Cause: new SYN segments were dropped for that time so that handshakes under way could complete.

Now the queue is accepted and the socket closed at once. A handshake whose last segment arrives after that is reset; on loopback this cannot be seen, on a network with a round trip it may be. Stops end 0.1 s sooner.

The whole test suite was not run.

--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -113,8 +113,6 @@
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
     /// Closes each connection after its next response, which carries "Connection: close", unless further requests have been read from it.
     void startDraining() { m_isDraining = true; }
-    /// Ignores further attempts to connect, see Listener::ignoreNew().
-    void ignoreNewConnections() { m_listener.ignoreNew(); }
     /// Accepts the connections that are already established, and closes the listening socket; open connections stay.
     void stopAccepting() { m_listener.close(); }
     /// Ends the sending direction of the connections that carry no request. Requests that have arrived are handled first, those that have
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -6,10 +6,7 @@
 #include <glog/logging.h>
 
 #include <arpa/inet.h>
-#include <array>
 #include <charconv>
-#include <limits>
-#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -190,24 +187,6 @@
         LOG(ERROR) << "cannot listen on port " << address.port << ": " << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
 }
 
-void Listener::ignoreNew()
-{
-    if (!m_listener)
-        return;
-    // Drops each segment with SYN, and lets the last segment of a handshake pass.
-    constexpr uint32_t tcpFlagsOffset = 13;
-    constexpr uint32_t synFlag = 0x02;
-    std::array<sock_filter, 4> code { {
-        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, tcpFlagsOffset),
-        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, synFlag, 0, 1),
-        BPF_STMT(BPF_RET | BPF_K, 0),
-        BPF_STMT(BPF_RET | BPF_K, std::numeric_limits<uint32_t>::max()),
-    } };
-    sock_fprog program { static_cast<unsigned short>(code.size()), code.data() };
-    if (setsockopt(evconnlistener_get_fd(m_listener.get()), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) != 0)
-        PLOG(WARNING) << "connections that arrive while the listening socket closes may be reset";
-}
-
 void Listener::close()
 {
     if (!m_listener)
--- a/src/net/stream_p.h
+++ b/src/net/stream_p.h
@@ -97,10 +97,7 @@
     Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept);
     /// @returns whether the listener is bound and not closed.
     [[nodiscard]] bool isOpen() const { return m_listener != nullptr; }
-    /// Ignores further attempts to connect. Connections that are being established are completed and accepted until close(): closing a
-    /// listening socket resets those that it has not accepted.
-    void ignoreNew();
-    /// Accepts the connections that are already established, then closes the listening socket.
+    /// Accepts the connections that are already established, then closes the listening socket, which resets those that it has not accepted.
     void close();
 
 private:
--- a/src/node/shutdown_p.h
+++ b/src/node/shutdown_p.h
@@ -36,10 +36,6 @@
 /// way on each of them.
 class Shutdown {
 public:
-    /// Time from when new connections are ignored until the listening socket is closed: connections that are being established take a
-    /// round trip.
-    static constexpr std::chrono::milliseconds handshakeTime { 100 };
-
     struct Handlers {
         /// Whether the server may stop accepting connections before the time for it; nullptr if not.
         std::function<bool()> canStopAccepting;
@@ -60,12 +56,10 @@
     ShutdownTimes m_times;
     Handlers m_handlers;
     bool m_hasBegun = false;
-    bool m_isIgnoringNew = false;
     bool m_hasAnsweredAll = false;
     bool m_hasEndedIdle = false;
     TimePoint m_announceAt;
     TimePoint m_stopAcceptingAt;
-    TimePoint m_closeListenerAt;
     TimePoint m_answerAllAt;
     TimePoint m_endIdleAt;
     TimePoint m_exitAt;
