--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -116,8 +116,15 @@
         it = m_connections.find(id);
         if (it == m_connections.end() || it->second->isOpen() || !it->second->isKeptAlive)
             continue;
-        it->second->hasEndedIdle = true;
-        it->second->isKeptAlive = false;
+        auto& connection = *it->second;
+        connection.isKeptAlive = false;
+        if (connection.parser.isInMessage()) {
+            connection.request = ++m_lastId;
+            enter(connection, Stage::Handling);
+            respond(id, connection.request, { 503, { { "Retry-After", "1" } }, {} });
+            continue;
+        }
+        connection.hasEndedIdle = true;
         handleWritten(id);
     }
 }
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -56,8 +56,13 @@
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
     /// Whether the loop was stopped because what was acknowledged can no longer be kept here.
     [[nodiscard]] bool hasStorageFailed() const { return m_hasStorageFailed; }
-    /// Transfers leadership to another controller. The process may end once done is called.
-    void stop(std::function<void()> done);
+    /// Begins to leave: transfers leadership to another controller, and is no candidate any more. Requests are forwarded until the process
+    /// ends. Further calls have no effect.
+    void beginStop();
+    /// @returns whether this controller has stopped leading, or no other one can take over.
+    [[nodiscard]] bool hasHandedOver() const;
+    /// Completes all requests in progress without a reply, and each later one at once.
+    void closeCalls() { m_leaderClient.close(); }
     /// Passes each metric to visit.
     void visitMetrics(const std::function<void(std::string_view name, std::string_view help, double value)>& visit) const;
 
@@ -90,6 +95,7 @@
     /// that have been removed since are left out.
     void repeatHeartbeats();
     void logLoad();
+    void handOver();
 
     net::EventLoop& m_loop;
     const Clock& m_clock;
@@ -119,8 +125,8 @@
     /// Counters at the last load log entry.
     jobs::DispatcherStats m_lastLoggedStats;
     CallStats m_lastLoggedCalls;
-    std::function<void()> m_onStopped;
-    TimePoint m_stopDeadline;
+    bool m_isStopping = false;
+    TimePoint m_handOverDeadline;
     uint64_t m_leadershipCount = 0;
     bool m_hasStorageFailed = false;
     net::Timer m_timer;
--- a/src/node/shutdown_p.h
+++ b/src/node/shutdown_p.h
@@ -26,14 +26,16 @@
     std::chrono::milliseconds(2500), std::chrono::milliseconds(2500), std::chrono::milliseconds(5400), std::chrono::milliseconds(5600), std::chrono::milliseconds(5800)
 };
 
+/// Callers of a controller may go to any other one at once. It stops accepting once its leadership has been transferred. The senders of
+/// heartbeats, which come back within 3 s, are told on their connection that it ends.
+constexpr ShutdownTimes controllerShutdown {
+    std::chrono::milliseconds(0), std::chrono::milliseconds(1500), std::chrono::milliseconds(4000), std::chrono::milliseconds(4300), std::chrono::milliseconds(4500)
+};
+
 /// Graceful shutdown of a process with one HTTP server for its callers. Ends as soon as all connections are closed: a request may be on its
 /// way on each of them.
 class Shutdown {
 public:
-    /// Time from when new connections are ignored until the listening socket is closed: connections that are being established take a
-    /// round trip.
-    static constexpr std::chrono::milliseconds handshakeTime { 100 };
-
     struct Handlers {
         /// Whether the server may stop accepting connections before the time for it; nullptr if not.
         std::function<bool()> canStopAccepting;
@@ -54,12 +56,10 @@
     ShutdownTimes m_times;
     Handlers m_handlers;
     bool m_hasBegun = false;
-    bool m_isIgnoringNew = false;
     bool m_hasAnsweredAll = false;
     bool m_hasEndedIdle = false;
     TimePoint m_announceAt;
     TimePoint m_stopAcceptingAt;
-    TimePoint m_closeListenerAt;
     TimePoint m_answerAllAt;
     TimePoint m_endIdleAt;
     TimePoint m_exitAt;
