Answer callers beyond the limit of connections or descriptors

The one that has been idle longest, and for 0.1 s at least, is now closed for the new one, after its arrived input has been read; if there is none, the caller gets 503 with Retry-After. Refused connections are read until they end, at most 128 at a time and for 1 s.

A failed accept() (EMFILE) was tried again at once, with a log line each time, while callers hung. The listener now lets its owner close an idle connection, or pauses for 0.1 s; failures are counted and logged at intervals.

Tests: http_limit_test.

--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -46,6 +46,12 @@
 /// unread input resets the connection, and the client may lose the response.
 constexpr milliseconds httpLingerTimeout { 1000 };
 constexpr size_t maxHttpDiscardedBytes = 4U << 20U;
+/// Most connections of one server that are read only until they end, besides those within its limit.
+constexpr size_t maxLingeringConnections = 128;
+/// A connection whose last response is younger is not closed in favour of another one: its next request may be on the way.
+constexpr milliseconds minHttpIdleTime { 100 };
+/// Time for which a listener does not accept after a failure, such as a lack of descriptors.
+constexpr milliseconds acceptPause { 100 };
 /// Largest start line and headers of an HTTP message, in bytes.
 constexpr size_t maxHttpHeadBytes = 16U << 10U;
 /// Largest body of an HTTP message on the operator and endpoint interfaces, in bytes: enough for a catalog with 1,400 more
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -96,8 +96,12 @@
 
 /// Counters of an HttpServer.
 struct HttpServerStats {
-    /// Connections closed at once because too many were open.
+    /// Connections answered with 503 at once because too many were open.
     uint64_t refusedConnections = 0;
+    /// Idle connections closed in favour of new ones.
+    uint64_t evictedConnections = 0;
+    /// Failed attempts to accept a connection, for example for lack of descriptors.
+    uint64_t failedAccepts = 0;
     /// Requests whose connection closed before their response was written.
     uint64_t abandonedRequests = 0;
     /// Messages that could not be parsed or exceeded the limits.
@@ -130,6 +134,8 @@
     enum class Stage : uint8_t {
         /// The next request.
         Idle,
+        /// The rest of a request.
+        Receiving,
         /// The response to a request.
         Handling,
         /// The end of input, after the last response.
@@ -140,6 +146,10 @@
     void armTimer();
     void handleTimer();
     void handleWritten(uint64_t id);
+    bool handleAcceptFailure();
+    /// Closes the connection that has been idle longest.
+    /// @returns whether there was one.
+    bool evictIdle();
     void accept(evutil_socket_t fd);
     size_t receive(uint64_t id, std::string_view bytes);
     void respond(uint64_t id, uint64_t request, const HttpResponse& response);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,9 +5,27 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <sys/socket.h>
 
 namespace vanillalift::net {
 
+namespace {
+
+    HttpResponse overloadResponse() { return { 503, { { "Retry-After", "1" } }, {} }; }
+
+    std::string encodeHead(const HttpResponse& response, bool isKeptAlive)
+    {
+        std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ' + http_status_str(static_cast<http_status>(response.status)) + "\r\n";
+        for (const auto& header : response.headers)
+            head += header.name + ": " + header.value + "\r\n";
+        head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+        if (!isKeptAlive)
+            head += "Connection: close\r\n";
+        return head + "\r\n";
+    }
+
+} // namespace
+
 struct HttpServer::Connection {
     HttpParser parser;
     std::unique_ptr<Stream> stream;
@@ -31,7 +49,8 @@
     , m_maxConnections(maxConnections)
     , m_handler(std::move(handler))
     , m_timer(loop, [this] { handleTimer(); })
-    , m_listener(loop, address, [this](evutil_socket_t fd) { accept(fd); })
+    , m_listener(
+          loop, address, [this](evutil_socket_t fd) { accept(fd); }, [this] { return handleAcceptFailure(); })
 {
 }
 
@@ -39,19 +58,26 @@
 
 void HttpServer::accept(evutil_socket_t fd)
 {
-    if (m_connections.size() >= m_maxConnections) {
-        evutil_closesocket(fd);
-        m_stats.refusedConnections++;
-        LOG_EVERY_N(WARNING, 100) << "connection refused: the limit of " << m_connections.size() << " open connections is reached";
-        return;
-    }
+    const auto& lingering = m_stages[static_cast<size_t>(Stage::Lingering)];
+    bool isRefused = m_connections.size() - lingering.size() >= m_maxConnections && !evictIdle();
     auto id = ++m_lastId;
     auto connection = std::make_unique<Connection>(Connection { HttpParser(HttpParser::Kind::Request, { config::maxHttpHeadBytes, m_maxBodyBytes }), nullptr });
     auto& idle = m_stages[static_cast<size_t>(Stage::Idle)];
     connection->position = idle.insert(idle.end(), id);
+    connection->deadline = m_clock.now() + config::minHttpIdleTime;
     auto& inserted = *(m_connections[id] = std::move(connection));
     inserted.stream = std::make_unique<Stream>(m_loop, fd,
         Stream::Handlers { nullptr, [this, id](std::string_view bytes) { return receive(id, bytes); }, [this, id](StreamCloseReason) { drop(id); }, [this, id] { handleInputEnd(id); }, [this, id] { handleWritten(id); } });
+    if (!isRefused)
+        return;
+    m_stats.refusedConnections++;
+    LOG_EVERY_N(WARNING, 100) << "connection refused: the limit of " << m_maxConnections << " open connections is reached";
+    // Fits into the empty send buffer of a new socket.
+    auto response = encodeHead(overloadResponse(), false);
+    inserted.isKeptAlive = false;
+    if (send(fd, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) < 0 || !inserted.stream->endOutput())
+        return drop(id);
+    enter(inserted, Stage::Lingering);
 }
 
 void HttpServer::enter(Connection& connection, Stage stage)
@@ -60,11 +86,15 @@
     auto& to = m_stages.at(static_cast<size_t>(stage));
     to.splice(to.end(), from, connection.position);
     connection.stage = stage;
+    if (stage == Stage::Idle)
+        connection.deadline = m_clock.now() + config::minHttpIdleTime;
     if (stage != Stage::Lingering)
         return;
     connection.deadline = m_clock.now() + config::httpLingerTimeout;
     if (to.size() == 1)
         armTimer();
+    if (to.size() > config::maxLingeringConnections)
+        drop(to.front());
 }
 
 void HttpServer::armTimer()
@@ -84,6 +114,32 @@
     armTimer();
 }
 
+bool HttpServer::handleAcceptFailure()
+{
+    m_stats.failedAccepts++;
+    return evictIdle();
+}
+
+bool HttpServer::evictIdle()
+{
+    const auto& idle = m_stages[static_cast<size_t>(Stage::Idle)];
+    auto now = m_clock.now();
+    while (!idle.empty()) {
+        auto id = idle.front();
+        auto& connection = *m_connections.at(id);
+        if (connection.deadline > now)
+            return false;
+        // Its next request may have arrived.
+        connection.stream->readPendingInput();
+        if (connection.stage != Stage::Idle)
+            continue;
+        drop(id);
+        m_stats.evictedConnections++;
+        return true;
+    }
+    return false;
+}
+
 void HttpServer::drop(uint64_t id)
 {
     auto it = m_connections.find(id);
@@ -120,8 +176,11 @@
         refuse(id, connection.parser.isTooLarge() ? 413 : 400);
         return bytes.size();
     }
-    if (!connection.parser.hasMessage())
+    if (!connection.parser.hasMessage()) {
+        if (connection.stage != Stage::Receiving && connection.parser.isInMessage())
+            enter(connection, Stage::Receiving);
         return used;
+    }
     connection.request = ++m_lastId;
     enter(connection, Stage::Handling);
     connection.isKeptAlive = connection.parser.shouldKeepAlive();
@@ -148,8 +207,10 @@
 void HttpServer::handleWritten(uint64_t id)
 {
     auto& connection = *m_connections.at(id);
-    if (connection.isKeptAlive || connection.request != 0 || connection.stage == Stage::Lingering)
+    if (connection.request != 0 || connection.stage != Stage::Handling)
         return;
+    if (connection.isKeptAlive)
+        return enter(connection, Stage::Idle);
     if (!connection.stream->endOutput())
         return connection.stream->closeAfterWrite();
     enter(connection, Stage::Lingering);
@@ -173,16 +234,7 @@
     auto& connection = *it->second;
     connection.request = 0;
     connection.isKeptAlive = connection.isKeptAlive && !m_isDraining;
-    std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ' + http_status_str(static_cast<http_status>(response.status)) + "\r\n";
-    for (const auto& header : response.headers)
-        head += header.name + ": " + header.value + "\r\n";
-    head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-    if (!connection.isKeptAlive)
-        head += "Connection: close\r\n";
-    head += "\r\n";
-    connection.stream->write(head + response.body);
-    if (connection.isKeptAlive)
-        enter(connection, Stage::Idle);
+    connection.stream->write(encodeHead(response, connection.isKeptAlive) + response.body);
     connection.stream->setReading(true);
 }
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -183,14 +183,30 @@
         bufferevent_trigger(m_buffer.get(), EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS);
 }
 
-Listener::Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept)
+Listener::Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept, std::function<bool()> onFailure)
     : m_onAccept(std::move(onAccept))
+    , m_onFailure(std::move(onFailure))
+    , m_resumeTimer(loop, [this] {
+        if (m_listener)
+            evconnlistener_enable(m_listener.get());
+    })
 {
     auto sin = socketAddress(address);
     auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) { static_cast<Listener*>(self)->m_onAccept(fd); };
     m_listener.reset(evconnlistener_new_bind(loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, config::acceptBacklog, reinterpret_cast<sockaddr*>(&sin), sizeof(sin)));
     if (!m_listener)
         LOG(ERROR) << "cannot listen on port " << address.port << ": " << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
+    else
+        evconnlistener_set_error_cb(m_listener.get(), [](evconnlistener*, void* self) { static_cast<Listener*>(self)->handleFailure(); });
+}
+
+void Listener::handleFailure()
+{
+    LOG_EVERY_N(WARNING, 100) << "a connection cannot be accepted: " << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
+    if (m_onFailure && m_onFailure())
+        return;
+    evconnlistener_disable(m_listener.get());
+    m_resumeTimer.armAt(TimePoint() + config::acceptPause, TimePoint());
 }
 
 } // namespace vanillalift::net
--- a/src/net/stream_p.h
+++ b/src/net/stream_p.h
@@ -101,7 +101,9 @@
 /// Accepts TCP connections on one address.
 class Listener {
 public:
-    Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept);
+    /// @param onFailure called when a connection cannot be accepted; returns whether it has freed a descriptor. If not, the listener
+    /// pauses for config::acceptPause.
+    Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept, std::function<bool()> onFailure = {});
     /// @returns whether the listener is bound and not closed.
     [[nodiscard]] bool isOpen() const { return m_listener != nullptr; }
     void close() { m_listener.reset(); }
@@ -110,7 +112,11 @@
     struct Deleter {
         void operator()(evconnlistener* it) const { evconnlistener_free(it); }
     };
+    void handleFailure();
+
     std::function<void(evutil_socket_t)> m_onAccept;
+    std::function<bool()> m_onFailure;
+    Timer m_resumeTimer;
     std::unique_ptr<evconnlistener, Deleter> m_listener;
 };
 
--- a/src/node/process_metrics.cpp
+++ b/src/node/process_metrics.cpp
@@ -11,7 +11,9 @@
     visit("descriptors", "Open file descriptors of this process.", static_cast<double>(usage.descriptors));
     visit("descriptors_limit", "Limit of open file descriptors that the host sets; 0 for none.", static_cast<double>(processLimits().descriptors));
     visit("connections", "Open connections of callers.", static_cast<double>(server.openConnections()));
-    visit("connections_refused_total", "Connections closed at once because too many were open.", static_cast<double>(server.stats().refusedConnections));
+    visit("connections_refused_total", "Connections answered with 503 at once because too many were open.", static_cast<double>(server.stats().refusedConnections));
+    visit("connections_evicted_total", "Idle connections closed in favour of new ones.", static_cast<double>(server.stats().evictedConnections));
+    visit("accepts_failed_total", "Failed attempts to accept a connection, for example for lack of descriptors.", static_cast<double>(server.stats().failedAccepts));
     visit("requests_abandoned_total", "Requests whose connection closed before their response was written.", static_cast<double>(server.stats().abandonedRequests));
     visit("requests_malformed_total", "Messages that could not be parsed or exceeded the limits.", static_cast<double>(server.stats().malformedRequests));
 }
