Bound the memory of incomplete requests and unread responses

All servers of a process now share one HttpMemory, a quarter of limits.memoryMb. Connections report what they hold (the parser's and the stream's buffers); over the limit those that have held memory longest lose first, from the event loop: 503 for an incomplete request, the end of the connection for a response that is not read. A head has 3 s and a body 10 s (408), and the number of headers is bounded, as many small ones take far more memory than their bytes.

--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -46,6 +46,11 @@
 /// unread input resets the connection, and the client may lose the response.
 constexpr milliseconds httpLingerTimeout { 1000 };
 constexpr size_t maxHttpDiscardedBytes = 4U << 20U;
+/// Time for which the head and then the body of an HTTP request may arrive.
+constexpr milliseconds httpHeadTimeout { 3000 };
+constexpr milliseconds httpBodyTimeout { 10000 };
+/// Share of a process's memory for incomplete HTTP requests and unread responses.
+constexpr double httpMemoryShare = 0.25;
 /// Most connections of one server that are read only until they end, besides those within its limit.
 constexpr size_t maxLingeringConnections = 128;
 /// A connection whose last response is younger is not closed in favour of another one: its next request may be on the way.
@@ -54,6 +59,8 @@
 constexpr milliseconds acceptPause { 100 };
 /// Largest start line and headers of an HTTP message, in bytes.
 constexpr size_t maxHttpHeadBytes = 16U << 10U;
+/// Most headers of an HTTP message.
+constexpr size_t maxHttpHeaders = 256;
 /// Largest body of an HTTP message on the operator and endpoint interfaces, in bytes: enough for a catalog with 1,400 more
 /// queues.
 constexpr size_t maxHttpBodyBytes = 4U << 20U;
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http_memory_p.h"
 #include "stream_p.h"
 
 #include <vanillalift/call_stats.h>
@@ -72,6 +73,10 @@
     /// Valid if hasFailed(): whether the message exceeds the limits.
     [[nodiscard]] bool isTooLarge() const { return m_isTooLarge; }
     [[nodiscard]] bool shouldKeepAlive() const { return m_shouldKeepAlive; }
+    /// @returns whether the head is complete and the body is not.
+    [[nodiscard]] bool isInBody() const { return m_isInBody && !m_isComplete; }
+    /// Memory of the message so far, in bytes.
+    [[nodiscard]] size_t heldBytes() const { return m_headBytes + m_headers.capacity() * sizeof(HttpHeader) + m_body.capacity(); }
     HttpRequest takeRequest();
     HttpResponse takeResponse();
 
@@ -82,6 +87,7 @@
     Limits m_limits;
     http_parser m_parser {};
     bool m_hasBegun = false;
+    bool m_isInBody = false;
     bool m_isComplete = false;
     bool m_hasFailed = false;
     bool m_isTooLarge = false;
@@ -104,6 +110,10 @@
     uint64_t failedAccepts = 0;
     /// Requests whose connection closed before their response was written.
     uint64_t abandonedRequests = 0;
+    /// Requests that were not complete in time, answered with 408.
+    uint64_t lateRequests = 0;
+    /// Connections ended because the memory for incomplete requests and unread responses was used up.
+    uint64_t shedConnections = 0;
     /// Messages that could not be parsed or exceeded the limits.
     uint64_t malformedRequests = 0;
 };
@@ -115,7 +125,8 @@
     using Respond = std::function<void(HttpResponse)>;
     using Handler = std::function<void(HttpRequest, Respond)>;
 
-    HttpServer(EventLoop& loop, const Clock& clock, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
+    /// @param memory shared by all servers of the process.
+    HttpServer(EventLoop& loop, const Clock& clock, HttpMemory& memory, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
     ~HttpServer();
 
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
@@ -134,14 +145,18 @@
     enum class Stage : uint8_t {
         /// The next request.
         Idle,
-        /// The rest of a request.
-        Receiving,
+        /// The rest of a request's head, or of its body.
+        Head,
+        Body,
         /// The response to a request.
         Handling,
         /// The end of input, after the last response.
         Lingering,
         StageCount,
     };
+    static constexpr std::array expiringStages { Stage::Head, Stage::Body, Stage::Lingering };
+    /// By stage, zero for none. An idle connection stays open after its time, but may be closed in favour of another one.
+    static const std::array<Duration, static_cast<size_t>(Stage::StageCount)> timeLimits;
     void enter(Connection& connection, Stage stage);
     void armTimer();
     void handleTimer();
@@ -154,11 +169,14 @@
     size_t receive(uint64_t id, std::string_view bytes);
     void respond(uint64_t id, uint64_t request, const HttpResponse& response);
     void handleInputEnd(uint64_t id);
-    void refuse(uint64_t id, int status);
+    void expire(uint64_t id);
+    void reclaim(uint64_t id);
+    void refuse(uint64_t id, const HttpResponse& response);
     void drop(uint64_t id);
 
     EventLoop& m_loop;
     const Clock& m_clock;
+    HttpMemory& m_memory;
     size_t m_maxBodyBytes;
     size_t m_maxConnections;
     Handler m_handler;
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -1,5 +1,7 @@
 #include "http_p.h"
 
+#include <vanillalift/config.h>
+
 #include <strings.h>
 
 namespace vanillalift::net {
@@ -43,6 +45,7 @@
             if (it.m_headers.empty() || it.m_isInValue)
                 it.m_headers.emplace_back();
             it.m_isInValue = false;
+            it.m_isTooLarge = it.m_isTooLarge || it.m_headers.size() > config::maxHttpHeaders;
             it.m_headers.back().name.append(at, n);
             return countHeadBytes(it, n);
         };
@@ -54,6 +57,7 @@
         };
         it.on_headers_complete = [](http_parser* parser) {
             auto& it = self(parser);
+            it.m_isInBody = true;
             bool isLengthKnown = parser->content_length != UINT64_MAX;
             it.m_isTooLarge = it.m_isTooLarge || (isLengthKnown && parser->content_length > it.m_limits.bodyBytes);
             return it.m_isTooLarge ? -1 : 0;
@@ -99,6 +103,7 @@
 void HttpParser::reset()
 {
     m_hasBegun = false;
+    m_isInBody = false;
     m_isComplete = false;
     m_isInValue = false;
     m_headBytes = 0;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -26,8 +26,13 @@
 
 } // namespace
 
+const std::array<Duration, static_cast<size_t>(HttpServer::Stage::StageCount)> HttpServer::timeLimits {
+    config::minHttpIdleTime, config::httpHeadTimeout, config::httpBodyTimeout, Duration::zero(), config::httpLingerTimeout
+};
+
 struct HttpServer::Connection {
     HttpParser parser;
+    HttpMemory::Holder memory;
     std::unique_ptr<Stream> stream;
     /// Number of the request in progress, 0 for none.
     uint64_t request = 0;
@@ -39,12 +44,19 @@
     /// In the list of the stage.
     std::list<uint64_t>::iterator position {};
 
+    Connection(HttpParser::Limits limits, HttpMemory& budget, std::function<void()> onReclaim)
+        : parser(HttpParser::Kind::Request, limits)
+        , memory(budget, std::move(onReclaim))
+    {
+    }
+
     [[nodiscard]] bool isOpen() const { return request != 0 || stream->unsentBytes() != 0 || (isKeptAlive && stream->unreadBytes() != 0); }
 };
 
-HttpServer::HttpServer(EventLoop& loop, const Clock& clock, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler)
+HttpServer::HttpServer(EventLoop& loop, const Clock& clock, HttpMemory& memory, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler)
     : m_loop(loop)
     , m_clock(clock)
+    , m_memory(memory)
     , m_maxBodyBytes(maxBodyBytes)
     , m_maxConnections(maxConnections)
     , m_handler(std::move(handler))
@@ -61,7 +73,7 @@
     const auto& lingering = m_stages[static_cast<size_t>(Stage::Lingering)];
     bool isRefused = m_connections.size() - lingering.size() >= m_maxConnections && !evictIdle();
     auto id = ++m_lastId;
-    auto connection = std::make_unique<Connection>(Connection { HttpParser(HttpParser::Kind::Request, { config::maxHttpHeadBytes, m_maxBodyBytes }), nullptr });
+    auto connection = std::make_unique<Connection>(HttpParser::Limits { config::maxHttpHeadBytes, m_maxBodyBytes }, m_memory, [this, id] { reclaim(id); });
     auto& idle = m_stages[static_cast<size_t>(Stage::Idle)];
     connection->position = idle.insert(idle.end(), id);
     connection->deadline = m_clock.now() + config::minHttpIdleTime;
@@ -86,34 +98,70 @@
     auto& to = m_stages.at(static_cast<size_t>(stage));
     to.splice(to.end(), from, connection.position);
     connection.stage = stage;
-    if (stage == Stage::Idle)
-        connection.deadline = m_clock.now() + config::minHttpIdleTime;
-    if (stage != Stage::Lingering)
+    auto timeLimit = timeLimits.at(static_cast<size_t>(stage));
+    if (timeLimit == Duration::zero())
         return;
-    connection.deadline = m_clock.now() + config::httpLingerTimeout;
-    if (to.size() == 1)
+    connection.deadline = m_clock.now() + timeLimit;
+    if (stage != Stage::Idle && to.size() == 1)
         armTimer();
-    if (to.size() > config::maxLingeringConnections)
+    if (stage == Stage::Lingering && to.size() > config::maxLingeringConnections)
         drop(to.front());
 }
 
 void HttpServer::armTimer()
 {
-    const auto& lingering = m_stages[static_cast<size_t>(Stage::Lingering)];
-    if (lingering.empty())
-        return;
-    m_timer.armAt(m_connections.at(lingering.front())->deadline, m_clock.now());
+    std::optional<TimePoint> earliest;
+    for (auto stage : expiringStages) {
+        const auto& waiting = m_stages.at(static_cast<size_t>(stage));
+        if (waiting.empty())
+            continue;
+        auto deadline = m_connections.at(waiting.front())->deadline;
+        earliest = std::min(earliest.value_or(deadline), deadline);
+    }
+    if (earliest)
+        m_timer.armAt(*earliest, m_clock.now());
 }
 
 void HttpServer::handleTimer()
 {
-    const auto& lingering = m_stages[static_cast<size_t>(Stage::Lingering)];
     auto now = m_clock.now();
-    while (!lingering.empty() && m_connections.at(lingering.front())->deadline <= now)
-        drop(lingering.front());
+    for (auto stage : expiringStages) {
+        const auto& waiting = m_stages.at(static_cast<size_t>(stage));
+        while (!waiting.empty() && m_connections.at(waiting.front())->deadline <= now)
+            expire(waiting.front());
+    }
     armTimer();
 }
 
+void HttpServer::expire(uint64_t id)
+{
+    auto& connection = *m_connections.at(id);
+    if (connection.stage == Stage::Lingering)
+        return drop(id);
+    // The rest may have arrived while the loop was delayed.
+    auto stage = connection.stage;
+    connection.stream->readPendingInput();
+    if (connection.stage != stage)
+        return;
+    m_stats.lateRequests++;
+    refuse(id, { 408, {}, {} });
+}
+
+void HttpServer::reclaim(uint64_t id)
+{
+    auto& connection = *m_connections.at(id);
+    bool isReceiving = connection.stage == Stage::Head || connection.stage == Stage::Body;
+    bool isResponseUnread = connection.stage == Stage::Handling && connection.request == 0;
+    if (!isReceiving && !isResponseUnread)
+        return;
+    m_stats.shedConnections++;
+    LOG_EVERY_N(WARNING, 100) << "connection ended: incomplete requests and unread responses take more than their share of memory";
+    if (isReceiving)
+        refuse(id, overloadResponse());
+    else
+        drop(id);
+}
+
 bool HttpServer::handleAcceptFailure()
 {
     m_stats.failedAccepts++;
@@ -161,6 +209,7 @@
     auto& connection = *m_connections.at(id);
     if (connection.request != 0) {
         connection.stream->setReading(false);
+        connection.memory.update(bytes.size());
         return 0;
     }
     if (!connection.isKeptAlive) {
@@ -173,14 +222,18 @@
     }
     auto used = connection.parser.feed(bytes);
     if (connection.parser.hasFailed()) {
-        refuse(id, connection.parser.isTooLarge() ? 413 : 400);
+        m_stats.malformedRequests++;
+        refuse(id, { connection.parser.isTooLarge() ? 413 : 400, {}, {} });
         return bytes.size();
     }
     if (!connection.parser.hasMessage()) {
-        if (connection.stage != Stage::Receiving && connection.parser.isInMessage())
-            enter(connection, Stage::Receiving);
+        auto stage = connection.parser.isInBody() ? Stage::Body : Stage::Head;
+        if (connection.stage != stage && connection.parser.isInMessage())
+            enter(connection, stage);
+        connection.memory.update(connection.parser.heldBytes() + connection.stream->unsentBytes());
         return used;
     }
+    connection.memory.update(connection.stream->unsentBytes());
     connection.request = ++m_lastId;
     enter(connection, Stage::Handling);
     connection.isKeptAlive = connection.parser.shouldKeepAlive();
@@ -198,8 +251,10 @@
     auto& connection = *m_connections.at(id);
     if (connection.request != 0)
         return;
-    if (connection.isKeptAlive && connection.parser.isInMessage())
-        return refuse(id, 400);
+    if (connection.isKeptAlive && connection.parser.isInMessage()) {
+        m_stats.malformedRequests++;
+        return refuse(id, { 400, {}, {} });
+    }
     connection.isKeptAlive = false;
     connection.stream->closeAfterWrite();
 }
@@ -209,6 +264,7 @@
     auto& connection = *m_connections.at(id);
     if (connection.request != 0 || connection.stage != Stage::Handling)
         return;
+    connection.memory.update(0);
     if (connection.isKeptAlive)
         return enter(connection, Stage::Idle);
     if (!connection.stream->endOutput())
@@ -216,14 +272,15 @@
     enter(connection, Stage::Lingering);
 }
 
-void HttpServer::refuse(uint64_t id, int status)
+void HttpServer::refuse(uint64_t id, const HttpResponse& response)
 {
     auto& connection = *m_connections.at(id);
-    m_stats.malformedRequests++;
+    // Frees the part that has been received.
+    connection.parser.takeRequest();
     connection.request = ++m_lastId;
     connection.isKeptAlive = false;
     enter(connection, Stage::Handling);
-    respond(id, connection.request, { status, {}, {} });
+    respond(id, connection.request, response);
 }
 
 void HttpServer::respond(uint64_t id, uint64_t request, const HttpResponse& response)
@@ -235,6 +292,7 @@
     connection.request = 0;
     connection.isKeptAlive = connection.isKeptAlive && !m_isDraining;
     connection.stream->write(encodeHead(response, connection.isKeptAlive) + response.body);
+    connection.memory.update(connection.stream->unsentBytes());
     connection.stream->setReading(true);
 }
 
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -12,10 +12,10 @@
 
 } // namespace
 
-MetricsPage::MetricsPage(net::EventLoop& loop, const Clock& clock, const net::Address& address, std::string prefix, std::function<void(const Visit&)> collect)
+MetricsPage::MetricsPage(net::EventLoop& loop, const Clock& clock, net::HttpMemory& memory, const net::Address& address, std::string prefix, std::function<void(const Visit&)> collect)
     : m_prefix(std::move(prefix))
     , m_collect(std::move(collect))
-    , m_server(loop, clock, address, maxRequestBytes, maxConnections, [this](const net::HttpRequest& request, const net::HttpServer::Respond& respond) {
+    , m_server(loop, clock, memory, address, maxRequestBytes, maxConnections, [this](const net::HttpRequest& request, const net::HttpServer::Respond& respond) {
         if (request.method != "GET" || request.target != "/metrics")
             return respond({ 404, {}, {} });
         respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, serialize() });
--- a/src/node/metrics_page_p.h
+++ b/src/node/metrics_page_p.h
@@ -16,7 +16,7 @@
 
     /// @param prefix prepended to each metric name.
     /// @param collect passes each metric to its argument; names that end in _total are counters, all others are gauges.
-    MetricsPage(net::EventLoop& loop, const Clock& clock, const net::Address& address, std::string prefix, std::function<void(const Visit&)> collect);
+    MetricsPage(net::EventLoop& loop, const Clock& clock, net::HttpMemory& memory, const net::Address& address, std::string prefix, std::function<void(const Visit&)> collect);
 
     [[nodiscard]] bool isOpen() const { return m_server.isOpen(); }
     [[nodiscard]] std::string serialize() const;
--- a/src/node/process_metrics.cpp
+++ b/src/node/process_metrics.cpp
@@ -14,6 +14,8 @@
     visit("connections_refused_total", "Connections answered with 503 at once because too many were open.", static_cast<double>(server.stats().refusedConnections));
     visit("connections_evicted_total", "Idle connections closed in favour of new ones.", static_cast<double>(server.stats().evictedConnections));
     visit("accepts_failed_total", "Failed attempts to accept a connection, for example for lack of descriptors.", static_cast<double>(server.stats().failedAccepts));
+    visit("requests_late_total", "Requests that were not complete in time.", static_cast<double>(server.stats().lateRequests));
+    visit("connections_shed_total", "Connections ended because the memory for incomplete requests and unread responses was used up.", static_cast<double>(server.stats().shedConnections));
     visit("requests_abandoned_total", "Requests whose connection closed before their response was written.", static_cast<double>(server.stats().abandonedRequests));
     visit("requests_malformed_total", "Messages that could not be parsed or exceeded the limits.", static_cast<double>(server.stats().malformedRequests));
 }
--- a/tests/jobs/gateway_stop_test.cpp
+++ b/tests/jobs/gateway_stop_test.cpp
@@ -38,12 +38,13 @@
 struct Gateway {
     net::EventLoop loop;
     SystemClock clock;
+    net::HttpMemory memory { loop, clock, 64U << 20U };
     EventLog log { clock, open("/dev/null", O_WRONLY | O_CLOEXEC), {} };
     net::Address leaderAddress = net::freeAddress();
     UnresponsiveLeader leader { loop, leaderAddress };
     node::LeaderClient leaderClient { loop, clock, log, { { "", "zone", "" }, { "127.0.0.1:" + std::to_string(leaderAddress.port) }, nullptr } };
     net::Address clientAddress = net::freeAddress();
-    ClientApi clientApi { loop, clock, log, { clientAddress, net::freeAddress(), 8 },
+    ClientApi clientApi { loop, clock, memory, log, { clientAddress, net::freeAddress(), 8 },
         [this](node::Request request, TimePoint sendDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaderClient.call(std::move(request), sendDeadline, deadline, std::move(handler)); }, [] { return true; } };
     GatewayShutdown shutdown { clientApi, leaderClient };
     TimePoint startedAt = clock.now();
--- a/tests/jobs/http_close_test.cpp
+++ b/tests/jobs/http_close_test.cpp
@@ -16,7 +16,7 @@
 /// Answers each request but "/late" at once.
 struct Server {
     explicit Server(size_t maxConnections = 8)
-        : server(loop, clock, address, 1000, maxConnections, [this](const HttpRequest& request, HttpServer::Respond respond) {
+        : server(loop, clock, memory, address, 1000, maxConnections, [this](const HttpRequest& request, HttpServer::Respond respond) {
             if (request.target == "/late")
                 late.push_back(std::move(respond));
             else
@@ -27,6 +27,7 @@
 
     EventLoop loop;
     SystemClock clock;
+    HttpMemory memory { loop, clock, 64U << 20U };
     Address address = freeAddress();
     std::vector<HttpServer::Respond> late;
     HttpServer server;
--- a/tests/jobs/http_limit_test.cpp
+++ b/tests/jobs/http_limit_test.cpp
@@ -22,7 +22,7 @@
 
 struct Server {
     explicit Server(size_t maxConnections)
-        : server(loop, clock, address, 1000, maxConnections, [this](const HttpRequest& it, HttpServer::Respond respond) {
+        : server(loop, clock, memory, address, 1000, maxConnections, [this](const HttpRequest& it, HttpServer::Respond respond) {
             if (it.target == "/late")
                 late.push_back(std::move(respond));
             else
@@ -33,6 +33,7 @@
 
     EventLoop loop;
     OffsetClock clock;
+    HttpMemory memory { loop, clock, 64U << 20U };
     Address address = freeAddress();
     std::vector<HttpServer::Respond> late;
     HttpServer server;
--- a/tests/jobs/net_test.cpp
+++ b/tests/jobs/net_test.cpp
@@ -29,9 +29,10 @@
 struct Fixture {
     EventLoop loop;
     SystemClock clock;
+    HttpMemory memory { loop, clock, 64U << 20U };
     Address address = freeAddress();
     std::vector<HttpRequest> requests;
-    HttpServer server { loop, clock, address, 1000, 8, [this](const HttpRequest& request, const HttpServer::Respond& respond) {
+    HttpServer server { loop, clock, memory, address, 1000, 8, [this](const HttpRequest& request, const HttpServer::Respond& respond) {
                            requests.push_back(request);
                            if (request.target != "/silent")
                                respond({ 200, {}, "seen " + request.body });
@@ -172,9 +173,10 @@
 {
     EventLoop loop;
     SystemClock clock;
+    HttpMemory memory { loop, clock, 64U << 20U };
     auto address = freeAddress();
     HttpServer::Respond respond;
-    auto server = std::make_unique<HttpServer>(loop, clock, address, 1000, 8, [&](const HttpRequest&, HttpServer::Respond it) { respond = std::move(it); });
+    auto server = std::make_unique<HttpServer>(loop, clock, memory, address, 1000, 8, [&](const HttpRequest&, HttpServer::Respond it) { respond = std::move(it); });
     RawClient client(address.port);
     REQUIRE(client.send("GET /x HTTP/1.1\r\n\r\n"));
     runUntil(loop, [&] { return respond != nullptr; });
@@ -193,8 +195,9 @@
     const std::string large(64U << 20U, 'x');
     EventLoop loop;
     SystemClock clock;
+    HttpMemory memory { loop, clock, 512U << 20U };
     auto address = freeAddress();
-    HttpServer server(loop, clock, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, large }); });
+    HttpServer server(loop, clock, memory, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, large }); });
     RawClient slow(address.port);
     RawClient dropped(address.port);
     REQUIRE(slow.send("GET /x HTTP/1.1\r\n\r\n"));
@@ -213,8 +216,9 @@
 {
     EventLoop loop;
     SystemClock clock;
+    HttpMemory memory { loop, clock, 64U << 20U };
     auto address = freeAddress();
-    HttpServer server(loop, clock, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, "seen" }); });
+    HttpServer server(loop, clock, memory, address, 1000, 8, [&](const HttpRequest&, const HttpServer::Respond& respond) { respond({ 200, {}, "seen" }); });
     RawClient client(address.port);
     REQUIRE(client.send("GET /1 HTTP/1.1\r\n\r\n"));
     runUntil(loop, [&] { return !client.hasNoInput(); });
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -7,6 +7,8 @@
 #include "platform/gateway_shutdown_p.h"
 #include "platform/program_p.h"
 
+#include <vanillalift/config.h>
+
 #include <glog/logging.h>
 
 #include <csignal>
@@ -45,9 +47,10 @@
     bool isStopping = false;
     platform::ClientApi::Desc desc { *settings->clientAddress, *settings->readinessAddress, settings->maxDescriptors - std::min(settings->maxDescriptors / 2, reservedDescriptors) };
     auto forwardCall = [&](node::Request request, TimePoint sendDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaderClient.call(std::move(request), sendDeadline, deadline, std::move(handler)); };
-    platform::ClientApi clients(loop, clock, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && !isStopping; });
+    net::HttpMemory memory(loop, clock, static_cast<size_t>(static_cast<double>(settings->maxMemoryBytes) * config::httpMemoryShare));
+    platform::ClientApi clients(loop, clock, memory, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && !isStopping; });
     platform::GatewayShutdown stop(clients, leaderClient);
-    node::MetricsPage metrics(loop, clock, { settings->clientAddress->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
+    node::MetricsPage metrics(loop, clock, memory, { settings->clientAddress->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
         node::visitProcessMetrics(clients.clientServer(), visit);
         visit("requests_accepted_total", "Requests that succeeded.", static_cast<double>(clients.counters().accepted));
         visit("requests_refused_total", "Requests refused without being executed.", static_cast<double>(clients.counters().refused));
