Answer all forms of HTTP requests on every port

Clients that wait for 100 Continue got nothing until their request timed out; a whole URL as the target was not understood (404 from a controller), HEAD and OPTIONS got 400 or 404, an HTTP/1.0 client was not told that its connection is kept, trailers were taken for headers, a chunk of more than the limit was awaited, and requests without a Host or with two were served. The parser now resolves the target and the host, HEAD reaches the handlers as GET and loses its body in the server, and the ports answer unknown methods on their paths with 405 and Allow.

Tests: http_forms_test.

--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -26,6 +26,7 @@
 /// @returns the value of the first header with this name (compared case-insensitively), or an empty view.
 std::string_view headerValue(const HttpHeaders& headers, std::string_view name);
 
+/// HEAD requests reach the handlers as GET; the server omits the bodies of their responses.
 struct HttpRequest {
     std::string method;
     std::string target;
@@ -39,6 +40,9 @@
     std::string body;
 };
 
+/// @param allowed methods separated by commas.
+inline HttpResponse methodNotAllowed(std::string_view allowed) { return { 405, { { "Allow", std::string(allowed) } }, {} }; }
+
 /// Why a request got no response, which tells whether it can have run.
 enum class HttpFailure : uint8_t {
     /// No byte of the request was written, so it has not run.
@@ -66,6 +70,9 @@
     /// Parses up to the end of one message.
     /// @returns the number of bytes consumed.
     size_t feed(std::string_view bytes);
+    /// Valid in a body: whether its sender waits for an interim response (RFC 9110, 10.1.1).
+    [[nodiscard]] bool expectsContinue() const;
+    [[nodiscard]] bool isVersion10() const { return m_parser.http_major == 1 && m_parser.http_minor == 0; }
     /// @returns whether a message has begun and is not complete.
     [[nodiscard]] bool isInMessage() const { return m_hasBegun && !m_isComplete; }
     [[nodiscard]] bool hasMessage() const { return m_isComplete; }
@@ -81,6 +88,8 @@
     HttpResponse takeResponse();
 
 private:
+    /// @returns whether the head of a request has a valid target and host, after moving the host of an absolute target into the headers.
+    bool resolveTarget();
     static const http_parser_settings& settings();
     void reset();
 
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -42,6 +42,9 @@
         };
         it.on_header_field = [](http_parser* parser, const char* at, size_t n) {
             auto& it = self(parser);
+            // Trailers are not needed.
+            if (it.m_isInBody)
+                return countHeadBytes(it, n);
             if (it.m_headers.empty() || it.m_isInValue)
                 it.m_headers.emplace_back();
             it.m_isInValue = false;
@@ -51,6 +54,8 @@
         };
         it.on_header_value = [](http_parser* parser, const char* at, size_t n) {
             auto& it = self(parser);
+            if (it.m_isInBody)
+                return countHeadBytes(it, n);
             it.m_isInValue = true;
             it.m_headers.back().value.append(at, n);
             return countHeadBytes(it, n);
@@ -58,10 +63,17 @@
         it.on_headers_complete = [](http_parser* parser) {
             auto& it = self(parser);
             it.m_isInBody = true;
+            if (parser->type == HTTP_REQUEST && !it.resolveTarget())
+                return -1;
             bool isLengthKnown = parser->content_length != UINT64_MAX;
             it.m_isTooLarge = it.m_isTooLarge || (isLengthKnown && parser->content_length > it.m_limits.bodyBytes);
             return it.m_isTooLarge ? -1 : 0;
         };
+        it.on_chunk_header = [](http_parser* parser) {
+            auto& it = self(parser);
+            it.m_isTooLarge = it.m_isTooLarge || parser->content_length > it.m_limits.bodyBytes - it.m_body.size();
+            return it.m_isTooLarge ? 1 : 0;
+        };
         it.on_body = [](http_parser* parser, const char* at, size_t n) {
             auto& it = self(parser);
             it.m_isTooLarge = it.m_isTooLarge || it.m_body.size() + n > it.m_limits.bodyBytes;
@@ -113,6 +125,44 @@
     m_body.clear();
 }
 
+bool HttpParser::expectsContinue() const
+{
+    constexpr std::string_view expected = "100-continue";
+    auto value = headerValue(m_headers, "Expect");
+    return !isVersion10() && value.size() == expected.size() && strncasecmp(value.data(), expected.data(), expected.size()) == 0;
+}
+
+bool HttpParser::resolveTarget()
+{
+    HttpHeader* host = nullptr;
+    for (auto& it : m_headers) {
+        if (strcasecmp(it.name.c_str(), "Host") != 0)
+            continue;
+        if (host)
+            return false;
+        host = &it;
+    }
+    if (!host && !isVersion10())
+        return false;
+    if (m_target.starts_with('/') || m_target == "*" || m_parser.method == HTTP_CONNECT)
+        return true;
+    http_parser_url url;
+    http_parser_url_init(&url);
+    if (http_parser_parse_url(m_target.data(), m_target.size(), 0, &url) != 0 || !(url.field_set & (1U << UF_HOST)))
+        return false;
+    auto field = [&](http_parser_url_fields name) { return url.field_set & (1U << name) ? m_target.substr(url.field_data[name].off, url.field_data[name].len) : std::string(); };
+    auto port = field(UF_PORT);
+    auto authority = field(UF_HOST) + (port.empty() ? "" : ':' + port);
+    if (host)
+        host->value = authority;
+    else
+        m_headers.push_back({ "Host", authority });
+    auto path = field(UF_PATH);
+    auto query = field(UF_QUERY);
+    m_target = (path.empty() ? "/" : path) + (query.empty() ? "" : '?' + query);
+    return true;
+}
+
 HttpRequest HttpParser::takeRequest()
 {
     HttpRequest request { std::move(m_method), std::move(m_target), std::move(m_headers), std::move(m_body) };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -13,14 +13,15 @@
 
     HttpResponse overloadResponse() { return { 503, { { "Retry-After", "1" } }, {} }; }
 
-    std::string encodeHead(const HttpResponse& response, bool isKeptAlive)
+    /// @param connection value of the header Connection, empty for none.
+    std::string encodeHead(const HttpResponse& response, std::string_view connection)
     {
         std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ' + http_status_str(static_cast<http_status>(response.status)) + "\r\n";
         for (const auto& header : response.headers)
             head += header.name + ": " + header.value + "\r\n";
         head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-        if (!isKeptAlive)
-            head += "Connection: close\r\n";
+        if (!connection.empty())
+            head.append("Connection: ").append(connection).append("\r\n");
         return head + "\r\n";
     }
 
@@ -37,6 +38,9 @@
     /// Number of the request in progress, 0 for none.
     uint64_t request = 0;
     bool isKeptAlive = true;
+    /// Of the request in progress.
+    bool isHead = false;
+    bool isVersion10 = false;
     size_t discardedBytes = 0;
     Stage stage = Stage::Idle;
     /// End of the stage; when idle, the time from which the connection may be closed in favour of another one.
@@ -85,7 +89,7 @@
     m_stats.refusedConnections++;
     LOG_EVERY_N(WARNING, 100) << "connection refused: the limit of " << m_maxConnections << " open connections is reached";
     // Fits into the empty send buffer of a new socket.
-    auto response = encodeHead(overloadResponse(), false);
+    auto response = encodeHead(overloadResponse(), "close");
     inserted.isKeptAlive = false;
     if (send(fd, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) < 0 || !inserted.stream->endOutput())
         return drop(id);
@@ -228,8 +232,11 @@
     }
     if (!connection.parser.hasMessage()) {
         auto stage = connection.parser.isInBody() ? Stage::Body : Stage::Head;
-        if (connection.stage != stage && connection.parser.isInMessage())
+        if (connection.stage != stage && connection.parser.isInMessage()) {
             enter(connection, stage);
+            if (stage == Stage::Body && connection.parser.expectsContinue())
+                connection.stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
         connection.memory.update(connection.parser.heldBytes() + connection.stream->unsentBytes());
         return used;
     }
@@ -241,7 +248,12 @@
         if (*isAlive)
             respond(id, request, response);
     };
-    m_handler(connection.parser.takeRequest(), std::move(respondToRequest));
+    connection.isVersion10 = connection.parser.isVersion10();
+    auto httpRequest = connection.parser.takeRequest();
+    connection.isHead = httpRequest.method == "HEAD";
+    if (connection.isHead)
+        httpRequest.method = "GET";
+    m_handler(std::move(httpRequest), std::move(respondToRequest));
     return used;
 }
 
@@ -277,6 +289,7 @@
     auto& connection = *m_connections.at(id);
     // Frees the part that has been received.
     connection.parser.takeRequest();
+    connection.isHead = false;
     connection.request = ++m_lastId;
     connection.isKeptAlive = false;
     enter(connection, Stage::Handling);
@@ -291,7 +304,10 @@
     auto& connection = *it->second;
     connection.request = 0;
     connection.isKeptAlive = connection.isKeptAlive && !m_isDraining;
-    connection.stream->write(encodeHead(response, connection.isKeptAlive) + response.body);
+    auto bytes = encodeHead(response, !connection.isKeptAlive ? "close" : (connection.isVersion10 ? "keep-alive" : ""));
+    if (!connection.isHead)
+        bytes += response.body;
+    connection.stream->write(bytes);
     connection.memory.update(connection.stream->unsentBytes());
     connection.stream->setReading(true);
 }
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -16,8 +16,10 @@
     : m_prefix(std::move(prefix))
     , m_collect(std::move(collect))
     , m_server(loop, clock, memory, address, maxRequestBytes, maxConnections, [this](const net::HttpRequest& request, const net::HttpServer::Respond& respond) {
-        if (request.method != "GET" || request.target != "/metrics")
+        if (request.target != "/metrics")
             return respond({ 404, {}, {} });
+        if (request.method != "GET")
+            return respond(net::methodNotAllowed("GET, HEAD"));
         respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, serialize() });
     })
 {
