--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http_memory_p.h"
 #include "stream_p.h"
 
 #include <vanillalift/call_stats.h>
@@ -25,6 +26,7 @@
 /// @returns the value of the first header with this name (compared case-insensitively), or an empty view.
 std::string_view headerValue(const HttpHeaders& headers, std::string_view name);
 
+/// HEAD requests reach the handlers as GET; the server omits the bodies of their responses.
 struct HttpRequest {
     std::string method;
     std::string target;
@@ -38,6 +40,9 @@
     std::string body;
 };
 
+/// @param allowed methods separated by commas.
+inline HttpResponse methodNotAllowed(std::string_view allowed) { return { 405, { { "Allow", std::string(allowed) } }, {} }; }
+
 /// Why a request got no response, which tells whether it can have run.
 enum class HttpFailure : uint8_t {
     /// No byte of the request was written, so it has not run.
@@ -67,6 +72,9 @@
     size_t feed(std::string_view bytes);
     /// Ends the input: a response without a length is then complete.
     void feedEnd();
+    /// Valid in a body: whether its sender waits for an interim response (RFC 9110, 10.1.1).
+    [[nodiscard]] bool expectsContinue() const;
+    [[nodiscard]] bool isVersion10() const { return m_parser.http_major == 1 && m_parser.http_minor == 0; }
     /// @returns whether a message has begun and is not complete.
     [[nodiscard]] bool isInMessage() const { return m_hasBegun && !m_isComplete; }
     [[nodiscard]] bool hasMessage() const { return m_isComplete; }
@@ -74,16 +82,23 @@
     /// Valid if hasFailed(): whether the message exceeds the limits.
     [[nodiscard]] bool isTooLarge() const { return m_isTooLarge; }
     [[nodiscard]] bool shouldKeepAlive() const { return m_shouldKeepAlive; }
+    /// @returns whether the head is complete and the body is not.
+    [[nodiscard]] bool isInBody() const { return m_isInBody && !m_isComplete; }
+    /// Memory of the message so far, in bytes.
+    [[nodiscard]] size_t heldBytes() const { return m_headBytes + m_headers.capacity() * sizeof(HttpHeader) + m_body.capacity(); }
     HttpRequest takeRequest();
     HttpResponse takeResponse();
 
 private:
+    /// @returns whether the head of a request has a valid target and host, after moving the host of an absolute target into the headers.
+    bool resolveTarget();
     static const http_parser_settings& settings();
     void reset();
 
     Limits m_limits;
     http_parser m_parser {};
     bool m_hasBegun = false;
+    bool m_isInBody = false;
     bool m_isComplete = false;
     bool m_hasFailed = false;
     bool m_isTooLarge = false;
@@ -98,10 +113,18 @@
 
 /// Counters of an HttpServer.
 struct HttpServerStats {
-    /// Connections closed at once because too many were open.
+    /// Connections answered with 503 at once because too many were open.
     uint64_t refusedConnections = 0;
+    /// Idle connections closed in favour of new ones.
+    uint64_t evictedConnections = 0;
+    /// Failed attempts to accept a connection, for example for lack of descriptors.
+    uint64_t failedAccepts = 0;
     /// Requests whose connection closed before their response was written.
     uint64_t abandonedRequests = 0;
+    /// Requests that were not complete in time, answered with 408.
+    uint64_t lateRequests = 0;
+    /// Connections ended because the memory for incomplete requests and unread responses was used up.
+    uint64_t shedConnections = 0;
     /// Messages that could not be parsed or exceeded the limits.
     uint64_t malformedRequests = 0;
 };
@@ -113,7 +136,8 @@
     using Respond = std::function<void(HttpResponse)>;
     using Handler = std::function<void(HttpRequest, Respond)>;
 
-    HttpServer(EventLoop& loop, const Clock& clock, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
+    /// @param memory shared by all servers of the process.
+    HttpServer(EventLoop& loop, const Clock& clock, HttpMemory& memory, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
     ~HttpServer();
 
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
@@ -135,25 +159,38 @@
     enum class Stage : uint8_t {
         /// The next request.
         Idle,
+        /// The rest of a request's head, or of its body.
+        Head,
+        Body,
         /// The response to a request.
         Handling,
         /// The end of input, after the last response.
         Lingering,
         StageCount,
     };
+    static constexpr std::array expiringStages { Stage::Head, Stage::Body, Stage::Lingering };
+    /// By stage, zero for none. An idle connection stays open after its time, but may be closed in favour of another one.
+    static const std::array<Duration, static_cast<size_t>(Stage::StageCount)> timeLimits;
     void enter(Connection& connection, Stage stage);
     void armTimer();
     void handleTimer();
     void handleWritten(uint64_t id);
+    bool handleAcceptFailure();
+    /// Closes the connection that has been idle longest.
+    /// @returns whether there was one.
+    bool evictIdle();
     void accept(evutil_socket_t fd);
     size_t receive(uint64_t id, std::string_view bytes);
     void respond(uint64_t id, uint64_t request, const HttpResponse& response);
     void handleInputEnd(uint64_t id);
-    void refuse(uint64_t id, int status);
+    void expire(uint64_t id);
+    void reclaim(uint64_t id);
+    void refuse(uint64_t id, const HttpResponse& response);
     void drop(uint64_t id);
 
     EventLoop& m_loop;
     const Clock& m_clock;
+    HttpMemory& m_memory;
     size_t m_maxBodyBytes;
     size_t m_maxConnections;
     Handler m_handler;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,11 +5,35 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <sys/socket.h>
 
 namespace vanillalift::net {
 
+namespace {
+
+    HttpResponse overloadResponse() { return { 503, { { "Retry-After", "1" } }, {} }; }
+
+    /// @param connection value of the header Connection, empty for none.
+    std::string encodeHead(const HttpResponse& response, std::string_view connection)
+    {
+        std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ' + http_status_str(static_cast<http_status>(response.status)) + "\r\n";
+        for (const auto& header : response.headers)
+            head += header.name + ": " + header.value + "\r\n";
+        head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+        if (!connection.empty())
+            head.append("Connection: ").append(connection).append("\r\n");
+        return head + "\r\n";
+    }
+
+} // namespace
+
+const std::array<Duration, static_cast<size_t>(HttpServer::Stage::StageCount)> HttpServer::timeLimits {
+    config::minHttpIdleTime, config::httpHeadTimeout, config::httpBodyTimeout, Duration::zero(), config::httpLingerTimeout
+};
+
 struct HttpServer::Connection {
     HttpParser parser;
+    HttpMemory::Holder memory;
     std::unique_ptr<Stream> stream;
     /// Number of the request in progress, 0 for none.
     uint64_t request = 0;
@@ -18,6 +42,9 @@
     bool hasEndedIdle = false;
     /// Bytes read after the request in progress.
     size_t unparsedBytes = 0;
+    /// Of the request in progress.
+    bool isHead = false;
+    bool isVersion10 = false;
     size_t discardedBytes = 0;
     Stage stage = Stage::Idle;
     /// End of the stage; when idle, the time from which the connection may be closed in favour of another one.
@@ -25,17 +52,25 @@
     /// In the list of the stage.
     std::list<uint64_t>::iterator position {};
 
+    Connection(HttpParser::Limits limits, HttpMemory& budget, std::function<void()> onReclaim)
+        : parser(HttpParser::Kind::Request, limits)
+        , memory(budget, std::move(onReclaim))
+    {
+    }
+
     [[nodiscard]] bool isOpen() const { return request != 0 || stream->unsentBytes() != 0 || (isKeptAlive && stream->unreadBytes() != 0); }
 };
 
-HttpServer::HttpServer(EventLoop& loop, const Clock& clock, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler)
+HttpServer::HttpServer(EventLoop& loop, const Clock& clock, HttpMemory& memory, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler)
     : m_loop(loop)
     , m_clock(clock)
+    , m_memory(memory)
     , m_maxBodyBytes(maxBodyBytes)
     , m_maxConnections(maxConnections)
     , m_handler(std::move(handler))
     , m_timer(loop, [this] { handleTimer(); })
-    , m_listener(loop, address, [this](evutil_socket_t fd) { accept(fd); })
+    , m_listener(
+          loop, address, [this](evutil_socket_t fd) { accept(fd); }, [this] { return handleAcceptFailure(); })
 {
 }
 
@@ -43,19 +78,26 @@
 
 void HttpServer::accept(evutil_socket_t fd)
 {
-    if (m_connections.size() >= m_maxConnections) {
-        evutil_closesocket(fd);
-        m_stats.refusedConnections++;
-        LOG_EVERY_N(WARNING, 100) << "connection refused: the limit of " << m_connections.size() << " open connections is reached";
-        return;
-    }
+    const auto& lingering = m_stages[static_cast<size_t>(Stage::Lingering)];
+    bool isRefused = m_connections.size() - lingering.size() >= m_maxConnections && !evictIdle();
     auto id = ++m_lastId;
-    auto connection = std::make_unique<Connection>(Connection { HttpParser(HttpParser::Kind::Request, { config::maxHttpHeadBytes, m_maxBodyBytes }), nullptr });
+    auto connection = std::make_unique<Connection>(HttpParser::Limits { config::maxHttpHeadBytes, m_maxBodyBytes }, m_memory, [this, id] { reclaim(id); });
     auto& idle = m_stages[static_cast<size_t>(Stage::Idle)];
     connection->position = idle.insert(idle.end(), id);
+    connection->deadline = m_clock.now() + config::minHttpIdleTime;
     auto& inserted = *(m_connections[id] = std::move(connection));
     inserted.stream = std::make_unique<Stream>(m_loop, fd,
         Stream::Handlers { nullptr, [this, id](std::string_view bytes) { return receive(id, bytes); }, [this, id](StreamCloseReason) { drop(id); }, [this, id] { handleInputEnd(id); }, [this, id] { handleWritten(id); } });
+    if (!isRefused)
+        return;
+    m_stats.refusedConnections++;
+    LOG_EVERY_N(WARNING, 100) << "connection refused: the limit of " << m_maxConnections << " open connections is reached";
+    // Fits into the empty send buffer of a new socket.
+    auto response = encodeHead(overloadResponse(), "close");
+    inserted.isKeptAlive = false;
+    if (send(fd, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT) < 0 || !inserted.stream->endOutput())
+        return drop(id);
+    enter(inserted, Stage::Lingering);
 }
 
 void HttpServer::enter(Connection& connection, Stage stage)
@@ -64,30 +106,96 @@
     auto& to = m_stages.at(static_cast<size_t>(stage));
     to.splice(to.end(), from, connection.position);
     connection.stage = stage;
-    if (stage != Stage::Lingering)
+    auto timeLimit = timeLimits.at(static_cast<size_t>(stage));
+    if (timeLimit == Duration::zero())
         return;
-    connection.deadline = m_clock.now() + config::httpLingerTimeout;
-    if (to.size() == 1)
+    connection.deadline = m_clock.now() + timeLimit;
+    if (stage != Stage::Idle && to.size() == 1)
         armTimer();
+    if (stage == Stage::Lingering && to.size() > config::maxLingeringConnections)
+        drop(to.front());
 }
 
 void HttpServer::armTimer()
 {
-    const auto& lingering = m_stages[static_cast<size_t>(Stage::Lingering)];
-    if (lingering.empty())
-        return;
-    m_timer.armAt(m_connections.at(lingering.front())->deadline, m_clock.now());
+    std::optional<TimePoint> earliest;
+    for (auto stage : expiringStages) {
+        const auto& waiting = m_stages.at(static_cast<size_t>(stage));
+        if (waiting.empty())
+            continue;
+        auto deadline = m_connections.at(waiting.front())->deadline;
+        earliest = std::min(earliest.value_or(deadline), deadline);
+    }
+    if (earliest)
+        m_timer.armAt(*earliest, m_clock.now());
 }
 
 void HttpServer::handleTimer()
 {
-    const auto& lingering = m_stages[static_cast<size_t>(Stage::Lingering)];
     auto now = m_clock.now();
-    while (!lingering.empty() && m_connections.at(lingering.front())->deadline <= now)
-        drop(lingering.front());
+    for (auto stage : expiringStages) {
+        const auto& waiting = m_stages.at(static_cast<size_t>(stage));
+        while (!waiting.empty() && m_connections.at(waiting.front())->deadline <= now)
+            expire(waiting.front());
+    }
     armTimer();
 }
 
+void HttpServer::expire(uint64_t id)
+{
+    auto& connection = *m_connections.at(id);
+    if (connection.stage == Stage::Lingering)
+        return drop(id);
+    // The rest may have arrived while the loop was delayed.
+    auto stage = connection.stage;
+    connection.stream->readPendingInput();
+    if (connection.stage != stage)
+        return;
+    m_stats.lateRequests++;
+    refuse(id, { 408, {}, {} });
+}
+
+void HttpServer::reclaim(uint64_t id)
+{
+    auto& connection = *m_connections.at(id);
+    bool isReceiving = connection.stage == Stage::Head || connection.stage == Stage::Body;
+    bool isResponseUnread = connection.stage == Stage::Handling && connection.request == 0;
+    if (!isReceiving && !isResponseUnread)
+        return;
+    m_stats.shedConnections++;
+    LOG_EVERY_N(WARNING, 100) << "connection ended: incomplete requests and unread responses take more than their share of memory";
+    if (isReceiving)
+        refuse(id, overloadResponse());
+    else
+        drop(id);
+}
+
+bool HttpServer::handleAcceptFailure()
+{
+    m_stats.failedAccepts++;
+    return evictIdle();
+}
+
+bool HttpServer::evictIdle()
+{
+    const auto& idle = m_stages[static_cast<size_t>(Stage::Idle)];
+    auto now = m_clock.now();
+    while (!idle.empty()) {
+        auto id = idle.front();
+        auto& connection = *m_connections.at(id);
+        if (connection.deadline > now)
+            return false;
+        // Its next request may have arrived.
+        connection.stream->readPendingInput();
+        if (connection.stage != Stage::Idle)
+            continue;
+        drop(id);
+        m_stats.evictedConnections++;
+        return true;
+    }
+    return false;
+}
+
 void HttpServer::drop(uint64_t id)
 {
     auto it = m_connections.find(id);
@@ -117,15 +225,16 @@
         if (it == m_connections.end() || it->second->isOpen() || !it->second->isKeptAlive)
             continue;
         auto& connection = *it->second;
-        connection.isKeptAlive = false;
         if (connection.parser.isInMessage()) {
-            connection.request = ++m_lastId;
-            enter(connection, Stage::Handling);
-            respond(id, connection.request, { 503, { { "Retry-After", "1" } }, {} });
+            refuse(id, overloadResponse());
             continue;
         }
+        connection.isKeptAlive = false;
         connection.hasEndedIdle = true;
-        handleWritten(id);
+        if (connection.stream->endOutput())
+            enter(connection, Stage::Lingering);
+        else
+            connection.stream->closeAfterWrite();
     }
 }
 
@@ -139,6 +248,7 @@
     connection.unparsedBytes = bytes.size();
     if (connection.request != 0) {
         connection.stream->setReading(false);
+        connection.memory.update(bytes.size());
         return 0;
     }
     if (!connection.isKeptAlive) {
@@ -151,11 +261,21 @@
     }
     auto used = connection.parser.feed(bytes);
     if (connection.parser.hasFailed()) {
-        refuse(id, connection.parser.isTooLarge() ? 413 : 400);
+        m_stats.malformedRequests++;
+        refuse(id, { connection.parser.isTooLarge() ? 413 : 400, {}, {} });
         return bytes.size();
     }
-    if (!connection.parser.hasMessage())
+    if (!connection.parser.hasMessage()) {
+        auto stage = connection.parser.isInBody() ? Stage::Body : Stage::Head;
+        if (connection.stage != stage && connection.parser.isInMessage()) {
+            enter(connection, stage);
+            if (stage == Stage::Body && connection.parser.expectsContinue())
+                connection.stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        connection.memory.update(connection.parser.heldBytes() + connection.stream->unsentBytes());
         return used;
+    }
+    connection.memory.update(connection.stream->unsentBytes());
     connection.request = ++m_lastId;
     connection.unparsedBytes = bytes.size() - used;
     enter(connection, Stage::Handling);
@@ -164,7 +284,12 @@
         if (*isAlive)
             respond(id, request, response);
     };
-    m_handler(connection.parser.takeRequest(), std::move(respondToRequest));
+    connection.isVersion10 = connection.parser.isVersion10();
+    auto httpRequest = connection.parser.takeRequest();
+    connection.isHead = httpRequest.method == "HEAD";
+    if (connection.isHead)
+        httpRequest.method = "GET";
+    m_handler(std::move(httpRequest), std::move(respondToRequest));
     return used;
 }
 
@@ -174,8 +299,10 @@
     auto& connection = *m_connections.at(id);
     if (connection.request != 0)
         return;
-    if (connection.isKeptAlive && connection.parser.isInMessage())
-        return refuse(id, 400);
+    if (connection.isKeptAlive && connection.parser.isInMessage()) {
+        m_stats.malformedRequests++;
+        return refuse(id, { 400, {}, {} });
+    }
     connection.isKeptAlive = false;
     connection.stream->closeAfterWrite();
 }
@@ -183,21 +310,26 @@
 void HttpServer::handleWritten(uint64_t id)
 {
     auto& connection = *m_connections.at(id);
-    if (connection.isKeptAlive || connection.request != 0 || connection.stage == Stage::Lingering)
+    if (connection.request != 0 || connection.stage != Stage::Handling)
         return;
+    connection.memory.update(0);
+    if (connection.isKeptAlive)
+        return enter(connection, Stage::Idle);
     if (!connection.stream->endOutput())
         return connection.stream->closeAfterWrite();
     enter(connection, Stage::Lingering);
 }
 
-void HttpServer::refuse(uint64_t id, int status)
+void HttpServer::refuse(uint64_t id, const HttpResponse& response)
 {
     auto& connection = *m_connections.at(id);
-    m_stats.malformedRequests++;
+    // Frees the part that has been received.
+    connection.parser.takeRequest();
+    connection.isHead = false;
     connection.request = ++m_lastId;
     connection.isKeptAlive = false;
     enter(connection, Stage::Handling);
-    respond(id, connection.request, { status, {}, {} });
+    respond(id, connection.request, response);
 }
 
 void HttpServer::respond(uint64_t id, uint64_t request, const HttpResponse& response)
@@ -208,16 +340,11 @@
     auto& connection = *it->second;
     connection.request = 0;
     connection.isKeptAlive = connection.isKeptAlive && (!m_isDraining || connection.unparsedBytes != 0);
-    std::string head = "HTTP/1.1 " + std::to_string(response.status) + ' ' + http_status_str(static_cast<http_status>(response.status)) + "\r\n";
-    for (const auto& header : response.headers)
-        head += header.name + ": " + header.value + "\r\n";
-    head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-    if (!connection.isKeptAlive)
-        head += "Connection: close\r\n";
-    head += "\r\n";
-    connection.stream->write(head + response.body);
-    if (connection.isKeptAlive)
-        enter(connection, Stage::Idle);
+    auto bytes = encodeHead(response, !connection.isKeptAlive ? "close" : (connection.isVersion10 ? "keep-alive" : ""));
+    if (!connection.isHead)
+        bytes += response.body;
+    connection.stream->write(bytes);
+    connection.memory.update(connection.stream->unsentBytes());
     connection.stream->setReading(true);
 }
 
