Handle signals that arrive during the start or the end

SIGTERM then ended them by the signal instead of with status 0, a supervisor that left both blocked could neither reload nor stop them, and SIGHUP after the event loop had ended a controller by the signal.

Cause: the handlers are installed last and removed first, the default action of both signals is the end of the process, and nothing unblocked them.

Both are blocked first thing in main, unblocked on the loop's thread once the handlers are installed, and blocked again once the loop has ended. Linux keeps a signal that is blocked pending even if it is ignored, so the parent's settings make no difference. The log thread blocks all signals as before.

Seen to fail before, on: plain_hosts_e2e reload_during_the_start (both ended with -1), stop_during_the_start (-15), signals_blocked_by_the_parent (no reload), reloads_until_the_end (controller ended with -1). host_setup_test fails without the changes of the signal mask.

--- a/src/node/host_setup_p.h
+++ b/src/node/host_setup_p.h
@@ -4,6 +4,15 @@
 
 /// Prepares the process for what its host may do to it. The first thing in main, before anything is written.
 /// A write to a file that has reached its largest size, or to a pipe without a reader, fails instead of ending the process.
+/// Holds SIGHUP and SIGTERM back, see holdSignals().
 void prepareHost();
 
+/// Holds SIGHUP and SIGTERM back until releaseSignals(), so that they do not end the process by their default action. Call it
+/// before the handlers are removed, too.
+void holdSignals();
+
+/// Delivers the signals that were held back, and those to come, even if the parent process had blocked them. Call it on the
+/// event loop's thread once the handlers are installed.
+void releaseSignals();
+
 } // namespace vanillalift::node
--- /dev/null
+++ b/tests/jobs/host_setup_test.cpp
@@ -0,0 +1,89 @@
+#include "net/event_loop_p.h"
+#include "node/host_setup_p.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <memory>
+#include <sys/wait.h>
+#include <unistd.h>
+
+using namespace vanillalift;
+
+namespace {
+
+/// Ends a child whose event loop is not stopped by a signal.
+constexpr unsigned childSeconds = 10;
+
+/// Runs a function in a child process.
+/// @returns its exit status, or the negative number of the signal that ended it.
+template <typename F>
+int statusOfChild(F run)
+{
+    auto pid = fork();
+    REQUIRE(pid >= 0);
+    if (pid == 0) {
+        alarm(childSeconds);
+        _exit(run());
+    }
+    int status = 0;
+    REQUIRE(waitpid(pid, &status, 0) == pid);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+/// Runs an event loop that SIGTERM stops, with both signals sent before the handlers are installed.
+/// @returns 0 if both were handled.
+int runWithEarlySignals()
+{
+    node::prepareHost();
+    raise(SIGHUP);
+    raise(SIGTERM);
+    net::EventLoop loop;
+    bool hasReloaded = false;
+    loop.onSignal(SIGHUP, [&] { hasReloaded = true; });
+    loop.onSignal(SIGTERM, [&] { loop.stop(); });
+    node::releaseSignals();
+    loop.run();
+    return hasReloaded ? 0 : 1;
+}
+
+} // namespace
+
+TEST_CASE("signals that arrive during the start are handled later and do not end the process")
+{
+    CHECK(statusOfChild(runWithEarlySignals) == 0);
+}
+
+TEST_CASE("signals that the parent had blocked are handled")
+{
+    CHECK(statusOfChild([] {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGHUP);
+        sigaddset(&signals, SIGTERM);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        return runWithEarlySignals();
+    }) == 0);
+}
+
+TEST_CASE("signals that the parent had ignored are handled")
+{
+    CHECK(statusOfChild([] {
+        std::signal(SIGHUP, SIG_IGN);
+        std::signal(SIGTERM, SIG_IGN);
+        return runWithEarlySignals();
+    }) == 0);
+}
+
+TEST_CASE("a signal after the handlers are removed does not end the process")
+{
+    CHECK(statusOfChild([] {
+        auto status = runWithEarlySignals();
+        auto loop = std::make_unique<net::EventLoop>();
+        loop->onSignal(SIGHUP, [] {});
+        node::holdSignals();
+        loop.reset();
+        raise(SIGHUP);
+        return status;
+    }) == 0);
+}
--- a/tests/plain_hosts_e2e.py
+++ b/tests/plain_hosts_e2e.py
@@ -1,7 +1,9 @@
 """Runs a small site of plain processes on hosts that lack something, a case per condition of the host."""
 import contextlib
+import json
 import os
 import resource
+import signal
 import subprocess
 import sys
 import tempfile
@@ -78,7 +80,100 @@
     return None
 
 
-CASES = [log_file_at_its_largest_size, errors_before_the_settings]
+def start_held(site, name, number):
+    """Starts a process and sends it a signal while it waits for the contents of its settings file."""
+    path = f"{site.folder}/{name}.json"
+
+    def replace_by_fifo():
+        os.remove(path)
+        os.mkfifo(path)
+
+    site.before = replace_by_fifo
+    site.launch(name, True)
+    writers = []
+
+    def has_reader():
+        with contextlib.suppress(OSError):
+            writers.append(os.open(path, os.O_WRONLY | os.O_NONBLOCK))
+        return bool(writers)
+
+    if not wait_for(has_reader, START_SECONDS):
+        return
+    settings = json.dumps(site.settings(name, True))
+    with open(path + ".new", "w") as file:
+        file.write(settings)
+    os.replace(path + ".new", path)
+    site.signal(name, number)
+    with contextlib.suppress(OSError):
+        os.write(writers[0], settings.encode())
+    os.close(writers[0])
+
+
+def wait_for_end(site, name):
+    return wait_for(lambda: name in site.exits(), START_SECONDS) and site.exits()[name]
+
+
+def stop_all(site):
+    """Returns what is wrong with the ends after SIGTERM, or None."""
+    for name in site.processes:
+        site.signal(name, signal.SIGTERM)
+    statuses = {name: wait_for_end(site, name) for name in site.processes}
+    return None if all(it == 0 and it is not False for it in statuses.values()) else f"ends after SIGTERM: {statuses}"
+
+
+def reload_during_the_start(build):
+    """SIGHUP before the handlers are installed is a reload, not the end."""
+    with small_site(build) as site:
+        for name in site.controllers + site.gateways:
+            start_held(site, name, signal.SIGHUP)
+        fault = serves(site, "early-reload")
+        if not fault and not wait_for(lambda: all("event=reload valid=1" in site.log(it) for it in site.processes), START_SECONDS):
+            fault = "no reload was logged"
+        return fault
+
+
+def stop_during_the_start(build):
+    """SIGTERM before the handlers are installed is an orderly stop with status 0."""
+    with small_site(build) as site:
+        for name in site.controllers + site.gateways:
+            start_held(site, name, signal.SIGTERM)
+        statuses = {name: wait_for_end(site, name) for name in site.processes}
+        return None if all(it == 0 and it is not False for it in statuses.values()) else f"ends: {statuses}"
+
+
+def block_and_ignore_signals():
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
+
+
+def signals_blocked_by_the_parent(build):
+    """SIGHUP and SIGTERM work although the supervisor left them blocked and ignored."""
+    with small_site(build, before=block_and_ignore_signals) as site:
+        fault = serves(site.start(), "blocked-signals")
+        for name in site.processes:
+            site.signal(name, signal.SIGHUP)
+        if not fault and not wait_for(lambda: all("event=reload valid=1" in site.log(it) for it in site.processes), START_SECONDS):
+            fault = "no reload was logged"
+        return fault or stop_all(site)
+
+
+def reloads_until_the_end(build):
+    """SIGHUP while a process ends after SIGTERM does not end it by a signal."""
+    with small_site(build) as site:
+        fault = serves(site.start(), "late-reload")
+        for name in site.processes:
+            site.signal(name, signal.SIGTERM)
+        for name, process in site.processes.items():
+            while process.poll() is None:
+                site.signal(name, signal.SIGHUP)
+        return fault or (f"ends: {site.exits()}" if any(site.exits().values()) else None)
+
+
+CASES = [
+    log_file_at_its_largest_size, errors_before_the_settings, reload_during_the_start, stop_during_the_start, signals_blocked_by_the_parent,
+    reloads_until_the_end,
+]
 
 
 def main():
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -99,7 +99,9 @@
         if (changed)
             controller.addSeeds(changed->seeds);
     });
+    node::releaseSignals();
     loop.run();
+    node::holdSignals();
     if (isStopping)
         runRecord.finish();
     log.stateLine("connections").field("open", control.server().openConnections()).field("requests", control.server().openRequests());
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -82,7 +82,9 @@
         if (changed)
             leaderClient.addSeeds(changed->seeds);
     });
+    node::releaseSignals();
     loop.run();
+    node::holdSignals();
     log.stateLine("connections").field("open", clients.clientServer().openConnections()).field("requests", clients.openRequests());
     return node::logExit(log, 0, "stopped");
 }
