Serve without the metrics page, and wait for addresses that are in use

Cause: a listener tried its address once, and main took a failure of any of them for the end.

A listener now tries its address again with a log line, each second, and the metrics page every 10 s, while all else goes on. A gateway does not say that it is ready before it listens for clients. Addresses that are malformed are still refused with the settings.

Seen to fail before, on: plain_hosts_e2e metrics_port_in_use and addresses_in_use (controller and gateway ended with 1). Also run: net_test, gateway_stop_test. Not run: the soak.

--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -39,6 +39,8 @@
 
 /// Backlog of a listening socket, in connections.
 constexpr int acceptBacklog = 512;
+/// Time until an address that cannot be listened on is tried again: it may still be in use, or not be assigned yet.
+constexpr milliseconds listenRetryInterval { 1000 };
 /// Time after which a connection with unacknowledged data is closed (TCP_USER_TIMEOUT): a network partition drops packets
 /// without a reset.
 constexpr unsigned tcpUserTimeoutMs = 2000;
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -107,7 +107,7 @@
     using Respond = std::function<void(HttpResponse)>;
     using Handler = std::function<void(HttpRequest, Respond)>;
 
-    HttpServer(EventLoop& loop, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
+    HttpServer(EventLoop& loop, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler, Duration listenRetryInterval = config::listenRetryInterval);
     ~HttpServer();
 
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -18,12 +18,13 @@
     [[nodiscard]] bool isOpen() const { return request != 0 || stream->unsentBytes() != 0 || (isKeptAlive && stream->unreadBytes() != 0); }
 };
 
-HttpServer::HttpServer(EventLoop& loop, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler)
+HttpServer::HttpServer(EventLoop& loop, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler, Duration listenRetryInterval)
     : m_loop(loop)
     , m_maxBodyBytes(maxBodyBytes)
     , m_maxConnections(maxConnections)
     , m_handler(std::move(handler))
-    , m_listener(loop, address, [this](evutil_socket_t fd) { accept(fd); })
+    , m_listener(
+          loop, address, [this](evutil_socket_t fd) { accept(fd); }, listenRetryInterval)
 {
 }
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -170,14 +170,32 @@
         bufferevent_trigger(m_buffer.get(), EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS);
 }
 
-Listener::Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept)
-    : m_onAccept(std::move(onAccept))
+Listener::Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept, Duration retryInterval)
+    : m_loop(loop)
+    , m_address(address)
+    , m_onAccept(std::move(onAccept))
+    , m_retryInterval(retryInterval)
+    , m_retryTimer(loop, [this] { open(); })
 {
-    auto sin = socketAddress(address);
+    open();
+}
+
+void Listener::open()
+{
+    auto sin = socketAddress(m_address);
     auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) { static_cast<Listener*>(self)->m_onAccept(fd); };
-    m_listener.reset(evconnlistener_new_bind(loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, config::acceptBacklog, reinterpret_cast<sockaddr*>(&sin), sizeof(sin)));
-    if (!m_listener)
-        LOG(ERROR) << "cannot listen on port " << address.port << ": " << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
+    m_listener.reset(evconnlistener_new_bind(m_loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, config::acceptBacklog, reinterpret_cast<sockaddr*>(&sin), sizeof(sin)));
+    if (m_listener)
+        return;
+    LOG(ERROR) << "cannot listen on port " << m_address.port << " yet: " << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
+    auto now = SystemClock().now();
+    m_retryTimer.armAt(now + m_retryInterval, now);
+}
+
+void Listener::close()
+{
+    m_retryTimer.disarm();
+    m_listener.reset();
 }
 
 } // namespace vanillalift::net
--- a/src/net/stream_p.h
+++ b/src/net/stream_p.h
@@ -2,6 +2,8 @@
 
 #include "event_loop_p.h"
 
+#include <vanillalift/config.h>
+
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
@@ -89,19 +91,26 @@
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
-/// Accepts TCP connections on one address.
+/// Accepts TCP connections on one address. An address that is in use or not assigned yet is tried again, with a log line each
+/// time, until the listener is closed.
 class Listener {
 public:
-    Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept);
+    Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept, Duration retryInterval = config::listenRetryInterval);
     /// @returns whether the listener is bound and not closed.
     [[nodiscard]] bool isOpen() const { return m_listener != nullptr; }
-    void close() { m_listener.reset(); }
+    void close();
 
 private:
     struct Deleter {
         void operator()(evconnlistener* it) const { evconnlistener_free(it); }
     };
+    void open();
+
+    EventLoop& m_loop;
+    Address m_address;
     std::function<void(evutil_socket_t)> m_onAccept;
+    Duration m_retryInterval;
+    Timer m_retryTimer;
     std::unique_ptr<evconnlistener, Deleter> m_listener;
 };
 
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -9,17 +9,21 @@
 
     constexpr size_t maxRequestBytes = 4096;
     constexpr size_t maxConnections = 16;
+    /// Time until the address is tried again if it is in use: the process serves without its metrics.
+    constexpr std::chrono::seconds listenRetryInterval { 10 };
 
 } // namespace
 
 MetricsPage::MetricsPage(net::EventLoop& loop, const net::Address& address, std::string prefix, std::function<void(const Visit&)> collect)
     : m_prefix(std::move(prefix))
     , m_collect(std::move(collect))
-    , m_server(loop, address, maxRequestBytes, maxConnections, [this](const net::HttpRequest& request, const net::HttpServer::Respond& respond) {
-        if (request.method != "GET" || request.target != "/metrics")
-            return respond({ 404, {}, {} });
-        respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, serialize() });
-    })
+    , m_server(
+          loop, address, maxRequestBytes, maxConnections, [this](const net::HttpRequest& request, const net::HttpServer::Respond& respond) {
+              if (request.method != "GET" || request.target != "/metrics")
+                  return respond({ 404, {}, {} });
+              respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, serialize() });
+          },
+          listenRetryInterval)
 {
 }
 
--- a/src/node/metrics_page_p.h
+++ b/src/node/metrics_page_p.h
@@ -9,7 +9,7 @@
 
 namespace vanillalift::node {
 
-/// Serves the metrics of a process at /metrics in the Prometheus text format.
+/// Serves the metrics of a process at /metrics in the Prometheus text format, once its address can be listened on.
 class MetricsPage {
 public:
     using Visit = std::function<void(std::string_view name, std::string_view help, double value)>;
--- a/tests/plain_hosts_e2e.py
+++ b/tests/plain_hosts_e2e.py
@@ -4,11 +4,12 @@
 import os
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 
-from plain_site import METRICS_PORT, Site, call, wait_for
+from plain_site import CLIENT_PORT, CONTROL_PORT, LINK_PORT, METRICS_PORT, READY_PORT, Site, call, wait_for
 
 NET = "127.0.72"
 START_SECONDS = 20
@@ -170,9 +171,45 @@
         return fault or (f"ends: {site.exits()}" if any(site.exits().values()) else None)
 
 
+def occupy(site, name, port):
+    """Returns a socket that listens where the process wants to."""
+    other = socket.socket()
+    other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    other.bind((site.ips[name], port))
+    other.listen()
+    return other
+
+
+def metrics_port_in_use(build):
+    """A site serves without its metrics pages, and has them once their port is free."""
+    with small_site(build) as site, contextlib.ExitStack() as others:
+        for name in site.controllers + site.gateways:
+            others.enter_context(occupy(site, name, METRICS_PORT))
+        fault = serves(site.start(), "no-metrics")
+        others.close()
+        pages = ("c0", "vanillalift_controller_is_leader"), ("g0", "vanillalift_gateway_has_leader")
+        if not fault and not wait_for(lambda: all(metric(site, *it) is not None for it in pages), START_SECONDS):
+            fault = "the metrics pages do not open once their port is free"
+        return fault
+
+
+def addresses_in_use(build):
+    """Addresses that are needed to serve and in use at the start are tried again, and the processes serve once they are free."""
+    with small_site(build) as site, contextlib.ExitStack() as others:
+        ports = {"c0": (CONTROL_PORT, LINK_PORT), "g0": (CLIENT_PORT, READY_PORT)}
+        for name, numbers in ports.items():
+            for port in numbers:
+                others.enter_context(occupy(site, name, port))
+        site.start()
+        if not wait_for(lambda: all(site.log(name).count(f"cannot listen on port {port} yet") > 1 for name in ports for port in ports[name]), START_SECONDS):
+            return f"not every address was tried again; exits: {site.exits()}"
+        others.close()
+        return serves(site, "late-address")
+
+
 CASES = [
     log_file_at_its_largest_size, errors_before_the_settings, reload_during_the_start, stop_during_the_start, signals_blocked_by_the_parent,
-    reloads_until_the_end,
+    reloads_until_the_end, metrics_port_in_use, addresses_in_use,
 ]
 
 
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -85,8 +85,6 @@
         visit("unfinished_runs", "Runs in a row before this one that ended without being stopped.", static_cast<double>(runRecord.unfinishedRuns()));
         controller.visitMetrics(visit);
     });
-    if (!control.isOpen() || !metrics.isOpen() || !controller.isOpen())
-        return node::logExit(log, 1, "an address cannot be listened on");
     bool isStopping = false;
     loop.onSignal(SIGTERM, [&] {
         log.stateLine("stop").field("reason", std::string_view("SIGTERM"));
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -47,7 +47,7 @@
     bool isStopping = false;
     platform::ClientApi::Desc desc { *settings->clientAddress, *settings->readinessAddress, settings->maxDescriptors - std::min(settings->maxDescriptors / 2, reservedDescriptors) };
     auto forwardCall = [&](node::Request request, TimePoint sendDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaderClient.call(std::move(request), sendDeadline, deadline, std::move(handler)); };
-    platform::ClientApi clients(loop, clock, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && !isStopping; });
+    platform::ClientApi clients(loop, clock, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && clients.isOpen() && !isStopping; });
     platform::GatewayShutdown stop(clients, leaderClient);
     node::MetricsPage metrics(loop, { settings->clientAddress->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
         node::visitProcessMetrics(clients.clientServer(), visit);
@@ -59,8 +59,6 @@
         visit("pending_calls", "Requests that wait for the leader.", static_cast<double>(leaderClient.pendingCalls()));
         visit("log_lines_dropped_total", "Log lines dropped by the rate limit or because of a slow reader.", static_cast<double>(log.dropped()));
     });
-    if (!clients.isOpen() || !metrics.isOpen())
-        return node::logExit(log, 1, "an address cannot be listened on");
     net::Timer* tickTimer = nullptr;
     net::Timer timer(loop, [&] {
         auto now = clock.now();
