Open the standard streams that are closed at the start

Seen: a program started with standard streams closed gave their descriptors to its event loop and its wake-up pipes, and wrote log lines into them.

Cause: the lowest free descriptor is given to what is opened next.

Seen to fail before: plain_hosts_e2e standard_streams_closed on (an event poll and two pipes in their places); the case of host_setup_test without the change.

--- a/src/node/host_setup_p.h
+++ b/src/node/host_setup_p.h
@@ -4,6 +4,7 @@
 
 /// Prepares the process for what its host may do to it. The first thing in main, before anything is written.
 /// A write to a file that has reached its largest size, or to a pipe without a reader, fails instead of ending the process.
+/// Standard streams that are closed are opened on /dev/null, so that no log line goes into another file or socket.
 /// Holds SIGHUP and SIGTERM back, see holdSignals().
 void prepareHost();
 
--- a/tests/jobs/host_setup_test.cpp
+++ b/tests/jobs/host_setup_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <fcntl.h>
 #include <memory>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -75,6 +76,16 @@
     }) == 0);
 }
 
+TEST_CASE("a file opened after the start never takes the place of a closed standard stream")
+{
+    CHECK(statusOfChild([] {
+        for (int fd = STDIN_FILENO; fd <= STDERR_FILENO; fd++)
+            close(fd);
+        node::prepareHost();
+        return open("/", O_RDONLY) > STDERR_FILENO && write(STDOUT_FILENO, "x", 1) == 1 ? 0 : 1;
+    }) == 0);
+}
+
 TEST_CASE("a signal after the handlers are removed does not end the process")
 {
     CHECK(statusOfChild([] {
--- a/tests/plain_hosts_e2e.py
+++ b/tests/plain_hosts_e2e.py
@@ -207,9 +207,22 @@
         return serves(site, "late-address")
 
 
+def close_standard_streams():
+    for number in range(3):
+        os.close(number)
+
+
+def standard_streams_closed(build):
+    """A process that is started without standard streams serves, and writes no log line into another of its files."""
+    with small_site(build, before=close_standard_streams) as site:
+        fault = serves(site.start(), "no-streams")
+        targets = {os.readlink(f"/proc/{it.pid}/fd/{number}") for it in site.processes.values() for number in range(3)}
+        return fault or (f"standard streams are {targets}" if targets != {"/dev/null"} else None)
+
+
 CASES = [
     log_file_at_its_largest_size, errors_before_the_settings, reload_during_the_start, stop_during_the_start, signals_blocked_by_the_parent,
-    reloads_until_the_end, metrics_port_in_use, addresses_in_use,
+    reloads_until_the_end, metrics_port_in_use, addresses_in_use, standard_streams_closed,
 ]
 
 
