Count connections from the descriptors that the host really allows

Cause: connections were counted from the settings, whatever the host allowed; a controller with few descriptors kept a minimum of 64 connections each way, which is more than all of them.

The soft limit is raised up to the hard limit or to the settings' value, and connections are counted from the lesser of the two. A host that tells no limit leaves the settings' value.

Seen to fail before, on: plain_hosts_e2e few_descriptors_and_idle_connections (no readiness check was answered) and soft_descriptor_limit_is_raised. The new cases of host_setup_test were only run with the change.

--- a/src/node/host_setup.cpp
+++ b/src/node/host_setup.cpp
@@ -1,8 +1,11 @@
 #include "host_setup_p.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <fcntl.h>
+#include <glog/logging.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace vanillalift::node {
@@ -51,4 +54,26 @@
     pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
+size_t allowDescriptors(size_t wanted)
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        PLOG(WARNING) << "the limit of open descriptors is unknown";
+        return wanted;
+    }
+    if (limit.rlim_cur >= wanted)
+        return wanted;
+    auto raised = limit;
+    raised.rlim_cur = std::min<rlim_t>(wanted, limit.rlim_max);
+    if (setrlimit(RLIMIT_NOFILE, &raised) == 0)
+        limit = raised;
+    else
+        PLOG(WARNING) << "the limit of open descriptors cannot be raised";
+    if (limit.rlim_cur < wanted)
+        LOG(WARNING) << "only " << limit.rlim_cur << " of " << wanted << " open descriptors are allowed: fewer connections are accepted";
+    return std::min<size_t>(wanted, limit.rlim_cur);
+}
+
+size_t reservedOf(size_t allowed, size_t reserved) { return std::min(allowed / 2, reserved); }
+
 } // namespace vanillalift::node
--- a/src/node/host_setup_p.h
+++ b/src/node/host_setup_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 namespace vanillalift::node {
 
 /// Prepares the process for what its host may do to it. The first thing in main, before anything is written.
@@ -16,4 +18,11 @@
 /// event loop's thread once the handlers are installed.
 void releaseSignals();
 
+/// Raises the soft limit of open descriptors to @p wanted, or to the hard limit if that is lower. A higher one stays.
+/// @returns how many descriptors the process may use: the lesser of @p wanted and the limit; @p wanted if the host does not tell.
+size_t allowDescriptors(size_t wanted);
+
+/// @returns @p reserved, or half of @p allowed if that is less.
+size_t reservedOf(size_t allowed, size_t reserved);
+
 } // namespace vanillalift::node
--- a/tests/jobs/host_setup_test.cpp
+++ b/tests/jobs/host_setup_test.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <memory>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -86,6 +87,37 @@
     }) == 0);
 }
 
+TEST_CASE("a soft limit of descriptors below what the settings allow is raised up to the hard limit")
+{
+    auto run = [](rlim_t hard, size_t expected) {
+        return statusOfChild([&] {
+            rlimit limit { 64, hard };
+            if (setrlimit(RLIMIT_NOFILE, &limit) != 0)
+                return 2;
+            auto allowed = node::allowDescriptors(500);
+            return getrlimit(RLIMIT_NOFILE, &limit) == 0 && allowed == expected && limit.rlim_cur == expected ? 0 : 1;
+        });
+    };
+    CHECK(run(1000, 500) == 0);
+    CHECK(run(500, 500) == 0);
+    CHECK(run(200, 200) == 0);
+    CHECK(run(64, 64) == 0);
+}
+
+TEST_CASE("a soft limit of descriptors above what the settings allow stays, and does not allow more")
+{
+    CHECK(statusOfChild([] {
+        rlimit limit { 600, 600 };
+        return setrlimit(RLIMIT_NOFILE, &limit) == 0 && node::allowDescriptors(500) == 500 && getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur == 600 ? 0 : 1;
+    }) == 0);
+}
+
+TEST_CASE("few descriptors leave half for files and links instead of none")
+{
+    CHECK(node::reservedOf(4096, 1100) == 1100);
+    CHECK(node::reservedOf(64, 1100) == 32);
+}
+
 TEST_CASE("a signal after the handlers are removed does not end the process")
 {
     CHECK(statusOfChild([] {
--- a/tests/plain_hosts_e2e.py
+++ b/tests/plain_hosts_e2e.py
@@ -220,9 +220,44 @@
         return fault or (f"standard streams are {targets}" if targets != {"/dev/null"} else None)
 
 
+def limit_descriptors():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
+
+
+def lower_soft_descriptor_limit():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (64, 1024))
+
+
+def occupy_with_connections(site, stack, count):
+    for name, port in (("c0", CONTROL_PORT), ("g0", CLIENT_PORT)):
+        for _ in range(count):
+            with contextlib.suppress(OSError):
+                stack.enter_context(socket.create_connection((site.ips[name], port), timeout=2))
+
+
+def few_descriptors_and_idle_connections(build):
+    """Idle connections up to the limit of descriptors leave enough of them to keep a leader and to answer readiness checks."""
+    with small_site(build, before=limit_descriptors) as site, contextlib.ExitStack() as connections:
+        fault = serves(site.start(), "before")
+        occupy_with_connections(site, connections, 100)
+        if not fault and not wait_for(site.is_ready, START_SECONDS):
+            fault = "the gateway answers no readiness check beside idle connections"
+        connections.close()
+        return fault or serves(site, "after")
+
+
+def soft_descriptor_limit_is_raised(build):
+    """A low soft limit of descriptors is raised to the hard limit before connections are counted."""
+    with small_site(build, before=lower_soft_descriptor_limit) as site:
+        fault = serves(site.start(), "raised")
+        limits = [resource.prlimit(it.pid, resource.RLIMIT_NOFILE) for it in site.processes.values()]
+        return fault or (f"limits are {limits}" if limits != [(1024, 1024)] * 2 else None)
+
+
 CASES = [
     log_file_at_its_largest_size, errors_before_the_settings, reload_during_the_start, stop_during_the_start, signals_blocked_by_the_parent,
     reloads_until_the_end, metrics_port_in_use, addresses_in_use, standard_streams_closed,
+    few_descriptors_and_idle_connections, soft_descriptor_limit_is_raised,
 ]
 
 
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -12,7 +12,6 @@
 
 #include <glog/logging.h>
 
-#include <algorithm>
 #include <csignal>
 #include <unistd.h>
 
@@ -24,18 +23,17 @@
 constexpr size_t reservedDescriptors = 1100;
 /// Share of the other descriptors for connections to endpoints: the rest is for those that endpoints and operators open.
 constexpr double endpointConnectionShare = 0.6;
-constexpr size_t minConnections = 64;
 
 struct ConnectionLimits {
-    size_t toEndpoints = minConnections;
-    size_t incoming = minConnections;
+    size_t toEndpoints = 0;
+    size_t incoming = 0;
 };
 
 ConnectionLimits connectionLimits(size_t maxDescriptors)
 {
-    auto available = maxDescriptors - std::min(maxDescriptors, reservedDescriptors);
+    auto available = maxDescriptors - node::reservedOf(maxDescriptors, reservedDescriptors);
     auto toEndpoints = static_cast<size_t>(static_cast<double>(available) * endpointConnectionShare);
-    return { std::max(toEndpoints, minConnections), std::max(available - toEndpoints, minConnections) };
+    return { toEndpoints, available - toEndpoints };
 }
 
 /// The port of the control interface is the same on all instances.
@@ -58,6 +56,7 @@
         LOG(ERROR) << "the settings lack a control address or a data folder, which a controller requires";
         return 2;
     }
+    auto maxDescriptors = node::allowDescriptors(settings->maxDescriptors);
     SystemClock clock;
     net::EventLoop loop;
     EventLog log(clock, STDOUT_FILENO, {});
@@ -73,7 +72,7 @@
     auto storage = node::openStorage(**disk, settings->controller);
     if (!storage)
         return node::logExit(log, 1, raft::describe(storage.error()));
-    auto limits = connectionLimits(settings->maxDescriptors);
+    auto limits = connectionLimits(maxDescriptors);
     platform::HttpEndpointLinks endpoints(loop, clock, limits.toEndpoints);
     platform::HttpAdviceService advice(loop, clock, settings->adviceAddress);
     platform::HttpInstanceService instances(loop, clock, settings->instanceServiceAddress, settings->node);
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -38,6 +38,7 @@
         LOG(ERROR) << "--listen is valid for controllers only: a gateway does not accept links";
         return 2;
     }
+    auto maxDescriptors = node::allowDescriptors(settings->maxDescriptors);
     SystemClock clock;
     net::EventLoop loop;
     EventLog log(clock, STDOUT_FILENO, {});
@@ -45,7 +46,7 @@
     node::logHost(log);
     node::LeaderClient leaderClient(loop, clock, log, { { "", settings->availabilityZone, "" }, settings->seeds, nullptr });
     bool isStopping = false;
-    platform::ClientApi::Desc desc { *settings->clientAddress, *settings->readinessAddress, settings->maxDescriptors - std::min(settings->maxDescriptors / 2, reservedDescriptors) };
+    platform::ClientApi::Desc desc { *settings->clientAddress, *settings->readinessAddress, maxDescriptors - node::reservedOf(maxDescriptors, reservedDescriptors) };
     auto forwardCall = [&](node::Request request, TimePoint sendDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaderClient.call(std::move(request), sendDeadline, deadline, std::move(handler)); };
     platform::ClientApi clients(loop, clock, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && clients.isOpen() && !isStopping; });
     platform::GatewayShutdown stop(clients, leaderClient);
