Take whole numbers with a fraction of zero in the settings

Cause: only JSON integers were taken. Numbers of the settings that are whole are taken as such now; 7000.5 is still refused.

--- a/tests/jobs/platform_decode_test.cpp
+++ b/tests/jobs/platform_decode_test.cpp
@@ -229,6 +229,14 @@
     CHECK(settings->seeds == std::vector<std::string> { "10.1.0.1:7000" });
     CHECK(settings->controller.maxLease == std::chrono::seconds(6));
     CHECK(settings->controller.instances.isEnabled);
+    write(R"({"node":"a","ip":"10.1.0.1","zone":"z","listen":{"control":"10.1.0.1:8345"},"portRange":[7000.0,7015.0],"seeds":[],"limits":{"maxFds":4100.0}})");
+    settings = loadPlatformSettings(path.string());
+    REQUIRE(settings);
+    CHECK(settings->linkPort == 7000);
+    CHECK(settings->metricsPort == 7015);
+    CHECK(settings->maxDescriptors == 4100);
+    write(R"({"node":"a","ip":"10.1.0.1","zone":"z","listen":{},"portRange":[7000.5,7015],"seeds":[]})");
+    CHECK_FALSE(loadPlatformSettings(path.string()));
     write(R"({"node":1,"ip":"x","listen":{"control":"nowhere"},"portRange":[7],"seeds":[1]})");
     settings = loadPlatformSettings(path.string());
     REQUIRE_FALSE(settings);
