--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -137,7 +137,7 @@
     using Handler = std::function<void(HttpRequest, Respond)>;
 
     /// @param memory shared by all servers of the process.
-    HttpServer(EventLoop& loop, const Clock& clock, HttpMemory& memory, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler);
+    HttpServer(EventLoop& loop, const Clock& clock, HttpMemory& memory, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler, Duration listenRetryInterval = config::listenRetryInterval);
     ~HttpServer();
 
     [[nodiscard]] bool isOpen() const { return m_listener.isOpen(); }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -61,7 +61,7 @@
     [[nodiscard]] bool isOpen() const { return request != 0 || stream->unsentBytes() != 0 || (isKeptAlive && stream->unreadBytes() != 0); }
 };
 
-HttpServer::HttpServer(EventLoop& loop, const Clock& clock, HttpMemory& memory, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler)
+HttpServer::HttpServer(EventLoop& loop, const Clock& clock, HttpMemory& memory, const Address& address, size_t maxBodyBytes, size_t maxConnections, Handler handler, Duration listenRetryInterval)
     : m_loop(loop)
     , m_clock(clock)
     , m_memory(memory)
@@ -70,7 +70,7 @@
     , m_handler(std::move(handler))
     , m_timer(loop, [this] { handleTimer(); })
     , m_listener(
-          loop, address, [this](evutil_socket_t fd) { accept(fd); }, [this] { return handleAcceptFailure(); })
+          loop, address, [this](evutil_socket_t fd) { accept(fd); }, [this] { return handleAcceptFailure(); }, listenRetryInterval)
 {
 }
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -183,21 +183,31 @@
         bufferevent_trigger(m_buffer.get(), EV_WRITE, BEV_TRIG_IGNORE_WATERMARKS);
 }
 
-Listener::Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept, std::function<bool()> onFailure)
-    : m_onAccept(std::move(onAccept))
+Listener::Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept, std::function<bool()> onFailure, Duration retryInterval)
+    : m_loop(loop)
+    , m_address(address)
+    , m_onAccept(std::move(onAccept))
     , m_onFailure(std::move(onFailure))
     , m_resumeTimer(loop, [this] {
         if (m_listener)
             evconnlistener_enable(m_listener.get());
     })
+    , m_retryInterval(retryInterval)
+    , m_retryTimer(loop, [this] { open(); })
 {
-    auto sin = socketAddress(address);
+    open();
+}
+
+void Listener::open()
+{
+    auto sin = socketAddress(m_address);
     auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) { static_cast<Listener*>(self)->m_onAccept(fd); };
-    m_listener.reset(evconnlistener_new_bind(loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, config::acceptBacklog, reinterpret_cast<sockaddr*>(&sin), sizeof(sin)));
-    if (!m_listener)
-        LOG(ERROR) << "cannot listen on port " << address.port << ": " << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
-    else
-        evconnlistener_set_error_cb(m_listener.get(), [](evconnlistener*, void* self) { static_cast<Listener*>(self)->handleFailure(); });
+    m_listener.reset(evconnlistener_new_bind(m_loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, config::acceptBacklog, reinterpret_cast<sockaddr*>(&sin), sizeof(sin)));
+    if (m_listener)
+        return evconnlistener_set_error_cb(m_listener.get(), [](evconnlistener*, void* self) { static_cast<Listener*>(self)->handleFailure(); });
+    LOG(ERROR) << "cannot listen on port " << m_address.port << " yet: " << evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
+    auto now = SystemClock().now();
+    m_retryTimer.armAt(now + m_retryInterval, now);
 }
 
 void Listener::handleFailure()
@@ -211,6 +221,7 @@
 
 void Listener::close()
 {
+    m_retryTimer.disarm();
     if (!m_listener)
         return;
     auto fd = evconnlistener_get_fd(m_listener.get());
--- a/src/net/stream_p.h
+++ b/src/net/stream_p.h
@@ -2,6 +2,8 @@
 
 #include "event_loop_p.h"
 
+#include <vanillalift/config.h>
+
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
@@ -98,12 +100,13 @@
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
-/// Accepts TCP connections on one address.
+/// Accepts TCP connections on one address. An address that is in use or not assigned yet is tried again, with a log line each
+/// time, until the listener is closed.
 class Listener {
 public:
     /// @param onFailure called when a connection cannot be accepted; returns whether it has freed a descriptor. If not, the listener
     /// pauses for config::acceptPause.
-    Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept, std::function<bool()> onFailure = {});
+    Listener(EventLoop& loop, const Address& address, std::function<void(evutil_socket_t)> onAccept, std::function<bool()> onFailure = {}, Duration retryInterval = config::listenRetryInterval);
     /// @returns whether the listener is bound and not closed.
     [[nodiscard]] bool isOpen() const { return m_listener != nullptr; }
     /// Accepts the connections that are already established, then closes the listening socket, which resets those that it has not accepted.
@@ -113,11 +116,16 @@
     struct Deleter {
         void operator()(evconnlistener* it) const { evconnlistener_free(it); }
     };
+    void open();
     void handleFailure();
 
+    EventLoop& m_loop;
+    Address m_address;
     std::function<void(evutil_socket_t)> m_onAccept;
     std::function<bool()> m_onFailure;
     Timer m_resumeTimer;
+    Duration m_retryInterval;
+    Timer m_retryTimer;
     std::unique_ptr<evconnlistener, Deleter> m_listener;
 };
 
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -9,19 +9,23 @@
 
     constexpr size_t maxRequestBytes = 4096;
     constexpr size_t maxConnections = 16;
+    /// Time until the address is tried again if it is in use: the process serves without its metrics.
+    constexpr std::chrono::seconds listenRetryInterval { 10 };
 
 } // namespace
 
 MetricsPage::MetricsPage(net::EventLoop& loop, const Clock& clock, net::HttpMemory& memory, const net::Address& address, std::string prefix, std::function<void(const Visit&)> collect)
     : m_prefix(std::move(prefix))
     , m_collect(std::move(collect))
-    , m_server(loop, clock, memory, address, maxRequestBytes, maxConnections, [this](const net::HttpRequest& request, const net::HttpServer::Respond& respond) {
-        if (request.target != "/metrics")
-            return respond({ 404, {}, {} });
-        if (request.method != "GET")
-            return respond(net::methodNotAllowed("GET, HEAD"));
-        respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, serialize() });
-    })
+    , m_server(
+          loop, clock, memory, address, maxRequestBytes, maxConnections, [this](const net::HttpRequest& request, const net::HttpServer::Respond& respond) {
+              if (request.target != "/metrics")
+                  return respond({ 404, {}, {} });
+              if (request.method != "GET")
+                  return respond(net::methodNotAllowed("GET, HEAD"));
+              respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, serialize() });
+          },
+          listenRetryInterval)
 {
 }
 
--- a/tests/plain_hosts_e2e.py
+++ b/tests/plain_hosts_e2e.py
@@ -1,12 +1,15 @@
 """Runs a small site of plain processes on hosts that lack something, a case per condition of the host."""
 import contextlib
+import json
 import os
 import resource
+import signal
+import socket
 import subprocess
 import sys
 import tempfile
 
-from plain_site import METRICS_PORT, Site, call, wait_for
+from plain_site import CLIENT_PORT, CONTROL_PORT, LINK_PORT, METRICS_PORT, READY_PORT, Site, call, wait_for
 
 NET = "127.0.72"
 START_SECONDS = 20
@@ -78,7 +81,184 @@
     return None
 
 
-CASES = [log_file_at_its_largest_size, errors_before_the_settings]
+def start_held(site, name, number):
+    """Starts a process and sends it a signal while it waits for the contents of its settings file."""
+    path = f"{site.folder}/{name}.json"
+
+    def replace_by_fifo():
+        os.remove(path)
+        os.mkfifo(path)
+
+    site.before = replace_by_fifo
+    site.launch(name, True)
+    writers = []
+
+    def has_reader():
+        with contextlib.suppress(OSError):
+            writers.append(os.open(path, os.O_WRONLY | os.O_NONBLOCK))
+        return bool(writers)
+
+    if not wait_for(has_reader, START_SECONDS):
+        return
+    settings = json.dumps(site.settings(name, True))
+    with open(path + ".new", "w") as file:
+        file.write(settings)
+    os.replace(path + ".new", path)
+    site.signal(name, number)
+    with contextlib.suppress(OSError):
+        os.write(writers[0], settings.encode())
+    os.close(writers[0])
+
+
+def wait_for_end(site, name):
+    return wait_for(lambda: name in site.exits(), START_SECONDS) and site.exits()[name]
+
+
+def stop_all(site):
+    """Returns what is wrong with the ends after SIGTERM, or None."""
+    for name in site.processes:
+        site.signal(name, signal.SIGTERM)
+    statuses = {name: wait_for_end(site, name) for name in site.processes}
+    return None if all(it == 0 and it is not False for it in statuses.values()) else f"ends after SIGTERM: {statuses}"
+
+
+def reload_during_the_start(build):
+    """SIGHUP before the handlers are installed is a reload, not the end."""
+    with small_site(build) as site:
+        for name in site.controllers + site.gateways:
+            start_held(site, name, signal.SIGHUP)
+        fault = serves(site, "early-reload")
+        if not fault and not wait_for(lambda: all("event=reload valid=1" in site.log(it) for it in site.processes), START_SECONDS):
+            fault = "no reload was logged"
+        return fault
+
+
+def stop_during_the_start(build):
+    """SIGTERM before the handlers are installed is an orderly stop with status 0."""
+    with small_site(build) as site:
+        for name in site.controllers + site.gateways:
+            start_held(site, name, signal.SIGTERM)
+        statuses = {name: wait_for_end(site, name) for name in site.processes}
+        return None if all(it == 0 and it is not False for it in statuses.values()) else f"ends: {statuses}"
+
+
+def block_and_ignore_signals():
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
+
+
+def signals_blocked_by_the_parent(build):
+    """SIGHUP and SIGTERM work although the supervisor left them blocked and ignored."""
+    with small_site(build, before=block_and_ignore_signals) as site:
+        fault = serves(site.start(), "blocked-signals")
+        for name in site.processes:
+            site.signal(name, signal.SIGHUP)
+        if not fault and not wait_for(lambda: all("event=reload valid=1" in site.log(it) for it in site.processes), START_SECONDS):
+            fault = "no reload was logged"
+        return fault or stop_all(site)
+
+
+def reloads_until_the_end(build):
+    """SIGHUP while a process ends after SIGTERM does not end it by a signal."""
+    with small_site(build) as site:
+        fault = serves(site.start(), "late-reload")
+        for name in site.processes:
+            site.signal(name, signal.SIGTERM)
+        for name, process in site.processes.items():
+            while process.poll() is None:
+                site.signal(name, signal.SIGHUP)
+        return fault or (f"ends: {site.exits()}" if any(site.exits().values()) else None)
+
+
+def occupy(site, name, port):
+    """Returns a socket that listens where the process wants to."""
+    other = socket.socket()
+    other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    other.bind((site.ips[name], port))
+    other.listen()
+    return other
+
+
+def metrics_port_in_use(build):
+    """A site serves without its metrics pages, and has them once their port is free."""
+    with small_site(build) as site, contextlib.ExitStack() as others:
+        for name in site.controllers + site.gateways:
+            others.enter_context(occupy(site, name, METRICS_PORT))
+        fault = serves(site.start(), "no-metrics")
+        others.close()
+        pages = ("c0", "vanillalift_controller_is_leader"), ("g0", "vanillalift_gateway_has_leader")
+        if not fault and not wait_for(lambda: all(metric(site, *it) is not None for it in pages), START_SECONDS):
+            fault = "the metrics pages do not open once their port is free"
+        return fault
+
+
+def addresses_in_use(build):
+    """Addresses that are needed to serve and in use at the start are tried again, and the processes serve once they are free."""
+    with small_site(build) as site, contextlib.ExitStack() as others:
+        ports = {"c0": (CONTROL_PORT, LINK_PORT), "g0": (CLIENT_PORT, READY_PORT)}
+        for name, numbers in ports.items():
+            for port in numbers:
+                others.enter_context(occupy(site, name, port))
+        site.start()
+        if not wait_for(lambda: all(site.log(name).count(f"cannot listen on port {port} yet") > 1 for name in ports for port in ports[name]), START_SECONDS):
+            return f"not every address was tried again; exits: {site.exits()}"
+        others.close()
+        return serves(site, "late-address")
+
+
+def close_standard_streams():
+    for number in range(3):
+        os.close(number)
+
+
+def standard_streams_closed(build):
+    """A process that is started without standard streams serves, and writes no log line into another of its files."""
+    with small_site(build, before=close_standard_streams) as site:
+        fault = serves(site.start(), "no-streams")
+        targets = {os.readlink(f"/proc/{it.pid}/fd/{number}") for it in site.processes.values() for number in range(3)}
+        return fault or (f"standard streams are {targets}" if targets != {"/dev/null"} else None)
+
+
+def limit_descriptors():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
+
+
+def lower_soft_descriptor_limit():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (64, 1024))
+
+
+def occupy_with_connections(site, stack, count):
+    for name, port in (("c0", CONTROL_PORT), ("g0", CLIENT_PORT)):
+        for _ in range(count):
+            with contextlib.suppress(OSError):
+                stack.enter_context(socket.create_connection((site.ips[name], port), timeout=2))
+
+
+def few_descriptors_and_idle_connections(build):
+    """Idle connections up to the limit of descriptors leave enough of them to keep a leader and to answer readiness checks."""
+    with small_site(build, before=limit_descriptors) as site, contextlib.ExitStack() as connections:
+        fault = serves(site.start(), "before")
+        occupy_with_connections(site, connections, 100)
+        if not fault and not wait_for(site.is_ready, START_SECONDS):
+            fault = "the gateway answers no readiness check beside idle connections"
+        connections.close()
+        return fault or serves(site, "after")
+
+
+def soft_descriptor_limit_is_raised(build):
+    """A low soft limit of descriptors is raised to the hard limit before connections are counted."""
+    with small_site(build, before=lower_soft_descriptor_limit) as site:
+        fault = serves(site.start(), "raised")
+        limits = [resource.prlimit(it.pid, resource.RLIMIT_NOFILE) for it in site.processes.values()]
+        return fault or (f"limits are {limits}" if limits != [(1024, 1024)] * 2 else None)
+
+
+CASES = [
+    log_file_at_its_largest_size, errors_before_the_settings, reload_during_the_start, stop_during_the_start, signals_blocked_by_the_parent,
+    reloads_until_the_end, metrics_port_in_use, addresses_in_use, standard_streams_closed,
+    few_descriptors_and_idle_connections, soft_descriptor_limit_is_raised,
+]
 
 
 def main():
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -16,7 +16,6 @@
 
 #include <glog/logging.h>
 
-#include <algorithm>
 #include <csignal>
 #include <unistd.h>
 
@@ -28,19 +27,18 @@
 constexpr size_t reservedDescriptors = 1100;
 /// Share of the other descriptors for connections to endpoints: the rest is for those that endpoints and operators open.
 constexpr double endpointConnectionShare = 0.6;
-constexpr size_t minConnections = 64;
 constexpr std::chrono::milliseconds shutdownTickInterval { 10 };
 
 struct ConnectionLimits {
-    size_t toEndpoints = minConnections;
-    size_t incoming = minConnections;
+    size_t toEndpoints = 0;
+    size_t incoming = 0;
 };
 
 ConnectionLimits connectionLimits(size_t maxDescriptors)
 {
-    auto available = maxDescriptors - std::min(maxDescriptors, reservedDescriptors);
+    auto available = maxDescriptors - node::reservedOf(maxDescriptors, reservedDescriptors);
     auto toEndpoints = static_cast<size_t>(static_cast<double>(available) * endpointConnectionShare);
-    return { std::max(toEndpoints, minConnections), std::max(available - toEndpoints, minConnections) };
+    return { toEndpoints, available - toEndpoints };
 }
 
 /// The port of the control interface is the same on all instances.
@@ -63,6 +61,7 @@
         LOG(ERROR) << "the settings lack a control address or a data folder, which a controller requires";
         return 2;
     }
+    auto maxDescriptors = node::allowDescriptors(settings->maxDescriptors);
     SystemClock clock;
     net::EventLoop loop;
     EventLog log(clock, STDOUT_FILENO, {});
@@ -77,19 +76,19 @@
     };
     node::StorageRetry retry(clock, log, pause);
     auto disk = raft::openFolder(settings->dataFolder);
-    while (!disk && retry.wait(disk.error()))
+    while (!disk && !node::isStopPending() && retry.wait(disk.error()))
         disk = raft::openFolder(settings->dataFolder);
     if (!disk)
-        return node::logExit(log, 1, raft::describe(disk.error()));
+        return node::logExit(log, node::isStopPending() ? 0 : 1, raft::describe(disk.error()));
     node::RunRecord runRecord(settings->dataFolder);
     if (runRecord.unfinishedRuns() > 0)
         log.stateLine("unfinished-runs").field("count", runRecord.unfinishedRuns());
     auto storage = node::openStorage(**disk, settings->controller, log);
-    while (!storage && retry.wait(storage.error()))
+    while (!storage && !node::isStopPending() && retry.wait(storage.error()))
         storage = node::openStorage(**disk, settings->controller, log);
     if (!storage)
-        return node::logExit(log, 1, raft::describe(storage.error()));
-    auto limits = connectionLimits(settings->maxDescriptors);
+        return node::logExit(log, node::isStopPending() ? 0 : 1, raft::describe(storage.error()));
+    auto limits = connectionLimits(maxDescriptors);
     platform::HttpEndpointLinks endpoints(loop, clock, limits.toEndpoints);
     platform::HttpAdviceService advice(loop, clock, settings->adviceAddress);
     platform::HttpInstanceService instances(loop, clock, settings->instanceServiceAddress, settings->node);
@@ -102,8 +101,6 @@
         visit("unfinished_runs", "Runs in a row before this one that ended without being stopped.", static_cast<double>(runRecord.unfinishedRuns()));
         controller.visitMetrics(visit);
     });
-    if (!control.isOpen() || !metrics.isOpen() || !controller.isOpen())
-        return node::logExit(log, 1, "an address cannot be listened on");
     bool isStopping = false;
     node::Shutdown shutdown(control.server(), node::controllerShutdown, { [&] { return controller.hasHandedOver(); }, [&] { controller.closeCalls(); } });
     net::Timer* nextTick = nullptr;
@@ -128,7 +125,9 @@
         if (changed)
             controller.addSeeds(changed->seeds);
     });
+    node::releaseSignals();
     loop.run();
+    node::holdSignals();
     if (isStopping && !controller.hasStorageFailed())
         runRecord.finish();
     log.stateLine("connections").field("open", control.server().openConnections()).field("requests", control.server().openRequests());
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -41,17 +41,18 @@
         LOG(ERROR) << "--listen is valid for controllers only: a gateway does not accept links";
         return 2;
     }
+    auto maxDescriptors = node::allowDescriptors(settings->maxDescriptors);
     SystemClock clock;
     net::EventLoop loop;
     EventLog log(clock, STDOUT_FILENO, {});
     log.stateLine("start").field("node", settings->node).field("version", std::string_view(VANILLALIFT_VERSION));
     node::logHost(log);
     node::LeaderClient leaderClient(loop, clock, log, { { "", settings->availabilityZone, "" }, settings->seeds, nullptr });
-    platform::ClientApi::Desc desc { *settings->clientAddress, *settings->readinessAddress, settings->maxDescriptors - std::min(settings->maxDescriptors / 2, reservedDescriptors) };
+    platform::ClientApi::Desc desc { *settings->clientAddress, *settings->readinessAddress, maxDescriptors - node::reservedOf(maxDescriptors, reservedDescriptors) };
     auto forwardCall = [&](node::Request request, TimePoint sendDeadline, TimePoint deadline, node::LeaderClient::Handler handler) { leaderClient.call(std::move(request), sendDeadline, deadline, std::move(handler)); };
     net::HttpMemory memory(loop, clock, static_cast<size_t>(static_cast<double>(settings->maxMemoryBytes) * config::httpMemoryShare));
     bool isStopping = false;
-    platform::ClientApi clients(loop, clock, memory, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && !isStopping; });
+    platform::ClientApi clients(loop, clock, memory, log, desc, forwardCall, [&] { return leaderClient.hasLeader() && clients.isOpen() && !isStopping; });
     node::Shutdown stop(clients.clientServer(), node::gatewayShutdown, { nullptr, [&] { leaderClient.close(); } });
     node::MetricsPage metrics(loop, clock, memory, { settings->clientAddress->ip, settings->metricsPort }, "vanillalift_gateway_", [&](const auto& visit) {
         node::visitProcessMetrics(clients.clientServer(), visit);
@@ -63,8 +64,6 @@
         visit("pending_calls", "Requests that wait for the leader.", static_cast<double>(leaderClient.pendingCalls()));
         visit("log_lines_dropped_total", "Log lines dropped by the rate limit or because of a slow reader.", static_cast<double>(log.dropped()));
     });
-    if (!clients.isOpen() || !metrics.isOpen())
-        return node::logExit(log, 1, "an address cannot be listened on");
     net::Timer* tickTimer = nullptr;
     net::Timer timer(loop, [&] {
         auto now = clock.now();
@@ -86,7 +85,9 @@
         if (changed)
             leaderClient.addSeeds(changed->seeds);
     });
+    node::releaseSignals();
     loop.run();
+    node::holdSignals();
     log.stateLine("connections").field("open", clients.clientServer().openConnections()).field("requests", clients.clientServer().openRequests());
     return node::logExit(log, 0, "stopped");
 }
