Play the soak on hosts drawn by seed, with faults of hosts

HostCondition (tests/soak/host.h) is one property of a host: another user with a data folder whose parent is of root, limits, standard streams, inherited signals, a metrics port in use, umask, working folder. The seed draws one to three that leave a program able to serve. Processes forks, applies them and runs the program; the soak has one thread. New faults: signals 0 to 50 ms after a start, a second SIGTERM, all stopped or killed at once, 100 idle connections to each process, a log segment cut to nothing. A process that ends by itself is a violation, once for each way, and is started again after 0.2 s to 5 s. New checks: it ends within 7 s after SIGTERM; a request on a kept connection of a process that is only asked to stop is answered. Kept connections do not run through proxies, so blocked or reset proxies cannot cut them.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -8,6 +8,8 @@
 #include <csignal>
 #include <cstdio>
 #include <iostream>
+#include <sys/stat.h>
+#include <unistd.h>
 
 using namespace vanillalift;
 using namespace vanillalift::soak;
@@ -24,6 +26,13 @@
 /// Time from the submission of a task that crashes its endpoints until it has been given up, also after a change of leader.
 constexpr seconds crashPeriod { 16 };
 constexpr size_t minControllers = 3;
+constexpr size_t normalGateways = 2;
+/// Processes for each endpoint of a run with a given size.
+constexpr size_t processesPerEndpoint = 8;
+constexpr size_t normalEndpoints = 6;
+constexpr size_t memoryPerProcess = 32UL << 20U;
+/// Descriptors of the soak for the clients of a gateway and its proxy.
+constexpr size_t descriptorsPerProcess = 32;
 
 /// Injects random faults one after another; their effects may overlap.
 class FaultInjector {
@@ -41,10 +50,12 @@
         if (now < m_nextAt)
             return;
         m_nextAt = now + m_world.randomDelay(150, 1500);
-        static const std::vector<std::pair<int, void (FaultInjector::*)()>> kinds {
+        std::vector<std::pair<int, void (FaultInjector::*)()>> kinds {
             { 3, &FaultInjector::pause }, { 3, &FaultInjector::kill }, { 2, &FaultInjector::terminate }, { 4, &FaultInjector::blockProxy }, { 2, &FaultInjector::resetProxy }, { 2, &FaultInjector::delayProxy },
             { 3, &FaultInjector::crashEndpoint }, { 3, &FaultInjector::blockEndpoint }, { 1, &FaultInjector::loseDisk }, { 2, &FaultInjector::changeCatalog }, { 1, &FaultInjector::startWave }, { 1, &FaultInjector::reload }, { 2, &FaultInjector::changeCapacity }
         };
+        if (!m_site.desc().isFriendly)
+            kinds.insert(kinds.end(), { { 4, &FaultInjector::signalStart }, { 2, &FaultInjector::terminateTwice }, { 1, &FaultInjector::stopAll }, { 2, &FaultInjector::squeezeDescriptors }, { 2, &FaultInjector::damageLog } });
         int sum = 0;
         for (const auto& [weight, kind] : kinds)
             sum += weight;
@@ -59,6 +70,8 @@
     [[nodiscard]] size_t count() const { return m_count; }
 
 private:
+    static constexpr seconds catchUp { 15 };
+
     size_t pick(size_t n) { return std::uniform_int_distribution<size_t>(0, n - 1)(m_world.random); }
     void logFault(const std::string& what)
     {
@@ -87,8 +100,8 @@
         bool isGateway = false;
         auto name = pickProcess(n, isGateway);
         logFault("pause " + name);
-        m_site.processes().signal(name, SIGSTOP);
-        schedule(m_world.randomDelay(100, 5000), [this, name] { m_site.processes().signal(name, SIGCONT); });
+        m_site.signal(name, SIGSTOP);
+        schedule(m_world.randomDelay(100, 5000), [this, name] { m_site.signal(name, SIGCONT); });
     }
     void kill()
     {
@@ -110,16 +123,63 @@
         bool isGateway = false;
         auto name = pickProcess(n, isGateway);
         logFault("terminate " + name);
-        m_site.stop(name, SIGTERM);
+        m_site.askToStop(name);
         schedule(m_world.randomDelay(7000, 9000), [this, n, isGateway] { isGateway ? m_site.startGateway(n) : m_site.startController(n); });
     }
+    void terminateTwice()
+    {
+        size_t n = 0;
+        bool isGateway = false;
+        auto name = pickProcess(n, isGateway);
+        logFault("terminate twice " + name);
+        m_site.askToStop(name);
+        schedule(m_world.randomDelay(0, 2000), [this, name] { m_site.stop(name, SIGTERM); });
+        schedule(m_world.randomDelay(7000, 9000), [this, name] { m_site.startProcess(name); });
+    }
+    /// Stops or kills all processes; those that are asked to stop end at their own pace.
+    void stopAll()
+    {
+        bool isKill = pick(2) == 0;
+        logFault(isKill ? "kill all" : "terminate all");
+        for (const auto& it : m_site.processNames()) {
+            if (isKill)
+                m_site.stop(it, SIGKILL);
+            else
+                m_site.askToStop(it);
+            schedule(isKill ? m_world.randomDelay(200, 3000) : m_world.randomDelay(7000, 9000), [this, it] { m_site.startProcess(it); });
+        }
+    }
+    /// Starts a process again, and sends it a signal at any moment of the start.
+    void signalStart()
+    {
+        size_t n = 0;
+        bool isGateway = false;
+        auto name = pickProcess(n, isGateway);
+        bool isReload = pick(2) == 0;
+        auto delay = m_world.randomDelay(0, 50);
+        logFault((isReload ? "reload " : "terminate ") + name + " as it starts");
+        m_site.stop(name, SIGKILL);
+        schedule(milliseconds(200), [this, name, isReload, delay] {
+            if (m_site.processes().isRunning(name))
+                return;
+            m_site.startProcess(name);
+            schedule(delay, [this, name, isReload] { isReload ? m_site.signal(name, SIGHUP) : m_site.stop(name, SIGTERM); });
+        });
+        scheduleRestart(n, isGateway);
+    }
+    void squeezeDescriptors()
+    {
+        logFault("open idle connections to all");
+        m_site.openIdleConnections();
+        schedule(m_world.randomDelay(1000, 6000), [this] { m_site.closeIdleConnections(); });
+    }
     void reload()
     {
         size_t n = 0;
         bool isGateway = false;
         auto name = pickProcess(n, isGateway);
         logFault("reload " + name);
-        m_site.processes().signal(name, SIGHUP);
+        m_site.signal(name, SIGHUP);
     }
     Proxy& pickProxy(std::string& name)
     {
@@ -173,15 +233,38 @@
         m_site.endpoint(n).proxy->setBlocked(direction != 2, direction != 1);
         schedule(m_world.randomDelay(300, 7000), [this, n] { m_site.endpoint(n).proxy->setBlocked(false, false); });
     }
+    /// @returns whether all replicas have caught up since the last harm to a disk.
+    [[nodiscard]] bool mayHarmDisk() const
+    {
+        auto now = m_clock.now();
+        bool hasRun = m_site.desc().isFriendly || m_nextDiskAt == TimePoint {} || m_site.hasRunSince(m_site.controllerName(m_harmedDisk), now - catchUp);
+        return now >= m_nextDiskAt && hasRun;
+    }
+    size_t pickDisk()
+    {
+        m_nextDiskAt = m_clock.now() + catchUp;
+        m_harmedDisk = pick(m_site.desc().controllers);
+        return m_harmedDisk;
+    }
+    void damageLog()
+    {
+        if (!mayHarmDisk())
+            return;
+        auto n = pickDisk();
+        logFault("cut a log segment of controller " + std::to_string(n) + " to nothing");
+        m_site.stop(m_site.controllerName(n), SIGKILL);
+        schedule(milliseconds(200), [this, n] {
+            if (!m_site.processes().isRunning(m_site.controllerName(n)) && m_site.damageLog(n))
+                m_site.startController(n);
+        });
+        scheduleRestart(n, false);
+    }
     /// Wipes one disk at a time and lets the replica catch up before the next: a group of three voters tolerates one lost replica.
     void loseDisk()
     {
-        constexpr seconds catchUp { 15 };
-        auto now = m_clock.now();
-        if (now < m_nextDiskAt)
+        if (!mayHarmDisk())
             return;
-        m_nextDiskAt = now + catchUp;
-        auto n = pick(m_site.desc().controllers);
+        auto n = pickDisk();
         logFault("wipe the disk of controller " + std::to_string(n));
         m_site.stop(m_site.controllerName(n), SIGKILL);
         schedule(milliseconds(200), [this, n] {
@@ -213,6 +296,8 @@
     sim::World& m_world;
     TimePoint m_nextAt;
     TimePoint m_nextDiskAt;
+    /// Controller whose disk was harmed last; valid if m_nextDiskAt is set.
+    size_t m_harmedDisk = 0;
     size_t m_count = 0;
 };
 
@@ -284,20 +369,38 @@
     std::string folder;
     int seed = 1;
     int time = 20;
+    /// Number of processes; 0 for the one of a normal run.
+    int size = 0;
     bool isCalm = false;
+    bool isFriendly = false;
+    Host host;
 };
 
+/// @returns how many processes a run may have: they use half of the memory, and the soak half of its descriptors.
+size_t maxSize()
+{
+    rlimit descriptors {};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    auto memory = static_cast<size_t>(::sysconf(_SC_PHYS_PAGES)) * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
+    return std::min(memory / 2 / memoryPerProcess, static_cast<size_t>(descriptors.rlim_cur) / 2 / descriptorsPerProcess);
+}
+
 int readOptions(int argc, const char** argv, Options& options)
 {
     char* programs = nullptr;
     char* folder = nullptr;
+    char* hostName = nullptr;
     int isCalm = 0;
+    int isFriendly = 0;
     const poptOption table[] = {
         { "programs", 'p', POPT_ARG_STRING, static_cast<void*>(&programs), 0, "folder of the vanillalift programs (default build/bin)", "DIR" },
         { "folder", 'f', POPT_ARG_STRING, static_cast<void*>(&folder), 0, "folder for settings, data and logs; emptied at the start", "DIR" },
         { "seed", 's', POPT_ARG_INT, static_cast<void*>(&options.seed), 0, "random seed of jobs and faults", "N" },
         { "time", 't', POPT_ARG_INT, static_cast<void*>(&options.time), 0, "duration of fault injection in seconds", "SECONDS" },
         { "calm", 'c', POPT_ARG_NONE, static_cast<void*>(&isCalm), 0, "run without faults", nullptr },
+        { "friendly", 0, POPT_ARG_NONE, static_cast<void*>(&isFriendly), 0, "run on a friendly host, without the faults of hosts", nullptr },
+        { "host", 0, POPT_ARG_STRING, static_cast<void*>(&hostName), 0, "run on a host with this condition only, instead of those that the seed draws", "NAME" },
+        { "size", 0, POPT_ARG_INT, static_cast<void*>(&options.size), 0, "number of processes", "N" },
         POPT_AUTOHELP POPT_TABLEEND
     };
     auto* context = poptGetContext("vanillalift-soak", argc, argv, table, 0);
@@ -306,10 +409,31 @@
         std::fprintf(stderr, "%s: %s\n", poptBadOption(context, 0), poptStrerror(rc));
     poptFreeContext(context);
     options.isCalm = isCalm != 0;
+    options.isFriendly = isFriendly != 0;
     if (programs)
         options.programs = programs;
+    // A host may start a program in any folder.
+    options.programs = std::filesystem::absolute(options.programs).string();
     options.folder = folder ? folder : (std::filesystem::temp_directory_path() / ("vanillalift-soak-" + std::to_string(options.seed))).string();
-    return rc < -1 || options.seed < 0 || options.time < 1 ? 2 : 0;
+    options.folder = std::filesystem::absolute(options.folder).string();
+    if (rc < -1 || options.seed < 0 || options.time < 1)
+        return 2;
+    auto seed = static_cast<uint64_t>(options.seed);
+    auto host = options.isFriendly ? Host() : hostName ? Host::withCondition(hostName, seed)
+                                                       : Host::draw(seed);
+    if (!host) {
+        std::fprintf(stderr, "--host: this user can set:");
+        for (const auto& it : HostCondition::all())
+            std::fprintf(stderr, " %s", it.name().c_str());
+        std::fprintf(stderr, "\n");
+        return 2;
+    }
+    options.host = *host;
+    if (options.size < 0 || static_cast<size_t>(options.size) > maxSize()) {
+        std::fprintf(stderr, "--size: this host bears %zu processes\n", maxSize());
+        return 2;
+    }
+    return 0;
 }
 
 void checkFinalState(SoakSite& site)
@@ -353,7 +477,8 @@
     }
     std::cout << "seed " << options.seed << ": " << faults << " faults; jobs " << site.clients().jobs().size() << ", accepted " << accepted << ", completed " << completed
               << ", failed " << failed << ", cancelled " << cancelled << "; calls " << site.clients().calls() << ", refused " << site.clients().refused() << ", unanswered "
-              << site.clients().unanswered() << "\n";
+              << site.clients().unanswered() << "; kept connections: answered " << site.keptClients().answered() << ", cut by stops " << site.keptClients().cut() << "\n"
+              << site.describeEnds();
     const auto& found = site.world().violations.found;
     if (found.empty()) {
         std::cout << "No promise was broken.\n";
@@ -374,6 +499,8 @@
     if (int rc = readOptions(argc, argv, options); rc != 0)
         return rc;
     std::signal(SIGPIPE, SIG_IGN);
+    // Other users read the settings.
+    ::umask(S_IWGRP | S_IWOTH);
     SystemClock clock;
     net::EventLoop loop;
     SiteDesc desc;
@@ -382,6 +509,11 @@
     desc.controllers = minControllers + desc.seed % 3;
     desc.programs = options.programs;
     desc.folder = options.folder;
+    desc.host = options.host;
+    desc.isFriendly = options.isFriendly;
+    desc.gateways = std::max(normalGateways, static_cast<size_t>(options.size) - std::min(static_cast<size_t>(options.size), desc.controllers));
+    desc.endpoints = std::max(normalEndpoints, static_cast<size_t>(options.size) / processesPerEndpoint);
+    std::cout << "host: " << desc.host.describe() << "\n";
     SoakSite site(loop, clock, desc);
     FaultInjector faults(site, clock);
     Traffic traffic(site, clock);
--- a/tests/soak/site.cpp
+++ b/tests/soak/site.cpp
@@ -40,8 +40,42 @@
     /// The target platform requires that a version is in effect everywhere this long after its acknowledgement.
     constexpr milliseconds applyLimit { 2000 };
     constexpr milliseconds maintenanceDuration { 2000 };
-
-    std::string dataFolder(const SiteDesc& desc, size_t n) { return desc.folder + "/data-" + std::to_string(n); }
+    /// Hosts of one network that share its third octet; the next ones have it greater by networkStep.
+    constexpr size_t hostsPerNetwork = 250;
+    constexpr size_t networkStep = 10;
+
+    constexpr milliseconds metricsPortTime { 3000 };
+    /// A gateway that has lasting requests ends 5.8 s after it was asked to.
+    constexpr milliseconds stopLimit { 7000 };
+    /// A request that a process could not answer when it was paused may end this long after.
+    constexpr milliseconds harmPeriod { 5000 };
+    constexpr milliseconds minRestartDelay { 200 };
+    constexpr milliseconds maxRestartDelay { 5000 };
+    constexpr milliseconds longRun { 10000 };
+    constexpr milliseconds hurryTime { 1000 };
+    constexpr milliseconds hurryBeforeStop { 20 };
+    constexpr size_t idleConnectionsPerProcess = 100;
+    /// Share of the soak's own descriptors that idle connections may use: one of this many.
+    constexpr size_t idleConnectionsShare = 2;
+    constexpr size_t maxKeptClients = 32;
+    constexpr size_t maxKeptClientsPerProcess = 4;
+
+    std::string dataFolder(const SiteDesc& desc, size_t n) { return desc.folder + "/disks/" + std::to_string(n); }
+
+    std::string describeExit(int status) { return WIFEXITED(status) ? "status " + std::to_string(WEXITSTATUS(status)) : "signal " + std::to_string(WTERMSIG(status)); }
+
+    /// @returns the log segments of a data folder, oldest first.
+    std::vector<std::filesystem::path> segments(const std::string& folder)
+    {
+        std::vector<std::filesystem::path> list;
+        std::error_code ec;
+        for (const auto& it : std::filesystem::directory_iterator(folder, ec)) {
+            if (it.path().extension() == ".seg")
+                list.push_back(it.path());
+        }
+        std::sort(list.begin(), list.end());
+        return list;
+    }
 
 } // namespace
 
@@ -50,6 +84,7 @@
     , m_clock(clock)
     , m_desc(std::move(desc))
     , m_world(m_desc.seed)
+    , m_processes(m_desc.host)
 {
     m_world.clock.time = clock.now();
     m_world.faults.failedRunProbability = 0.02;
@@ -60,7 +95,8 @@
 
 std::string SoakSite::addressText(int network, size_t host, uint16_t port) const
 {
-    return "127." + std::to_string(firstNetwork + m_desc.seed % networkCount) + '.' + std::to_string(network) + '.' + std::to_string(host + 1) + ':' + std::to_string(port);
+    auto thirdOctet = static_cast<size_t>(network) + host / hostsPerNetwork * networkStep;
+    return "127." + std::to_string(firstNetwork + m_desc.seed % networkCount) + '.' + std::to_string(thirdOctet) + '.' + std::to_string(host % hostsPerNetwork + 1) + ':' + std::to_string(port);
 }
 
 bool SoakSite::start()
@@ -132,13 +168,41 @@
         isOpen = isOpen && it.proxy->isOpen();
         startEndpointServer(it, n);
     }
+    startMetricsListeners();
     for (size_t n = 0; n < m_desc.controllers; n++)
         startController(n, true);
     for (size_t n = 0; n < m_desc.gateways; n++)
         startGateway(n);
+    startKeptClients(queue);
     return isOpen;
 }
 
+void SoakSite::startMetricsListeners()
+{
+    if (!m_processes.host().isMetricsPortBusy())
+        return;
+    auto listen = [this](size_t host) { m_metricsListeners.push_back(std::make_unique<net::Listener>(m_loop, address(processNetwork, host, metricsPort), [](evutil_socket_t fd) { evutil_closesocket(fd); })); };
+    for (size_t n = 0; n < m_desc.controllers; n++)
+        listen(n);
+    for (size_t n = 0; n < m_desc.gateways; n++)
+        listen(firstGatewayHost + n);
+    m_world.eventQueue.after(metricsPortTime, [this] { m_metricsListeners.clear(); });
+}
+
+void SoakSite::startKeptClients(const Queue& queue)
+{
+    auto onCut = [this](const std::string& name) { m_world.violations.add("a request on a kept connection got no answer when " + name + " was asked to stop"); };
+    m_keptClients = std::make_unique<KeptClients>(
+        m_loop, m_clock, [this](const std::string& name) { return stopAskedAt(name); }, onCut);
+    if (m_desc.isFriendly)
+        return;
+    auto count = std::clamp<size_t>(maxKeptClients / (m_desc.controllers + m_desc.gateways), 1, maxKeptClientsPerProcess);
+    for (size_t n = 0; n < m_desc.controllers; n++)
+        m_keptClients->add(controllerName(n), address(processNetwork, n, controlPort), readCatalogRequest(), count);
+    for (size_t n = 0; n < m_desc.gateways; n++)
+        m_keptClients->add(gatewayName(n), address(processNetwork, firstGatewayHost + n, clientPort), readJobRequest(queue, "kept", m_catalog.workspaces.front().keys.front()), count);
+}
+
 void SoakSite::startEndpointServer(SoakEndpoint& it, size_t n)
 {
     auto* model = it.model;
@@ -196,7 +260,7 @@
 void SoakSite::startController(size_t n, bool isFirstStart)
 {
     auto name = controllerName(n);
-    if (m_processes.isRunning(name))
+    if (isStartRefused(name))
         return;
     NodeSettings file;
     file.node = name;
@@ -209,19 +273,19 @@
     for (size_t it = 0; it < std::min<size_t>(m_desc.controllers, 3); it++)
         file.seeds.push_back(addressText(proxyNetwork, it, controlPort));
     file.isFirstStart = isFirstStart;
+    m_states[name].isFirstStart = isFirstStart;
     file.dataFolder = dataFolder(m_desc, n);
     file.instanceServiceAddress = addressText(endpointNetwork, firstGatewayHost, instancePort);
     auto path = m_desc.folder + '/' + name + ".json";
     std::ofstream(path) << formatSettings(file);
-    std::filesystem::create_directories(file.dataFolder);
-    if (!m_processes.start(name, { m_desc.programs + "/vanillalift-controller", "--settings", path, "--listen", addressText(processNetwork, n, linkPort) }, m_desc.folder + '/' + name + ".log"))
-        m_world.violations.add("cannot start " + name);
+    m_processes.host().createDataFolder(file.dataFolder);
+    launch(name, { m_desc.programs + "/vanillalift-controller", "--settings", path, "--listen", addressText(processNetwork, n, linkPort) });
 }
 
 void SoakSite::startGateway(size_t n)
 {
     auto name = gatewayName(n);
-    if (m_processes.isRunning(name))
+    if (isStartRefused(name))
         return;
     NodeSettings file;
     file.node = name;
@@ -237,8 +301,7 @@
         file.seeds.push_back(addressText(proxyNetwork, it, controlPort));
     auto path = m_desc.folder + '/' + name + ".json";
     std::ofstream(path) << formatSettings(file);
-    if (!m_processes.start(name, { m_desc.programs + "/vanillalift-gateway", "--settings", path }, m_desc.folder + '/' + name + ".log"))
-        m_world.violations.add("cannot start " + name);
+    launch(name, { m_desc.programs + "/vanillalift-gateway", "--settings", path });
 }
 
 void SoakSite::stop(const std::string& name, int signal)
@@ -247,24 +310,152 @@
         return;
     m_expectedExits.insert(name);
     m_processes.signal(name, SIGCONT);
+    this->signal(name, signal);
+}
+
+void SoakSite::askToStop(const std::string& name)
+{
+    if (m_desc.isFriendly)
+        return stop(name, SIGTERM);
+    m_keptClients->hurry(name, m_clock.now() + hurryTime);
+    m_world.eventQueue.after(hurryBeforeStop, [this, name] { stop(name, SIGTERM); });
+}
+
+void SoakSite::signal(const std::string& name, int signal)
+{
+    auto& state = m_states[name];
+    auto now = m_clock.now();
+    if (signal == SIGTERM && state.stopAskedAt == TimePoint {})
+        state.stopAskedAt = now;
+    if (signal != SIGTERM && signal != SIGHUP)
+        state.harmedAt = now;
     m_processes.signal(name, signal);
 }
 
+std::vector<std::string> SoakSite::processNames() const
+{
+    std::vector<std::string> names;
+    for (size_t n = 0; n < m_desc.controllers; n++)
+        names.push_back(controllerName(n));
+    for (size_t n = 0; n < m_desc.gateways; n++)
+        names.push_back(gatewayName(n));
+    return names;
+}
+
+void SoakSite::startProcess(const std::string& name, bool isFirstStart)
+{
+    for (size_t n = 0; n < m_desc.controllers; n++) {
+        if (name == controllerName(n))
+            return startController(n, isFirstStart);
+    }
+    for (size_t n = 0; n < m_desc.gateways; n++) {
+        if (name == gatewayName(n))
+            return startGateway(n);
+    }
+}
+
+bool SoakSite::isStartRefused(const std::string& name) const
+{
+    auto it = m_states.find(name);
+    return m_processes.isRunning(name) || (it != m_states.end() && m_clock.now() < it->second.restartAt);
+}
+
+void SoakSite::launch(const std::string& name, const std::vector<std::string>& command)
+{
+    auto& state = m_states[name];
+    state.startedAt = m_clock.now();
+    state.stopAskedAt = {};
+    m_expectedExits.erase(name);
+    if (!m_processes.start(name, command, m_desc.folder + '/' + name + ".log"))
+        m_world.violations.add("cannot start " + name);
+}
+
+bool SoakSite::hasRunSince(const std::string& name, TimePoint time) const
+{
+    auto it = m_states.find(name);
+    return m_processes.isRunning(name) && it != m_states.end() && it->second.startedAt <= time;
+}
+
+void SoakSite::handleExit(const std::string& name, int status)
+{
+    if (m_expectedExits.erase(name) != 0)
+        return;
+    auto& state = m_states[name];
+    auto now = m_clock.now();
+    auto end = describeExit(status);
+    if (++state.ends[end] == 1)
+        m_world.violations.add(name + " exited unexpectedly: " + end);
+    if (now - state.startedAt > longRun)
+        state.quickEnds = 0;
+    auto delay = std::min(maxRestartDelay, minRestartDelay * (1U << std::min(state.quickEnds++, 10U)));
+    state.restartAt = now + delay;
+    m_world.eventQueue.after(delay, [this, name, isFirstStart = state.isFirstStart] { startProcess(name, isFirstStart); });
+}
+
+std::string SoakSite::describeEnds() const
+{
+    std::string lines;
+    for (const auto& [name, state] : m_states) {
+        for (const auto& [end, count] : state.ends)
+            lines.append(name).append(" ended by itself ").append(std::to_string(count)).append(" times: ").append(end).append("\n");
+    }
+    return lines;
+}
+
+std::optional<TimePoint> SoakSite::stopAskedAt(const std::string& name) const
+{
+    auto it = m_states.find(name);
+    if (it == m_states.end() || it->second.stopAskedAt == TimePoint {} || it->second.harmedAt + harmPeriod > it->second.stopAskedAt)
+        return std::nullopt;
+    return it->second.stopAskedAt;
+}
+
+void SoakSite::checkStops()
+{
+    auto now = m_clock.now();
+    for (const auto& name : processNames()) {
+        auto askedAt = stopAskedAt(name);
+        if (m_desc.isFriendly || !askedAt || !m_processes.isRunning(name) || now - *askedAt < stopLimit)
+            continue;
+        m_world.violations.add(name + " still runs " + std::to_string(stopLimit.count()) + " ms after it was asked to stop");
+        stop(name, SIGKILL);
+    }
+}
+
+void SoakSite::openIdleConnections()
+{
+    rlimit limit {};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    auto left = static_cast<size_t>(limit.rlim_cur) / idleConnectionsShare;
+    auto open = [&](const net::Address& to) {
+        for (size_t n = 0; n < idleConnectionsPerProcess && left > 0; n++, left--)
+            m_idleConnections.push_back(std::make_unique<net::Stream>(m_loop, to, net::Stream::Handlers { [] {}, [](std::string_view bytes) { return bytes.size(); }, [](net::StreamCloseReason) {} }));
+    };
+    for (size_t n = 0; n < m_desc.controllers; n++)
+        open(address(processNetwork, n, controlPort));
+    for (size_t n = 0; n < m_desc.gateways; n++)
+        open(address(processNetwork, firstGatewayHost + n, clientPort));
+}
+
+bool SoakSite::damageLog(size_t n)
+{
+    auto list = segments(dataFolder(m_desc, n));
+    if (list.empty())
+        return false;
+    std::filesystem::resize_file(list[std::uniform_int_distribution<size_t>(0, list.size() - 1)(m_world.random)], 0);
+    return true;
+}
+
 void SoakSite::wipeDisk(size_t n) { std::filesystem::remove_all(dataFolder(m_desc, n)); }
 
 void SoakSite::appendTornWrite(size_t n)
 {
-    std::filesystem::path newest;
-    std::error_code ec;
-    for (const auto& it : std::filesystem::directory_iterator(dataFolder(m_desc, n), ec)) {
-        if (it.path().extension() == ".seg" && it.path() > newest)
-            newest = it.path();
-    }
-    if (newest.empty())
+    auto list = segments(dataFolder(m_desc, n));
+    if (list.empty())
         return;
     std::string torn("\xF7VLR\x90\x01\x00\x00", 8);
     torn.append(static_cast<size_t>(std::uniform_int_distribution<>(0, 300)(m_world.random)), '\0');
-    std::ofstream(newest, std::ios::app | std::ios::binary) << torn;
+    std::ofstream(list.back(), std::ios::app | std::ios::binary) << torn;
 }
 
 InstanceReplyStatus SoakSite::maintain(const std::string& instance, uint64_t wave)
@@ -415,6 +606,7 @@
         sendHeartbeat(it);
     }
     m_clients->poll();
+    m_keptClients->poll();
     if (!m_isPutPending && m_ackedVersion < m_catalog.version)
         putCatalog();
     if (!m_isReadPending && m_ackedVersion != 0 && now >= m_nextReadAt)
@@ -425,15 +617,13 @@
         else
             putWave();
     }
-    m_processes.reap([this](const std::string& name, int status) {
-        bool isExpected = m_expectedExits.erase(name) != 0;
-        if (!isExpected)
-            m_world.violations.add(name + " exited unexpectedly: " + (WIFEXITED(status) ? "status " + std::to_string(WEXITSTATUS(status)) : "signal " + std::to_string(WTERMSIG(status))));
-    });
+    m_processes.reap([this](const std::string& name, int status) { handleExit(name, status); });
+    checkStops();
 }
 
 void SoakSite::restoreAll()
 {
+    closeIdleConnections();
     for (auto* list : { &m_linkProxies, &m_controlProxies, &m_gatewayProxies }) {
         for (auto& it : *list) {
             it->setBlocked(false, false);
--- a/tests/soak/site.h
+++ b/tests/soak/site.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clients.h"
+#include "kept_clients.h"
 #include "platform/standin/endpoint_server_p.h"
 #include "platform/standin/instance_server_p.h"
 #include "processes.h"
@@ -19,6 +20,9 @@
     size_t controllers = 5;
     size_t gateways = 2;
     size_t endpoints = 6;
+    Host host;
+    /// Without the host model, clients that keep connections, and limits on stops.
+    bool isFriendly = false;
 };
 
 /// A simulated endpoint with its HTTP server, which is reached through a proxy.
@@ -60,6 +64,19 @@
     [[nodiscard]] std::string gatewayName(size_t n) const { return "gateway-" + std::to_string(n); }
     /// Resumes the process if it is paused and sends the signal. Its exit is then expected and no violation.
     void stop(const std::string& name, int signal);
+    /// Sends SIGTERM while clients that keep connections have requests under way. The exit is then expected.
+    void askToStop(const std::string& name);
+    /// Sends a signal to the process, which has to survive it.
+    void signal(const std::string& name, int signal);
+    [[nodiscard]] std::vector<std::string> processNames() const;
+    void startProcess(const std::string& name, bool isFirstStart = false);
+    /// @returns whether the process has run at least since then.
+    [[nodiscard]] bool hasRunSince(const std::string& name, TimePoint time) const;
+    /// Opens idle connections to each process, for as long as the soak has descriptors.
+    void openIdleConnections();
+    void closeIdleConnections() { m_idleConnections.clear(); }
+    /// Cuts a log segment to nothing. The controller must be down. @returns false if it has none.
+    bool damageLog(size_t n);
     void wipeDisk(size_t n);
     /// Appends to the log what a power loss may leave of a write that was not synced.
     void appendTornWrite(size_t n);
@@ -87,8 +104,37 @@
     [[nodiscard]] bool hasCatalog() const { return m_ackedVersion != 0; }
     [[nodiscard]] bool isWaveComplete() const { return m_wave.number == 0 || m_isWaveComplete; }
     Processes& processes() { return m_processes; }
+    [[nodiscard]] const KeptClients& keptClients() const { return *m_keptClients; }
+    /// @returns one line for each process that ended by itself.
+    [[nodiscard]] std::string describeEnds() const;
 
 private:
+    /// What the soak has done to one process.
+    struct ProcessState {
+        TimePoint startedAt;
+        /// When it was asked to stop; the epoch if not.
+        TimePoint stopAskedAt;
+        /// When it was killed, paused or resumed last.
+        TimePoint harmedAt;
+        /// Its settings say so, as they do when it is started again after it ended by itself.
+        bool isFirstStart = false;
+        /// It is not started again before, because it ended by itself.
+        TimePoint restartAt;
+        /// Ends by itself since it last ran for long.
+        uint32_t quickEnds = 0;
+        /// Ends by itself, by description.
+        std::map<std::string, size_t> ends;
+    };
+
+    void startMetricsListeners();
+    void startKeptClients(const jobs::Queue& queue);
+    /// @returns whether the process runs already or has to wait.
+    [[nodiscard]] bool isStartRefused(const std::string& name) const;
+    void launch(const std::string& name, const std::vector<std::string>& command);
+    void handleExit(const std::string& name, int status);
+    /// @returns when a process that met no other harm was asked to stop.
+    [[nodiscard]] std::optional<TimePoint> stopAskedAt(const std::string& name) const;
+    void checkStops();
     [[nodiscard]] net::Address address(int network, size_t host, uint16_t port) const;
     [[nodiscard]] std::string addressText(int network, size_t host, uint16_t port) const;
     void startEndpointServer(SoakEndpoint& it, size_t n);
@@ -107,7 +153,11 @@
     SiteDesc m_desc;
     sim::World m_world;
     Processes m_processes;
+    std::map<std::string, ProcessState> m_states;
     std::set<std::string> m_expectedExits;
+    std::vector<std::unique_ptr<net::Listener>> m_metricsListeners;
+    std::vector<std::unique_ptr<net::Stream>> m_idleConnections;
+    std::unique_ptr<KeptClients> m_keptClients;
     std::vector<std::unique_ptr<Proxy>> m_linkProxies;
     std::vector<std::unique_ptr<Proxy>> m_controlProxies;
     std::vector<std::unique_ptr<Proxy>> m_gatewayProxies;
--- a/tests/soak_e2e.sh
+++ b/tests/soak_e2e.sh
@@ -5,5 +5,7 @@
 set -euo pipefail
 build=$1
 folder=$(mktemp -d)
-"$build/bin/vanillalift-soak" --programs "$build/bin" --seed 1 --time 8 --folder "$folder/site"
+# The soak may run the programs as another user.
+chmod 711 "$folder"
+"$build/bin/vanillalift-soak" --programs "$build/bin" --seed 28 --time 8 --folder "$folder/site"
 rm -rf "$folder"
--- a/tests/soak_seeds.sh
+++ b/tests/soak_seeds.sh
@@ -6,7 +6,7 @@
 folder=$(mktemp -d)
 failed=0
 play() {
-    "$build/bin/vanillalift-soak" --programs "$build/bin" --seed "$1" --time "$2" --folder "$folder/$1" || failed=1
+    "$build/bin/vanillalift-soak" --programs "$build/bin" --friendly --seed "$1" --time "$2" --folder "$folder/$1" || failed=1
 }
 # Start requests repeated at a crashed endpoint renewed its lease (regression test: dispatcher_room_test).
 play 66 25
