Show the descriptor squeeze in the soak, and restart ended processes reliably

A process that writes more than 8 MiB of log is now a violation, and a controller is killed 0.5 s after the idle connections were opened, so that the leader changes while descriptors are short.

A process that had ended by itself was often not started again before the end of the faults: the event came some microseconds before the time it waited for, and was dropped. poll() now looks at the time itself.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -167,11 +167,19 @@
         });
         scheduleRestart(n, isGateway);
     }
+    void killController(size_t n)
+    {
+        logFault("kill " + m_site.controllerName(n));
+        m_site.stop(m_site.controllerName(n), SIGKILL);
+        scheduleRestart(n, false);
+    }
     void squeezeDescriptors()
     {
         logFault("open idle connections to all");
         m_site.openIdleConnections();
-        schedule(m_world.randomDelay(1000, 6000), [this] { m_site.closeIdleConnections(); });
+        // Often changes the leader, for which the others have to write to their disks.
+        schedule(milliseconds(500), [this] { killController(pick(m_site.desc().controllers)); });
+        schedule(m_world.randomDelay(3000, 8000), [this] { m_site.closeIdleConnections(); });
     }
     void reload()
     {
@@ -547,5 +555,6 @@
     timer.armAt(begin, begin);
     loop.run();
     checkFinalState(site);
+    site.checkLogs();
     return report(site, options, faults.count());
 }
--- a/tests/soak/site.cpp
+++ b/tests/soak/site.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <sys/stat.h>
 #include <sys/wait.h>
 
 namespace vanillalift::soak {
@@ -52,6 +53,9 @@
     constexpr milliseconds minRestartDelay { 200 };
     constexpr milliseconds maxRestartDelay { 5000 };
     constexpr milliseconds longRun { 10000 };
+    constexpr int64_t maxLogBytes = 8 << 20;
+    /// Unit of st_blocks.
+    constexpr int64_t statBlockBytes = 512;
     constexpr milliseconds hurryTime { 1000 };
     constexpr milliseconds hurryBeforeStop { 20 };
     constexpr size_t idleConnectionsPerProcess = 100;
@@ -365,6 +369,7 @@
     auto& state = m_states[name];
     state.startedAt = m_clock.now();
     state.stopAskedAt = {};
+    state.restartAt = {};
     m_expectedExits.erase(name);
     if (!m_processes.start(name, command, m_desc.folder + '/' + name + ".log"))
         m_world.violations.add("cannot start " + name);
@@ -389,7 +394,27 @@
         state.quickEnds = 0;
     auto delay = std::min(maxRestartDelay, minRestartDelay * (1U << std::min(state.quickEnds++, 10U)));
     state.restartAt = now + delay;
-    m_world.eventQueue.after(delay, [this, name, isFirstStart = state.isFirstStart] { startProcess(name, isFirstStart); });
+}
+
+void SoakSite::restartEnded()
+{
+    auto now = m_clock.now();
+    for (const auto& name : processNames()) {
+        const auto& state = m_states[name];
+        if (state.restartAt != TimePoint {} && now >= state.restartAt)
+            startProcess(name, state.isFirstStart);
+    }
+}
+
+void SoakSite::checkLogs()
+{
+    for (const auto& name : processNames()) {
+        struct stat status { };
+        auto path = m_desc.folder + '/' + name + ".log";
+        // Not its length: the host may have extended it without use of space.
+        if (!m_desc.isFriendly && ::stat(path.c_str(), &status) == 0 && status.st_blocks * statBlockBytes > maxLogBytes)
+            m_world.violations.add(name + " has written more than " + std::to_string(maxLogBytes) + " bytes to its log");
+    }
 }
 
 std::string SoakSite::describeEnds() const
@@ -618,6 +643,7 @@
             putWave();
     }
     m_processes.reap([this](const std::string& name, int status) { handleExit(name, status); });
+    restartEnded();
     checkStops();
 }
 
--- a/tests/soak/site.h
+++ b/tests/soak/site.h
@@ -105,6 +105,8 @@
     [[nodiscard]] bool isWaveComplete() const { return m_wave.number == 0 || m_isWaveComplete; }
     Processes& processes() { return m_processes; }
     [[nodiscard]] const KeptClients& keptClients() const { return *m_keptClients; }
+    /// Checks that no program has flooded its log.
+    void checkLogs();
     /// @returns one line for each process that ended by itself.
     [[nodiscard]] std::string describeEnds() const;
 
@@ -118,7 +120,7 @@
         TimePoint harmedAt;
         /// Its settings say so, as they do when it is started again after it ended by itself.
         bool isFirstStart = false;
-        /// It is not started again before, because it ended by itself.
+        /// It is not started again before, because it ended by itself; the epoch if it did not.
         TimePoint restartAt;
         /// Ends by itself since it last ran for long.
         uint32_t quickEnds = 0;
@@ -131,6 +133,8 @@
     /// @returns whether the process runs already or has to wait.
     [[nodiscard]] bool isStartRefused(const std::string& name) const;
     void launch(const std::string& name, const std::vector<std::string>& command);
+    /// Starts processes again that ended by themselves, once they are due.
+    void restartEnded();
     void handleExit(const std::string& name, int status);
     /// @returns when a process that met no other harm was asked to stop.
     [[nodiscard]] std::optional<TimePoint> stopAskedAt(const std::string& name) const;
