Set a damaged data folder aside and join as after the loss of a disk

Cause: recovery refuses a folder that differs from what was written, and nothing followed from that but the end of the process.

The files are now moved to the subfolder set-aside (the newest set only), and the controller starts empty, with a new storage id, as after the loss of its disk. Its earlier votes and acknowledgements do not count for that id, and requests for votes of the earlier id are ignored, so that a sound majority keeps what was acknowledged and a damaged one gets no leader. A folder with set-aside in it never founds a group, whatever bootstrap says. The subfolder is there, under a temporary name, before the first file is moved; a start that finds it so finishes the move, since what is left may look like an older state that is sound. Files that the kernel cannot read (EIO, EISDIR, EBADMSG, EUCLEAN) count as damaged; a file without the right to read it still ends the process.

A founding member in a term after the first whose log is empty is treated the same. Before, with bootstrap true, it wrote the first term over its term and vote and founded the group again.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -19,6 +19,8 @@
 
     /// Storage id of the initial members: their disks are empty, and they know each other's addresses from the settings.
     constexpr const char* initialStorageId = "founding";
+    /// Term of the entry with the initial members, before the first election.
+    constexpr uint64_t initialTerm = 1;
     constexpr std::chrono::milliseconds tickInterval { 10 };
     constexpr std::chrono::milliseconds joinInterval { 400 };
     constexpr std::chrono::milliseconds housekeepingInterval { 500 };
@@ -42,16 +44,38 @@
         return std::hash<std::string>()(name) ^ static_cast<uint64_t>(BootClock::now().time_since_epoch().count());
     }
 
+    /// Sets the damaged state in the folder aside and opens it as empty, under an id to which no earlier vote or acknowledgement applies.
+    StorageResult<RaftStorage> openEmptied(Disk& disk, const StorageError& damage, EventLog& log)
+    {
+        log.stateLine("storage-set-aside").field("error", describe(damage));
+        log.flush();
+        if (auto result = RaftStorage::setAside(disk); !result)
+            return tl::unexpected(result.error());
+        return RaftStorage::open(disk, generateStorageId());
+    }
+
 } // namespace
 
-StorageResult<RaftStorage> openStorage(Disk& disk, const ControllerDesc& desc)
+StorageResult<RaftStorage> openStorage(Disk& disk, const ControllerDesc& desc, EventLog& log)
 {
-    bool isInitialMember = desc.isFirstStart && std::find(desc.seeds.begin(), desc.seeds.end(), desc.name) != desc.seeds.end();
+    auto setAside = disk.setAsideState();
+    if (!setAside)
+        return tl::unexpected(setAside.error());
+    if (*setAside == SetAsideState::Interrupted)
+        return openEmptied(disk, { StorageErrorCode::Corrupted, desc.dataFolder, "an earlier start was interrupted while it set files aside" }, log);
+    // A folder from which files were set aside is not new: its group exists.
+    bool isInitialMember = desc.isFirstStart && *setAside == SetAsideState::Never && std::find(desc.seeds.begin(), desc.seeds.end(), desc.name) != desc.seeds.end();
     auto storage = RaftStorage::open(disk, isInitialMember ? initialStorageId : generateStorageId());
+    if (!storage && storage.error().code == StorageErrorCode::Corrupted)
+        return openEmptied(disk, storage.error(), log);
     if (!storage)
         return storage;
     const auto& recovered = storage->recovered();
-    if (!isInitialMember || recovered.storageId != initialStorageId || !recovered.entries.empty() || recovered.snapshot.index != 0)
+    if (recovered.storageId != initialStorageId || !recovered.entries.empty() || recovered.snapshot.index != 0)
+        return storage;
+    if (recovered.hardState.term > initialTerm)
+        return openEmptied(disk, { StorageErrorCode::Corrupted, desc.dataFolder, "the log of a founding member is empty in term " + std::to_string(recovered.hardState.term) }, log);
+    if (!isInitialMember)
         return storage;
     auto seeds = desc.seeds;
     std::sort(seeds.begin(), seeds.end());
@@ -59,8 +83,8 @@
     for (const auto& it : seeds)
         members.push_back({ it, initialStorageId, true });
     Persist persist;
-    persist.hardState = HardState { 1, "" };
-    persist.entries.push_back({ 1, 1, EntryKind::Members, encodeMembers(members) });
+    persist.hardState = HardState { initialTerm, "" };
+    persist.entries.push_back({ 1, initialTerm, EntryKind::Members, encodeMembers(members) });
     if (auto result = storage->write(persist); !result)
         return tl::unexpected(result.error());
     if (auto result = storage->sync(); !result)
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -127,7 +127,8 @@
     net::Listener m_listener;
 };
 
-/// Opens the data folder. On the first start of a seed, it writes the membership of the new group to the folder.
-raft::StorageResult<raft::RaftStorage> openStorage(raft::Disk& disk, const ControllerDesc& desc);
+/// Opens the data folder. On the first start of a seed, it writes the membership of the new group to the folder. A damaged
+/// state is set aside, and the controller joins the group as one that has lost its disk: empty and with a new storage id.
+raft::StorageResult<raft::RaftStorage> openStorage(raft::Disk& disk, const ControllerDesc& desc, EventLog& log);
 
 } // namespace vanillalift::node
--- a/src/replica/disk_p.h
+++ b/src/replica/disk_p.h
@@ -36,6 +36,14 @@
 template <typename T>
 using StorageResult = tl::expected<T, StorageError>;
 
+/// Whether a folder holds files that were set aside because of damage.
+enum class SetAsideState : uint8_t {
+    Never,
+    /// A crash interrupted it, so that the remaining files are no state to start from, whatever they look like.
+    Interrupted,
+    Done,
+};
+
 /// File operations that the log needs in its folder. Tests inject crashes and I/O errors here.
 class Disk {
 public:
@@ -51,6 +59,10 @@
     /// Durable on return.
     virtual StorageResult<void> truncate(const std::string& name, uint64_t size) = 0;
     virtual StorageResult<void> remove(const std::string& name) = 0;
+    virtual StorageResult<SetAsideState> setAsideState() = 0;
+    /// Moves files out of what list() shows, in place of those that were set aside before; after an interruption, together with
+    /// those already moved. Durable on return.
+    virtual StorageResult<void> setAside(const std::vector<std::string>& names) = 0;
 };
 
 /// flock(2) or a stand-in for it.
--- a/src/replica/posix_disk.cpp
+++ b/src/replica/posix_disk.cpp
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace vanillalift::raft {
@@ -16,6 +17,8 @@
 
     constexpr const char* temporarySuffix = ".new";
     constexpr const char* lockFileName = "lock";
+    /// Subfolder of files that were set aside. While they are moved, it has the temporary suffix.
+    constexpr const char* setAsideName = "set-aside";
 
     /// Owns a file descriptor.
     class File {
@@ -63,6 +66,13 @@
         return tl::unexpected(StorageError { isOutOfResources(error) ? StorageErrorCode::OutOfResources : code, file, std::generic_category().message(error) });
     }
 
+    /// @returns Corrupted if the file's content cannot be had, by whomever it is read.
+    tl::unexpected<StorageError> readError(const std::string& file)
+    {
+        bool isDamaged = errno == EIO || errno == EISDIR || errno == EBADMSG || errno == EUCLEAN;
+        return systemError(isDamaged ? StorageErrorCode::Corrupted : StorageErrorCode::ReadFailed, file);
+    }
+
     bool writeAll(int fd, std::string_view bytes)
     {
         while (!bytes.empty()) {
@@ -125,7 +135,7 @@
             std::error_code ec;
             for (auto it = std::filesystem::directory_iterator(m_path, ec); !ec && it != std::filesystem::directory_iterator(); it.increment(ec)) {
                 auto name = it->path().filename().string();
-                if (name != lockFileName && !name.ends_with(temporarySuffix))
+                if (name != lockFileName && name != setAsideName && !name.ends_with(temporarySuffix))
                     names.push_back(std::move(name));
             }
             if (ec)
@@ -138,7 +148,7 @@
         {
             File file(path(name), O_RDONLY);
             if (!file.isOpen())
-                return systemError(StorageErrorCode::ReadFailed, name);
+                return readError(name);
             std::string bytes;
             std::string buf(1U << 16U, '\0');
             while (true) {
@@ -146,7 +156,7 @@
                 if (n < 0 && errno == EINTR)
                     continue;
                 if (n < 0)
-                    return systemError(StorageErrorCode::ReadFailed, name);
+                    return readError(name);
                 if (n == 0)
                     return bytes;
                 bytes.append(buf, 0, static_cast<size_t>(n));
@@ -205,8 +215,49 @@
             return {};
         }
 
+        StorageResult<SetAsideState> setAsideState() override
+        {
+            std::error_code ec;
+            bool isInterrupted = std::filesystem::exists(interruptedPath(), ec);
+            bool isDone = !ec && std::filesystem::exists(path(setAsideName), ec);
+            if (ec)
+                return systemError(StorageErrorCode::ReadFailed, setAsideName, ec.value());
+            if (isInterrupted)
+                return SetAsideState::Interrupted;
+            return isDone ? SetAsideState::Done : SetAsideState::Never;
+        }
+
+        StorageResult<void> setAside(const std::vector<std::string>& names) override
+        {
+            auto target = interruptedPath();
+            if (::mkdir(target.c_str(), 0700) != 0 && errno != EEXIST)
+                return systemError(StorageErrorCode::WriteFailed, setAsideName);
+            // Until the end, this name tells the next start that files may be missing.
+            if (!syncFolder(m_folder.fd()))
+                return systemError(StorageErrorCode::SyncFailed, setAsideName);
+            File targetFolder(target, O_RDONLY | O_DIRECTORY);
+            if (!targetFolder.isOpen())
+                return systemError(StorageErrorCode::WriteFailed, setAsideName);
+            for (const auto& it : names) {
+                if (::renameat(m_folder.fd(), it.c_str(), targetFolder.fd(), it.c_str()) != 0)
+                    return systemError(StorageErrorCode::WriteFailed, it);
+            }
+            if (!syncFolder(targetFolder.fd()) || !syncFolder(m_folder.fd()))
+                return systemError(StorageErrorCode::SyncFailed, setAsideName);
+            std::error_code ec;
+            std::filesystem::remove_all(path(setAsideName), ec);
+            if (ec)
+                return systemError(StorageErrorCode::WriteFailed, setAsideName, ec.value());
+            if (::rename(target.c_str(), path(setAsideName).c_str()) != 0)
+                return systemError(StorageErrorCode::WriteFailed, setAsideName);
+            if (!syncFolder(m_folder.fd()))
+                return systemError(StorageErrorCode::SyncFailed, setAsideName);
+            return {};
+        }
+
     private:
         [[nodiscard]] std::string path(const std::string& name) const { return m_path + "/" + name; }
+        [[nodiscard]] std::string interruptedPath() const { return path(setAsideName) + temporarySuffix; }
 
         std::string m_path;
         File m_folder;
--- a/src/replica/raft_storage.cpp
+++ b/src/replica/raft_storage.cpp
@@ -137,6 +137,15 @@
     return storage;
 }
 
+StorageResult<void> RaftStorage::setAside(Disk& disk)
+{
+    auto names = disk.list();
+    if (!names)
+        return tl::unexpected(names.error());
+    std::erase_if(*names, [](const auto& it) { return it != hardStateName && !it.starts_with(snapshotPrefix) && !it.starts_with(segmentPrefix); });
+    return disk.setAside(*names);
+}
+
 StorageResult<void> RaftStorage::recover(const std::string& storageId)
 {
     auto names = m_disk->list();
--- a/src/replica/raft_storage_p.h
+++ b/src/replica/raft_storage_p.h
@@ -19,6 +19,9 @@
     /// @returns Corrupted if anything else differs from what was written.
     static StorageResult<RaftStorage> open(Disk& disk, const std::string& storageId);
 
+    /// Sets aside all files of a folder that open() refuses, so that it can be opened as an empty one.
+    static StorageResult<void> setAside(Disk& disk);
+
     [[nodiscard]] const RecoveredState& recovered() const { return m_recovered; }
     /// Moves the recovered state to the caller.
     RecoveredState takeRecovered() { return std::move(m_recovered); }
--- a/tests/jobs/data_folder_test.cpp
+++ b/tests/jobs/data_folder_test.cpp
@@ -1,12 +1,16 @@
 #include "core/event_log_p.h"
+#include "node/controller_p.h"
 #include "node/storage_retry_p.h"
 #include "replica/raft_storage_p.h"
 
 #include <catch2/catch.hpp>
 
+#include "../memory_disk.h"
+
 #include <cerrno>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <sys/file.h>
 #include <sys/resource.h>
@@ -83,6 +87,34 @@
 
 LogEntry command(uint64_t index) { return { index, 1, EntryKind::Command, "entry" }; }
 
+ControllerDesc seed(bool isFirstStart)
+{
+    ControllerDesc desc;
+    desc.name = "10.0.0.1:7000";
+    desc.seeds = { desc.name, "10.0.0.2:7000", "10.0.0.3:7000" };
+    desc.isFirstStart = isFirstStart;
+    return desc;
+}
+
+/// Writes the state of a founding member that has voted, has a snapshot and has entries after it.
+void writeMember(Disk& disk, vanillalift::EventLog& log)
+{
+    auto storage = openStorage(disk, seed(true), log);
+    REQUIRE(storage);
+    CHECK(storage->recovered().entries.size() == 1);
+    REQUIRE(storage->write({ .hardState = HardState { 5, "b" }, .entries = { command(2) } }));
+    REQUIRE(storage->sync());
+    REQUIRE(storage->write({ .snapshot = Snapshot { 2, 1, {}, std::make_shared<std::string>("state") } }));
+    REQUIRE(storage->write({ .entries = { command(3) } }));
+    REQUIRE(storage->sync());
+}
+
+/// Whether the state is that of a controller that has never been a member.
+bool isNewcomer(const RecoveredState& state)
+{
+    return state.storageId != "founding" && state.hardState.term == 0 && state.hardState.vote.empty() && state.entries.empty() && state.snapshot.index == 0;
+}
+
 } // namespace
 
 // Guards against a controller that ends at each start because it may not read the folder above its own.
@@ -227,3 +259,111 @@
     while (clock.time - startedAt < std::chrono::minutes(10))
         REQUIRE(retry.wait({ StorageErrorCode::OutOfResources, "folder", "" }));
 }
+
+// Guards against a controller that ends at each start because its folder is damaged, and against one that then votes as before or
+// founds the group again.
+TEST_CASE("a controller with a damaged folder starts as an empty one with a new identity", "[storage]")
+{
+    vanillalift::SystemClock clock;
+    vanillalift::EventLog log(clock, STDERR_FILENO, {});
+    auto damage = GENERATE(as<std::string>(), "cut to nothing", "missing", "overwritten", "a folder");
+    auto prefix = GENERATE(as<std::string>(), "hard-state", "log-", "snapshot-");
+    bool isFirstStart = GENERATE(false, true);
+    INFO(prefix << " " << damage << ", first start " << isFirstStart);
+    TemporaryFolder folder;
+    auto disk = openFolder(folder.path.string());
+    REQUIRE(disk);
+    writeMember(**disk, log);
+    auto names = *(*disk)->list();
+    auto name = *std::find_if(names.begin(), names.end(), [&](const auto& it) { return it.starts_with(prefix); });
+    auto path = folder.path / name;
+    if (damage == "cut to nothing")
+        std::filesystem::resize_file(path, 0);
+    else if (damage == "overwritten")
+        std::ofstream(path, std::ios::trunc) << "not a record";
+    else
+        std::filesystem::remove(path);
+    if (damage == "a folder")
+        std::filesystem::create_directory(path);
+    auto storage = openStorage(**disk, seed(isFirstStart), log);
+    REQUIRE(storage);
+    CHECK(isNewcomer(storage->recovered()));
+    for (const auto& it : names)
+        CHECK(std::filesystem::exists(folder.path / "set-aside" / it) == (it != name || damage != "missing"));
+    auto reopened = openStorage(**disk, seed(isFirstStart), log);
+    REQUIRE(reopened);
+    CHECK(reopened->recovered().storageId == storage->recovered().storageId);
+}
+
+// Guards against a founding member that forgets its vote, and founds the group again, because its log was cut to the first record.
+TEST_CASE("a founding member without its log but with a term starts as an empty one", "[storage]")
+{
+    vanillalift::SystemClock clock;
+    vanillalift::EventLog log(clock, STDERR_FILENO, {});
+    bool isFirstStart = GENERATE(false, true);
+    MemoryDisk disk;
+    auto storage = RaftStorage::open(disk, "founding");
+    REQUIRE(storage->write({ .hardState = HardState { 5, "b" } }));
+    auto opened = openStorage(disk, seed(isFirstStart), log);
+    REQUIRE(opened);
+    CHECK(isNewcomer(opened->recovered()));
+}
+
+// Guards against a state that looks sound because a crash has left only a part of the damaged one.
+TEST_CASE("a crash while a damaged folder is set aside brings back neither identity nor group", "[storage]")
+{
+    vanillalift::SystemClock clock;
+    vanillalift::EventLog log(clock, STDERR_FILENO, {});
+    bool isSnapshotDamaged = GENERATE(false, true);
+    bool hasCrashed = true;
+    for (size_t operation = 0; hasCrashed; operation++) {
+        for (uint64_t seedOfDisk = 1; seedOfDisk <= 20; seedOfDisk++) {
+            INFO("crash at operation " << operation << ", seed " << seedOfDisk);
+            MemoryDisk disk;
+            disk.random.seed(seedOfDisk);
+            if (isSnapshotDamaged) {
+                // Without its snapshot, this state is one that was valid before.
+                auto storage = openStorage(disk, seed(true), log);
+                REQUIRE(storage->write({ .hardState = HardState { 5, "b" }, .entries = { command(2) } }));
+                REQUIRE(storage->sync());
+                disk.files["snapshot-00000000000000000002.cbor"] = {};
+            } else {
+                writeMember(disk, log);
+                disk.files.at("hard-state") = {};
+            }
+            disk.firstFaultyOperation = disk.operationCount + operation;
+            hasCrashed = false;
+            try {
+                auto storage = openStorage(disk, seed(true), log);
+                CHECK(storage);
+            } catch (const SimulatedCrash&) {
+                hasCrashed = true;
+            }
+            disk.simulatePowerLoss();
+            auto storage = openStorage(disk, seed(true), log);
+            REQUIRE(storage);
+            CHECK(isNewcomer(storage->recovered()));
+            CHECK(disk.filesSetAside.contains("hard-state"));
+        }
+    }
+}
+
+TEST_CASE("only the newest set of damaged files is kept, and an interrupted move is finished", "[storage]")
+{
+    vanillalift::SystemClock clock;
+    vanillalift::EventLog log(clock, STDERR_FILENO, {});
+    TemporaryFolder folder;
+    auto disk = openFolder(folder.path.string());
+    REQUIRE(disk);
+    writeMember(**disk, log);
+    std::filesystem::create_directory(folder.path / "set-aside");
+    std::ofstream(folder.path / "set-aside" / "older") << "x";
+    std::filesystem::create_directory(folder.path / "set-aside.new");
+    std::filesystem::rename(folder.path / "hard-state", folder.path / "set-aside.new" / "hard-state");
+    auto storage = openStorage(**disk, seed(true), log);
+    REQUIRE(storage);
+    CHECK(isNewcomer(storage->recovered()));
+    CHECK_FALSE(std::filesystem::exists(folder.path / "set-aside.new"));
+    CHECK_FALSE(std::filesystem::exists(folder.path / "set-aside" / "older"));
+    CHECK(std::filesystem::exists(folder.path / "set-aside" / "hard-state"));
+}
--- a/tests/memory_disk.h
+++ b/tests/memory_disk.h
@@ -2,6 +2,7 @@
 
 #include "replica/disk_p.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -21,6 +22,8 @@
     };
 
     std::map<std::string, File> files;
+    std::map<std::string, File> filesSetAside;
+    SetAsideState setAsideProgress = SetAsideState::Never;
     size_t operationCount = 0;
     size_t firstFaultyOperation = SIZE_MAX;
     size_t faultyOperationCount = 1;
@@ -84,6 +87,29 @@
         return mutate([&] { files.erase(name); }, [] {});
     }
 
+    StorageResult<SetAsideState> setAsideState() override { return setAsideProgress; }
+
+    StorageResult<void> setAside(const std::vector<std::string>& names) override
+    {
+        auto move = [this](const std::string& name) { filesSetAside.insert(files.extract(name)); };
+        auto begin = [this] {
+            if (std::exchange(setAsideProgress, SetAsideState::Interrupted) != SetAsideState::Interrupted)
+                filesSetAside.clear();
+        };
+        auto moveAll = [&] {
+            begin();
+            std::for_each(names.begin(), names.end(), move);
+            setAsideProgress = SetAsideState::Done;
+        };
+        return mutate(moveAll, [&] {
+            begin();
+            std::for_each(names.begin(), names.end(), [&](const auto& it) {
+                if (randomBelow(2) == 0)
+                    move(it);
+            });
+        });
+    }
+
 private:
     size_t randomBelow(size_t n) { return std::uniform_int_distribution<size_t>(0, n - 1)(random); }
 
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -78,9 +78,9 @@
     node::RunRecord runRecord(settings->dataFolder);
     if (runRecord.unfinishedRuns() > 0)
         log.stateLine("unfinished-runs").field("count", runRecord.unfinishedRuns());
-    auto storage = node::openStorage(**disk, settings->controller);
+    auto storage = node::openStorage(**disk, settings->controller, log);
     while (!storage && retry.wait(storage.error()))
-        storage = node::openStorage(**disk, settings->controller);
+        storage = node::openStorage(**disk, settings->controller, log);
     if (!storage)
         return node::logExit(log, 1, raft::describe(storage.error()));
     auto limits = connectionLimits(settings->maxDescriptors);
--- a/tools/log-bench/main.cpp
+++ b/tools/log-bench/main.cpp
@@ -77,6 +77,8 @@
         m_files.erase(name);
         return {};
     }
+    StorageResult<SetAsideState> setAsideState() override { return SetAsideState::Never; }
+    StorageResult<void> setAside(const std::vector<std::string>& /*names*/) override { return {}; }
 
     uint64_t syncs = 0;
 
