Read settings again that are missing or incomplete at the start

Seen: a program that is started while its settings file is being written, or before, ended with status 2.

Cause: the file was read once. It is now read again for up to 2 s; then the program ends with status 2 and one line for each fault, which names the field.

Seen to fail before: plain_hosts_e2e settings_being_written on (controller and gateway ended with 2). In the first of two such runs another process answered on the test's addresses meanwhile; which is not known.

--- a/tests/plain_hosts_e2e.py
+++ b/tests/plain_hosts_e2e.py
@@ -81,8 +81,9 @@
     return None
 
 
-def start_held(site, name, number):
-    """Starts a process and sends it a signal while it waits for the contents of its settings file."""
+def start_held(site, name, number=None, text=None):
+    """Starts a process, and sends it a signal while it waits for the contents of its settings file.
+    text: what it reads there at first instead of the settings."""
     path = f"{site.folder}/{name}.json"
 
     def replace_by_fifo():
@@ -104,9 +105,10 @@
     with open(path + ".new", "w") as file:
         file.write(settings)
     os.replace(path + ".new", path)
-    site.signal(name, number)
+    if number:
+        site.signal(name, number)
     with contextlib.suppress(OSError):
-        os.write(writers[0], settings.encode())
+        os.write(writers[0], (settings if text is None else text).encode())
     os.close(writers[0])
 
 
@@ -254,10 +256,26 @@
         return fault or (f"limits are {limits}" if limits != [(1024, 1024)] * 2 else None)
 
 
+def settings_being_written(build):
+    """Settings that are cut off or empty at the first look are read again; those that stay faulty end the program with the field's name."""
+    with small_site(build) as site:
+        start_held(site, "c0", text='{"node": "c0", "portRa')
+        start_held(site, "g0", text="")
+        fault = serves(site, "late-settings")
+        path = f"{site.folder}/faulty.json"
+        with open(path, "w") as file:
+            json.dump({**site.settings("c0", True), "portRange": ["x"]}, file)
+        for program in ("vanillalift-controller", "vanillalift-gateway"):
+            result = subprocess.run([f"{build}/bin/{program}", "--settings", path], capture_output=True, text=True, check=False, timeout=START_SECONDS)
+            if result.returncode != 2 or len(result.stderr.splitlines()) != 1 or "portRange" not in result.stderr:
+                fault = fault or f"{program} ends with {result.returncode} and prints {result.stderr!r}"
+        return fault
+
+
 CASES = [
     log_file_at_its_largest_size, errors_before_the_settings, reload_during_the_start, stop_during_the_start, signals_blocked_by_the_parent,
     reloads_until_the_end, metrics_port_in_use, addresses_in_use, standard_streams_closed,
-    few_descriptors_and_idle_connections, soft_descriptor_limit_is_raised,
+    few_descriptors_and_idle_connections, soft_descriptor_limit_is_raised, settings_being_written,
 ]
 
 
