--- a/tests/jobs/platform_decode_test.cpp
+++ b/tests/jobs/platform_decode_test.cpp
@@ -244,6 +244,24 @@
     std::filesystem::remove(path);
 }
 
+TEST_CASE("seeds and services by name are resolved, and a name that cannot be is skipped", "[platform]")
+{
+    auto path = std::filesystem::temp_directory_path() / "vanillalift-platform-names-test.json";
+    auto load = [&](const std::string& seeds, const std::string& advice) {
+        std::ofstream(path) << R"({"node":"n","ip":"10.1.0.1","zone":"z","listen":{},"portRange":[7000,7015],"seeds":[)" << seeds << R"(],"advice":")" << advice << R"(","cloud":{"addr":"localhost:81"}})";
+        return loadPlatformSettings(path.string());
+    };
+    auto settings = load(R"("10.1.0.2:8345","localhost:8345","bad-label-.invalid:8345")", "localhost:80");
+    REQUIRE(settings);
+    CHECK(settings->seeds == std::vector<std::string> { "10.1.0.2:7000", "127.0.0.1:7000" });
+    CHECK(settings->adviceAddress == "127.0.0.1:80");
+    CHECK(settings->instanceServiceAddress == "127.0.0.1:81");
+    for (const auto* malformed : { R"("10.1.0.999:8345")", R"("10.1:8345")", R"("localhost")", R"("localhost:0")", R"("local host:1")", R"("")", "7" })
+        CHECK_FALSE(load(malformed, ""));
+    CHECK_FALSE(load("", "localhost"));
+    std::filesystem::remove(path);
+}
+
 TEST_CASE("names of the platform's protocol are not used outside the adapter", "[platform]")
 {
     const char* names[] = { "heartbeatAddr", "ackedThrough", "lastCheckpoint", "rejectsOverload", "mayMiss", "X-Duty-Holder", "X-Fence-Token", "X-Expect-Instance", "X-Credential", "X-Deadline-Ms", "coldLeftMs", "inFailureBudget", "run-start", "run-stop", "machine-upkeep", "machine-move", "wave-start", "VANILLALIFT_BOOT", "estRuntimeMs", "antiAffinity", "longRunning", "pathPrefix\"", "apiKeys", "cancel_ms", "finish_s", "configApplyMs", "dutyPerS", "maxHoldMs" };
