Refuse settings whose own address is malformed

Listeners try their addresses again, so an address that can never be right has to be refused with the settings; the process's own was not checked, and its listener of links took any free port instead.

--- a/tests/jobs/platform_decode_test.cpp
+++ b/tests/jobs/platform_decode_test.cpp
@@ -237,6 +237,8 @@
     CHECK(settings->maxDescriptors == 4100);
     write(R"({"node":"a","ip":"10.1.0.1","zone":"z","listen":{},"portRange":[7000.5,7015],"seeds":[]})");
     CHECK_FALSE(loadPlatformSettings(path.string()));
+    write(R"({"node":"a","ip":"10.1.0.256","zone":"z","listen":{},"portRange":[7000,7015],"seeds":[]})");
+    CHECK_FALSE(loadPlatformSettings(path.string()));
     write(R"({"node":1,"ip":"x","listen":{"control":"nowhere"},"portRange":[7],"seeds":[1]})");
     settings = loadPlatformSettings(path.string());
     REQUIRE_FALSE(settings);
