--- a/tests/jobs/gateway_stop_test.cpp
+++ b/tests/jobs/gateway_stop_test.cpp
@@ -123,16 +123,16 @@
 {
     Gateway it;
     RawClient client(it.clientAddress.port);
-    REQUIRE(client.send("PUT /1 HTTP/1.1\r\n\r\n"));
+    REQUIRE(client.send("PUT /1 HTTP/1.1\r\nHost: h\r\n\r\n"));
     net::runUntil(it.loop, [&] { return !client.hasNoInput(); });
     CHECK(client.readResponse().find("Connection: close") == std::string::npos);
     it.shutdown.begin(it.startedAt);
     CHECK_FALSE(it.shutdown.tick(it.startedAt + node::gatewayShutdown.stopAccepting));
     CHECK_FALSE(it.shutdown.tick(it.startedAt + node::gatewayShutdown.answerAll - milliseconds(1)));
-    REQUIRE(client.send("PUT /2 HTTP/1.1\r\n\r\n"));
+    REQUIRE(client.send("PUT /2 HTTP/1.1\r\nHost: h\r\n\r\n"));
     it.runUntilExit(beforeAnswerAll);
     auto response = client.readResponse();
-    CHECK(response.starts_with("HTTP/1.1 400"));
+    CHECK(response.starts_with("HTTP/1.1 405"));
     CHECK(response.find("Connection: close\r\n") != std::string::npos);
     CHECK(client.waitForEof());
 }
@@ -142,19 +142,19 @@
 {
     Gateway it;
     RawClient client(it.clientAddress.port);
-    REQUIRE(client.send("PUT /1 HTTP/1.1\r\n\r\n"));
+    REQUIRE(client.send("PUT /1 HTTP/1.1\r\nHost: h\r\n\r\n"));
     it.shutdown.begin(it.startedAt);
     it.shutdown.tick(it.startedAt + node::gatewayShutdown.stopAccepting);
     CHECK_FALSE(it.clientApi.isOpen());
     it.runUntilExit(beforeAnswerAll);
-    CHECK(client.readResponse().starts_with("HTTP/1.1 400"));
+    CHECK(client.readResponse().starts_with("HTTP/1.1 405"));
 }
 
 TEST_CASE("an idle client sees the end of its connection before the gateway exits, and the gateway waits for its close", "[gateway]")
 {
     Gateway it;
     RawClient client(it.clientAddress.port);
-    REQUIRE(client.send("PUT /1 HTTP/1.1\r\n\r\n"));
+    REQUIRE(client.send("PUT /1 HTTP/1.1\r\nHost: h\r\n\r\n"));
     net::runUntil(it.loop, [&] { return !client.hasNoInput(); });
     client.readResponse();
     it.shutdown.begin(it.startedAt);
@@ -169,7 +169,7 @@
 {
     Gateway it;
     RawClient client(it.clientAddress.port);
-    REQUIRE(client.send("PUT /1 HTTP/1.1\r\n\r\n"));
+    REQUIRE(client.send("PUT /1 HTTP/1.1\r\nHost: h\r\n\r\n"));
     net::runUntil(it.loop, [&] { return !client.hasNoInput(); });
     client.readResponse();
     it.shutdown.begin(it.startedAt);
@@ -184,7 +184,7 @@
     RawClient client(it.clientAddress.port);
     it.shutdown.begin(it.startedAt);
     it.shutdown.tick(it.startedAt + node::gatewayShutdown.announce);
-    REQUIRE(client.send("PUT /1 HTTP/1.1\r\n\r\nPUT /2 HTTP/1.1\r\n\r\n"));
+    REQUIRE(client.send("PUT /1 HTTP/1.1\r\nHost: h\r\n\r\nPUT /2 HTTP/1.1\r\nHost: h\r\n\r\n"));
     it.runUntilExit(beforeAnswerAll);
     CHECK(client.readResponse().find("Connection: close") == std::string::npos);
     CHECK(client.readResponse().find("Connection: close") != std::string::npos);
@@ -211,8 +211,9 @@
     SystemClock clock;
     EventLog log { clock, open("/dev/null", O_WRONLY | O_CLOEXEC), {} };
     auto address = net::freeAddress();
+    net::HttpMemory memory { loop, clock, 64U << 20U };
     ControlApi control(
-        loop, clock, log, address, 8, [](const node::Request&, TimePoint, const node::LeaderClient::Handler& handler) { handler({ std::nullopt, false }); }, [](std::string_view, std::string_view) { return std::string(); });
+        loop, clock, memory, log, address, 8, [](const node::Request&, TimePoint, const node::LeaderClient::Handler& handler) { handler({ std::nullopt, false }); }, [](std::string_view, std::string_view) { return std::string(); });
     RawClient client(address.port);
     REQUIRE(client.send("GET /-/config HTTP/1.1\r\n\r\n"));
     net::runUntil(loop, [&] { return !client.hasNoInput(); });
