Write on the event loop where the host allows no thread for the storage

The writer now does the same work on the event loop, with the same wait for resources, and says so once. Slow disks then delay everything else, which is better than not serving.

--- a/src/replica/log_driver.cpp
+++ b/src/replica/log_driver.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <csignal>
+#include <system_error>
 
 namespace vanillalift {
 
@@ -29,13 +30,18 @@
         for (const auto& it : results)
             m_onDone(it);
     })
+    , m_loopTimer(loop, [this] { writeOnLoop(); })
 {
     // The thread inherits the blocked signals: they are handled on the event loop's thread only.
     sigset_t allSignals;
     sigset_t previousMask;
     sigfillset(&allSignals);
     pthread_sigmask(SIG_BLOCK, &allSignals, &previousMask);
-    m_thread = std::thread([this] { run(); });
+    try {
+        m_thread = std::thread([this] { run(); });
+    } catch (const std::system_error& error) {
+        LOG(WARNING) << "the host allows no thread for the storage, so that slow writes delay everything else: " << error.what();
+    }
     pthread_sigmask(SIG_SETMASK, &previousMask, nullptr);
 }
 
@@ -46,14 +52,33 @@
         m_isStopping = true;
         m_wakeWriter.notify_one();
     }
-    m_thread.join();
+    if (m_thread.joinable())
+        m_thread.join();
 }
 
 void StorageWriter::write(std::vector<Persist> batch)
 {
     std::lock_guard lock(m_mutex);
     m_batch = std::move(batch);
-    m_wakeWriter.notify_one();
+    if (m_thread.joinable())
+        m_wakeWriter.notify_one();
+    else
+        m_loopTimer.armAt({}, {});
+}
+
+void StorageWriter::writeOnLoop()
+{
+    auto result = m_isOutOfResources ? m_storage.resume() : StorageResult<void> {};
+    if (result)
+        result = writeBatch(*m_batch);
+    bool wasOutOfResources = m_isOutOfResources;
+    m_isOutOfResources = !result && result.error().code == StorageErrorCode::OutOfResources;
+    if (m_isOutOfResources)
+        m_loopTimer.armAt(TimePoint() + writeRetryInterval, {});
+    else
+        m_batch.reset();
+    if (!m_isOutOfResources || !wasOutOfResources)
+        m_onDone(result);
 }
 
 void StorageWriter::run()
--- a/src/replica/log_driver_p.h
+++ b/src/replica/log_driver_p.h
@@ -14,7 +14,7 @@
 
 /// Writes to a replica's storage on a separate thread, so that a slow disk does not block the event loop. While it is
 /// out of resources, such as disk space, it retries the same write: nothing is acknowledged meanwhile, and the other replicas
-/// continue without this one.
+/// continue without this one. On a host that allows no thread it writes on the event loop's thread.
 /// @remarks m_mutex guards the batch and the results, and is not held during I/O.
 class StorageWriter {
 public:
@@ -30,6 +30,7 @@
 
 private:
     void run();
+    void writeOnLoop();
     raft::StorageResult<void> writeBatch(const std::vector<raft::Persist>& batch);
     void reportResult(const raft::StorageResult<void>& result);
 
@@ -41,6 +42,9 @@
     std::vector<raft::StorageResult<void>> m_results;
     bool m_isStopping = false;
     net::Waker m_waker;
+    /// Without a thread: the next attempt, and whether the last one was out of resources.
+    net::Timer m_loopTimer;
+    bool m_isOutOfResources = false;
     std::thread m_thread;
 };
 
