--- a/include/vanillalift/config.h
+++ b/include/vanillalift/config.h
@@ -56,7 +56,7 @@
 /// Most connections of one server that are read only until they end, besides those within its limit.
 constexpr size_t maxLingeringConnections = 128;
 /// A connection whose last response is younger is not closed in favour of another one: its next request may be on the way.
-constexpr milliseconds minHttpIdleTime { 100 };
+constexpr milliseconds minHttpIdleTime { 5000 };
 /// Time for which a listener does not accept after a failure, such as a lack of descriptors.
 constexpr milliseconds acceptPause { 100 };
 /// Largest start line and headers of an HTTP message, in bytes.
--- a/src/core/stop_signals.cpp
+++ b/src/core/stop_signals.cpp
@@ -9,6 +9,7 @@
     sigaddset(&m_signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &m_signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGXFSZ, SIG_IGN);
 }
 
 void StopSignals::wait() const
--- a/src/node/host_setup.cpp
+++ b/src/node/host_setup.cpp
@@ -5,7 +5,9 @@
 #include <csignal>
 #include <fcntl.h>
 #include <glog/logging.h>
+#include <string>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace vanillalift::node {
@@ -18,6 +20,7 @@
         sigemptyset(&signals);
         sigaddset(&signals, SIGHUP);
         sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
         return signals;
     }
 
@@ -32,6 +35,20 @@
         }
     }
 
+    /// Gives the process a description of its own of a pipe, on which writes fail while it is full. The other processes
+    /// that share the pipe keep theirs.
+    void avoidBlocking(int fd)
+    {
+        struct stat status { };
+        if (fstat(fd, &status) != 0 || !S_ISFIFO(status.st_mode))
+            return;
+        int own = open(("/proc/self/fd/" + std::to_string(fd)).c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        if (own < 0)
+            return;
+        dup2(own, fd);
+        close(own);
+    }
+
 } // namespace
 
 void prepareHost()
@@ -40,6 +57,8 @@
     openStandardStreams();
     std::signal(SIGXFSZ, SIG_IGN);
     std::signal(SIGPIPE, SIG_IGN);
+    avoidBlocking(STDOUT_FILENO);
+    avoidBlocking(STDERR_FILENO);
 }
 
 void holdSignals()
@@ -57,7 +76,7 @@
 bool isStopPending()
 {
     sigset_t signals;
-    return sigpending(&signals) == 0 && sigismember(&signals, SIGTERM) == 1;
+    return sigpending(&signals) == 0 && (sigismember(&signals, SIGTERM) == 1 || sigismember(&signals, SIGINT) == 1);
 }
 
 size_t allowDescriptors(size_t wanted)
--- a/src/node/host_setup_p.h
+++ b/src/node/host_setup_p.h
@@ -7,10 +7,11 @@
 /// Prepares the process for what its host may do to it. The first thing in main, before anything is written.
 /// A write to a file that has reached its largest size, or to a pipe without a reader, fails instead of ending the process.
 /// Standard streams that are closed are opened on /dev/null, so that no log line goes into another file or socket.
-/// Holds SIGHUP and SIGTERM back, see holdSignals().
+/// A pipe that nobody reads does not block the process: what does not fit is dropped.
+/// Holds SIGHUP, SIGTERM and SIGINT back, see holdSignals().
 void prepareHost();
 
-/// Holds SIGHUP and SIGTERM back until releaseSignals(), so that they do not end the process by their default action. Call it
+/// Holds SIGHUP, SIGTERM and SIGINT back until releaseSignals(), so that they do not end the process by their default action. Call it
 /// before the handlers are removed, too.
 void holdSignals();
 
@@ -18,7 +19,7 @@
 /// event loop's thread once the handlers are installed.
 void releaseSignals();
 
-/// @returns whether SIGTERM has been held back.
+/// @returns whether SIGTERM or SIGINT has been held back.
 bool isStopPending();
 
 /// Raises the soft limit of open descriptors to @p wanted, or to the hard limit if that is lower. A higher one stays.
--- a/src/node/process_usage.cpp
+++ b/src/node/process_usage.cpp
@@ -6,7 +6,6 @@
 
 #include <filesystem>
 #include <fstream>
-#include <iterator>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -34,9 +33,8 @@
     if (std::ifstream("/proc/self/statm") >> totalPages >> residentPages)
         usage.residentBytes = residentPages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
     std::error_code ec;
-    std::filesystem::directory_iterator descriptors("/proc/self/fd", ec);
-    if (!ec)
-        usage.descriptors = static_cast<uint64_t>(std::distance(begin(descriptors), end(descriptors)));
+    for (std::filesystem::directory_iterator it("/proc/self/fd", ec); !ec && it != std::filesystem::directory_iterator(); it.increment(ec))
+        usage.descriptors++;
     return usage;
 }
 
--- a/src/node/shutdown.cpp
+++ b/src/node/shutdown.cpp
@@ -29,13 +29,13 @@
     if (now >= m_announceAt)
         m_server.startDraining();
     bool mayStopAccepting = now >= m_stopAcceptingAt || (m_handlers.canStopAccepting && m_handlers.canStopAccepting());
-    if (mayStopAccepting && m_server.isOpen())
+    if (mayStopAccepting)
         m_server.stopAccepting();
     if (now >= m_answerAllAt && !std::exchange(m_hasAnsweredAll, true))
         m_handlers.answerAll();
     if (now >= m_endIdleAt && !std::exchange(m_hasEndedIdle, true))
         m_server.endIdleConnections();
-    return now >= m_exitAt || (!m_server.isOpen() && m_server.openConnections() == 0);
+    return now >= m_exitAt || (mayStopAccepting && !m_server.isOpen() && m_server.openConnections() == 0);
 }
 
 } // namespace vanillalift::node
--- a/src/replica/posix_disk.cpp
+++ b/src/replica/posix_disk.cpp
@@ -66,13 +66,6 @@
         return tl::unexpected(StorageError { isOutOfResources(error) ? StorageErrorCode::OutOfResources : code, file, std::generic_category().message(error) });
     }
 
-    /// @returns Corrupted if the file's content cannot be had, by whomever it is read.
-    tl::unexpected<StorageError> readError(const std::string& file)
-    {
-        bool isDamaged = errno == EIO || errno == EISDIR || errno == EBADMSG || errno == EUCLEAN;
-        return systemError(isDamaged ? StorageErrorCode::Corrupted : StorageErrorCode::ReadFailed, file);
-    }
-
     bool writeAll(int fd, std::string_view bytes)
     {
         while (!bytes.empty()) {
@@ -148,7 +141,7 @@
         {
             File file(path(name), O_RDONLY);
             if (!file.isOpen())
-                return readError(name);
+                return systemError(StorageErrorCode::ReadFailed, name);
             std::string bytes;
             std::string buf(1U << 16U, '\0');
             while (true) {
@@ -156,7 +149,7 @@
                 if (n < 0 && errno == EINTR)
                     continue;
                 if (n < 0)
-                    return readError(name);
+                    return systemError(StorageErrorCode::ReadFailed, name);
                 if (n == 0)
                     return bytes;
                 bytes.append(buf, 0, static_cast<size_t>(n));
--- a/src/replica/raft_storage.cpp
+++ b/src/replica/raft_storage.cpp
@@ -114,6 +114,12 @@
         return tl::unexpected(StorageError { StorageErrorCode::Corrupted, file, detail });
     }
 
+    /// For content that is as it was written, but cannot be read by this version.
+    tl::unexpected<StorageError> unknownFormat(const std::string& file)
+    {
+        return tl::unexpected(StorageError { StorageErrorCode::ReadFailed, file, "unknown format; written by another version" });
+    }
+
     std::string newestFile(const std::vector<std::string>& names, const char* prefix)
     {
         std::string found;
@@ -201,9 +207,11 @@
     if (!bytes)
         return tl::unexpected(bytes.error());
     auto payload = decodeRecord(*bytes);
-    auto value = payload ? json::from_cbor(payload->begin(), payload->end(), true, false) : json();
-    if (!payload || !value.is_array() || value.size() != 3 || !value[0].is_number_unsigned() || !value[1].is_string() || !value[2].is_string())
-        return corrupted(hardStateName, "checksum mismatch or malformed content");
+    if (!payload)
+        return corrupted(hardStateName, "checksum mismatch");
+    auto value = json::from_cbor(payload->begin(), payload->end(), true, false);
+    if (!value.is_array() || value.size() != 3 || !value[0].is_number_unsigned() || !value[1].is_string() || !value[2].is_string())
+        return unknownFormat(hardStateName);
     m_recovered.hardState = { value[0], value[1] };
     m_storageId = value[2];
     m_recovered.storageId = m_storageId;
@@ -216,9 +224,11 @@
     if (!bytes)
         return tl::unexpected(bytes.error());
     auto payload = decodeRecord(*bytes);
-    auto snapshot = payload ? decodeSnapshot(*payload) : std::nullopt;
+    if (!payload)
+        return corrupted(name, "checksum mismatch");
+    auto snapshot = decodeSnapshot(*payload);
     if (!snapshot)
-        return corrupted(name, "checksum mismatch or malformed content");
+        return unknownFormat(name);
     m_recovered.snapshot = std::move(*snapshot);
     return {};
 }
@@ -233,7 +243,9 @@
     std::vector<LogEntry> log;
     while (auto payload = decodeRecord(remaining)) {
         auto batch = decodeBatch(*payload);
-        bool isValid = batch.has_value();
+        if (!batch)
+            return unknownFormat(name);
+        bool isValid = true;
         for (size_t n = 0; isValid && n < batch->size(); n++) {
             auto& entry = (*batch)[n];
             isValid = log.empty() || (entry.index > log.front().index && entry.index <= log.back().index + 1);
@@ -296,9 +308,9 @@
     m_unsyncedEntries.clear();
     if (auto result = startSegment(*persist.snapshot, persist.retained); !result)
         return result;
-    if (auto result = removeOlderFiles(segmentPrefix, segmentName(m_segmentNumber)); !result)
-        return result;
-    return removeOlderFiles(snapshotPrefix, name);
+    removeLeftovers(segmentPrefix, segmentName(m_segmentNumber));
+    removeLeftovers(snapshotPrefix, name);
+    return {};
 }
 
 StorageResult<void> RaftStorage::removeOlderFiles(const std::string& prefix, const std::string& newest)
--- a/tests/soak_e2e.sh
+++ b/tests/soak_e2e.sh
@@ -7,5 +7,6 @@
 folder=$(mktemp -d)
 # The soak may run the programs as another user.
 chmod 711 "$folder"
+"$build/bin/vanillalift-soak" --programs "$build/bin" --friendly --seed 1 --time 8 --folder "$folder/site"
 "$build/bin/vanillalift-soak" --programs "$build/bin" --seed 28 --time 8 --folder "$folder/site"
 rm -rf "$folder"
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -111,14 +111,16 @@
         nextTick->armAt(now + shutdownTickInterval, now);
     });
     nextTick = &shutdownTimer;
-    loop.onSignal(SIGTERM, [&] {
-        log.stateLine("stop").field("reason", std::string_view("SIGTERM"));
+    auto stop = [&](std::string_view reason) {
+        log.stateLine("stop").field("reason", reason);
         isStopping = true;
         auto now = clock.now();
         controller.beginStop();
         shutdown.begin(now);
         shutdownTimer.armAt(now, now);
-    });
+    };
+    loop.onSignal(SIGTERM, [&] { stop("SIGTERM"); });
+    loop.onSignal(SIGINT, [&] { stop("SIGINT"); });
     loop.onSignal(SIGHUP, [&] {
         auto changed = platform::loadPlatformSettings(settings->path);
         log.stateLine("reload").field("valid", changed.has_value());
--- a/tools/gateway/main.cpp
+++ b/tools/gateway/main.cpp
@@ -74,11 +74,13 @@
     });
     tickTimer = &timer;
     timer.armAt(clock.now(), clock.now());
-    loop.onSignal(SIGTERM, [&] {
-        log.stateLine("stop").field("reason", std::string_view("SIGTERM"));
+    auto beginStop = [&](std::string_view reason) {
+        log.stateLine("stop").field("reason", reason);
         isStopping = true;
         stop.begin(clock.now());
-    });
+    };
+    loop.onSignal(SIGTERM, [&] { beginStop("SIGTERM"); });
+    loop.onSignal(SIGINT, [&] { beginStop("SIGINT"); });
     loop.onSignal(SIGHUP, [&] {
         auto changed = platform::loadPlatformSettings(settings->path);
         log.stateLine("reload").field("valid", changed.has_value());
