--- a/src/replica/posix_disk.cpp
+++ b/src/replica/posix_disk.cpp
@@ -66,6 +66,13 @@
         return tl::unexpected(StorageError { isOutOfResources(error) ? StorageErrorCode::OutOfResources : code, file, std::generic_category().message(error) });
     }
 
+    /// @returns Corrupted if the file's content is lost. An input error may pass: the disk may be shared or away for a while.
+    tl::unexpected<StorageError> readError(const std::string& file)
+    {
+        bool isDamaged = errno == EISDIR || errno == EBADMSG || errno == EUCLEAN;
+        return systemError(isDamaged ? StorageErrorCode::Corrupted : StorageErrorCode::ReadFailed, file);
+    }
+
     bool writeAll(int fd, std::string_view bytes)
     {
         while (!bytes.empty()) {
@@ -141,7 +148,7 @@
         {
             File file(path(name), O_RDONLY);
             if (!file.isOpen())
-                return systemError(StorageErrorCode::ReadFailed, name);
+                return readError(name);
             std::string bytes;
             std::string buf(1U << 16U, '\0');
             while (true) {
@@ -149,7 +156,7 @@
                 if (n < 0 && errno == EINTR)
                     continue;
                 if (n < 0)
-                    return systemError(StorageErrorCode::ReadFailed, name);
+                    return readError(name);
                 if (n == 0)
                     return bytes;
                 bytes.append(buf, 0, static_cast<size_t>(n));
