Move the leader's decisions into src/policy

Cause: src/jobs held decisions, the store and the dispatcher that applies them in one flat folder, and further decisions come. Change: the pure functions (order, placement, pools, waves, estimates, copies, shares, crashes) move to src/policy; includes and clang-format's order of them follow. No code changes. Weighed: subfolders of src/jobs, which would have hidden them one level deeper.

--- a/src/jobs/demand_history.cpp
+++ b/src/jobs/demand_history.cpp
@@ -1,6 +1,6 @@
 #include "demand_history_p.h"
 
-#include "job_estimate_p.h"
+#include "policy/job_estimate_p.h"
 
 #include <algorithm>
 
--- a/src/jobs/demand_history_p.h
+++ b/src/jobs/demand_history_p.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "arrival_rate_p.h"
 #include "job_store_p.h"
-#include "peak_forecast_p.h"
+#include "policy/arrival_rate_p.h"
+#include "policy/peak_forecast_p.h"
 
 #include <vanillalift/clock.h>
 
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "crash_attribution_p.h"
 #include "demand_history_p.h"
 #include "endpoint_session_p.h"
-#include "job_estimate_p.h"
 #include "job_store_p.h"
-#include "placement_p.h"
+#include "policy/crash_attribution_p.h"
+#include "policy/job_estimate_p.h"
+#include "policy/placement_p.h"
 #include "step_advice_p.h"
 
 #include <functional>
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -1,7 +1,7 @@
 #include "dispatcher_p.h"
 
 #include "core/event_log_p.h"
-#include "queue_order_p.h"
+#include "policy/queue_order_p.h"
 
 #include <vanillalift/config.h>
 
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -1,7 +1,7 @@
 #include "dispatcher_p.h"
 
-#include "best_effort_share_p.h"
 #include "core/event_log_p.h"
+#include "policy/best_effort_share_p.h"
 
 #include <vanillalift/config.h>
 
--- a/src/jobs/dispatcher_speculation.cpp
+++ b/src/jobs/dispatcher_speculation.cpp
@@ -1,7 +1,7 @@
 #include "dispatcher_p.h"
 
 #include "core/event_log_p.h"
-#include "speculation_plan_p.h"
+#include "policy/speculation_plan_p.h"
 
 #include <vanillalift/config.h>
 
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "speed_estimate_p.h"
+#include "policy/speed_estimate_p.h"
 
 #include <vanillalift/clock.h>
 #include <vanillalift/config.h>
--- a/src/jobs/instance_manager_p.h
+++ b/src/jobs/instance_manager_p.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "dispatcher_p.h"
-#include "pool_plan_p.h"
-#include "wave_plan_p.h"
+#include "policy/pool_plan_p.h"
+#include "policy/wave_plan_p.h"
 
 #include <vanillalift/endpoint_link.h>
 
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "crash_attribution_p.h"
+#include "policy/crash_attribution_p.h"
 
 #include <vanillalift/job.h>
 
--- a/src/jobs/job_estimate_p.h
+++ b/src/policy/job_estimate_p.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "job_store_p.h"
+#include "jobs/job_store_p.h"
 
 #include <vanillalift/clock.h>
 
--- a/tests/jobs/crash_attribution_test.cpp
+++ b/tests/jobs/crash_attribution_test.cpp
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
-#include "jobs/crash_attribution_p.h"
 #include "jobs/job_store_p.h"
-#include "jobs/placement_p.h"
+#include "policy/crash_attribution_p.h"
+#include "policy/placement_p.h"
 
 #include <array>
 
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -1,15 +1,15 @@
 #include <catch2/catch.hpp>
 
-#include "jobs/arrival_rate_p.h"
-#include "jobs/best_effort_share_p.h"
 #include "jobs/endpoint_session_p.h"
-#include "jobs/peak_forecast_p.h"
-#include "jobs/placement_p.h"
-#include "jobs/pool_plan_p.h"
-#include "jobs/queue_order_p.h"
-#include "jobs/speculation_plan_p.h"
-#include "jobs/speed_estimate_p.h"
-#include "jobs/wave_plan_p.h"
+#include "policy/arrival_rate_p.h"
+#include "policy/best_effort_share_p.h"
+#include "policy/peak_forecast_p.h"
+#include "policy/placement_p.h"
+#include "policy/pool_plan_p.h"
+#include "policy/queue_order_p.h"
+#include "policy/speculation_plan_p.h"
+#include "policy/speed_estimate_p.h"
+#include "policy/wave_plan_p.h"
 
 #include <algorithm>
 #include <map>
