Read which parts of the scheduler a deployment calls for

Change: Features, read from the contracts in force, with a table of the project's own that overrides each part; passed to dispatcher and instance manager. No part uses it yet.

--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -8,6 +8,8 @@
 #include "policy/placement_p.h"
 #include "step_advice_p.h"
 
+#include <vanillalift/features.h>
+
 #include <functional>
 #include <set>
 #include <span>
@@ -36,6 +38,7 @@
     /// Interval at which placement of waiting tasks is retried without a known change: an endpoint may become schedulable by
     /// the passing of time alone.
     Duration placementRetryInterval = std::chrono::milliseconds(100);
+    Features features;
 };
 
 struct DispatcherStats {
--- a/src/jobs/instance_manager_p.h
+++ b/src/jobs/instance_manager_p.h
@@ -5,6 +5,7 @@
 #include "policy/wave_plan_p.h"
 
 #include <vanillalift/endpoint_link.h>
+#include <vanillalift/features.h>
 
 #include <map>
 #include <set>
@@ -20,6 +21,7 @@
     Duration moveTime = std::chrono::seconds(2);
     /// Rate limit of the platform API, shared by all controllers.
     double callsPerSecond = 1;
+    Features features;
 };
 
 /// Runs on the leader: carries out maintenance waves and moves instances between pools. One object serves one leader term.
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -346,9 +346,12 @@
     desc.maxLease = m_desc.maxLease;
     desc.stopTimeout = m_desc.stopTimeout;
     desc.maxCapacityReportAge = m_desc.maxCapacityReportAge;
+    desc.features = m_desc.features;
     m_dispatcher = std::make_unique<jobs::Dispatcher>(std::move(desc), m_store, m_demand, m_clock, *m_dependencies.endpoints, *m_dependencies.advice, m_log);
+    auto instances = m_desc.instances;
+    instances.features = m_desc.features;
     m_instanceManager = std::make_unique<jobs::InstanceManager>(
-        m_desc.instances, status.term, m_store, *m_dispatcher, *m_dependencies.instances, [this](const jobs::Command& command) { m_batcher.propose(command); }, [this] { return soleLeaderUntil(); }, m_clock, m_log);
+        instances, status.term, m_store, *m_dispatcher, *m_dependencies.instances, [this](const jobs::Command& command) { m_batcher.propose(command); }, [this] { return soleLeaderUntil(); }, m_clock, m_log);
     JobService::Desc serviceDesc { [this] { return hasLeaderAuthority(); }, [this] { return m_clock.now() < soleLeaderUntil(); }, [this](const JoinRequest& request) { handleJoin(request); } };
     m_service = std::make_unique<JobService>(std::move(serviceDesc), m_store, *m_dispatcher, m_batcher, m_clock, m_log);
     m_leaderClient.setLocalLeader(true, status.term);
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -10,6 +10,7 @@
 #include "replica/log_driver_p.h"
 
 #include <vanillalift/endpoint_link.h>
+#include <vanillalift/features.h>
 
 #include <set>
 
@@ -33,6 +34,7 @@
     /// See DispatcherDesc.
     Duration maxCapacityReportAge = std::chrono::seconds(3);
     jobs::InstanceManagerDesc instances;
+    Features features;
 };
 
 /// External systems that a controller calls, behind adapters for the target platform.
--- a/tests/jobs/platform_decode_test.cpp
+++ b/tests/jobs/platform_decode_test.cpp
@@ -246,6 +246,33 @@
     std::filesystem::remove(path);
 }
 
+TEST_CASE("parts of the scheduler are on where the settings call for them", "[platform]")
+{
+    auto path = std::filesystem::temp_directory_path() / "vanillalift-platform-features-test.json";
+    auto load = [&](const std::string& rest) {
+        std::ofstream(path) << R"({"node":"n","ip":"10.1.0.1","zone":"z","listen":{},"portRange":[7000,7015],"seeds":[])" << rest << "}";
+        return loadPlatformSettings(path.string());
+    };
+    auto features = load("").value().controller.features;
+    CHECK_FALSE(features.evacuation);
+    CHECK_FALSE(features.entitlement);
+    CHECK_FALSE(features.reservations);
+    features = load(R"(,"contracts":["base","quota",7],"bounds":{"quotaWindowS":2.5,"quotaOverage":0.2,"quotaSlack":3})").value().controller.features;
+    CHECK(features.entitlement);
+    CHECK(features.admission);
+    CHECK_FALSE(features.evacuation);
+    CHECK(features.agreedRate.window == std::chrono::milliseconds(2500));
+    CHECK(features.agreedRate.overage == 0.2);
+    CHECK(features.agreedRate.slack == 3);
+    CHECK(load(R"(,"contracts":["places"])").value().controller.features.evacuation);
+    features = load(R"(,"contracts":["quota"],"scheduling":{"admission":false,"reservations":true})").value().controller.features;
+    CHECK(features.entitlement);
+    CHECK_FALSE(features.admission);
+    CHECK(features.reservations);
+    CHECK_FALSE(load(R"(,"scheduling":{"admission":"no"})"));
+    std::filesystem::remove(path);
+}
+
 TEST_CASE("seeds and services by name are resolved, and a name that cannot be is skipped", "[platform]")
 {
     auto path = std::filesystem::temp_directory_path() / "vanillalift-platform-names-test.json";
