Say that a request has not run when every controller turned it down

Callers saw: 502 or 504 ("may have run") at their deadline although the only controllers that had received the request did not lead. Cause: a gateway counted a request as sent for good, as NotLeader stands both for "not handled" and for "outcome unknown". Older processes leave the field out and are treated as before. The new test fails with the rule switched off (outcomes[0].wasSent).

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -285,6 +285,7 @@
         return m_service->handle(std::move(request), std::move(respond));
     Reply reply;
     reply.status = ReplyStatus::NotLeader;
+    reply.isUnhandled = true;
     respond(reply);
 }
 
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -45,8 +45,11 @@
 
 void JobService::handle(Request request, Respond respond)
 {
-    if (!m_desc.hasLeaderAuthority())
-        return respond(makeReply(ReplyStatus::NotLeader));
+    if (!m_desc.hasLeaderAuthority()) {
+        auto reply = makeReply(ReplyStatus::NotLeader);
+        reply.isUnhandled = true;
+        return respond(reply);
+    }
     std::visit([&](auto& it) { handle(it, respond); }, request);
 }
 
--- a/src/node/leader_client.cpp
+++ b/src/node/leader_client.cpp
@@ -56,7 +56,7 @@
     if (m_isClosed)
         return handler({ std::nullopt, false });
     auto id = ++m_lastCallId;
-    auto& pending = m_calls[id] = { std::move(request), sendDeadline, deadline, std::move(handler), "", 0, false };
+    auto& pending = m_calls[id] = { std::move(request), sendDeadline, deadline, std::move(handler), "", 0, 0 };
     if (hasLeader())
         return sendCall(id, pending);
     pending.sendDeadline = std::min<TimePoint>(sendDeadline, m_leaderLostAt + config::leaderWaitTimeout);
@@ -68,7 +68,7 @@
 {
     m_isClosed = true;
     while (!m_calls.empty())
-        completeCall(m_calls.begin()->first, { std::nullopt, m_calls.begin()->second.wasSent });
+        completeCall(m_calls.begin()->first, { std::nullopt, m_calls.begin()->second.openSends > 0 });
 }
 
 bool LeaderClient::send(const std::string& name, const Message& message)
@@ -103,8 +103,9 @@
         closeLink(it, "silent");
     std::vector<std::pair<uint64_t, bool>> expired;
     for (const auto& [id, call] : m_calls) {
-        if (now >= call.deadline || (!call.wasSent && now >= call.sendDeadline))
-            expired.emplace_back(id, call.wasSent);
+        bool wasSent = call.openSends > 0;
+        if (now >= call.deadline || (!wasSent && now >= call.sendDeadline))
+            expired.emplace_back(id, wasSent);
     }
     for (const auto& [id, wasSent] : expired)
         completeCall(id, { std::nullopt, wasSent });
@@ -234,7 +235,7 @@
 void LeaderClient::sendCall(uint64_t id, PendingCall& call)
 {
     if (m_isLocalLeader) {
-        call.wasSent = true;
+        call.openSends++;
         call.sentTo = m_leader;
         call.sentInTerm = m_leaderTerm;
         m_desc.localHandler(call.request, [this, id, isAlive = m_isAlive](const Reply& reply) {
@@ -246,7 +247,7 @@
     if (send(m_leader, Call { id, call.request })) {
         call.sentTo = m_leader;
         call.sentInTerm = m_leaderTerm;
-        call.wasSent = true;
+        call.openSends++;
     }
 }
 
@@ -259,6 +260,8 @@
         // Sent again as soon as a controller reports that it is the leader.
         if (it->second.sentTo == name)
             it->second.sentTo.clear();
+        if (callReply.reply.isUnhandled && it->second.openSends > 0)
+            it->second.openSends--;
         return;
     }
     completeCall(callReply.id, { callReply.reply, true });
--- a/src/node/leader_client_p.h
+++ b/src/node/leader_client_p.h
@@ -79,7 +79,8 @@
         /// Controller to which the request was sent last, and its term; empty if it has to be sent again.
         std::string sentTo;
         uint64_t sentInTerm = 0;
-        bool wasSent = false;
+        /// Sends after which a controller may have executed the request.
+        uint32_t openSends = 0;
     };
 
     void tick();
--- a/src/node/messages_p.h
+++ b/src/node/messages_p.h
@@ -132,7 +132,9 @@
     std::string source;
     /// Reply to ReadWave.
     bool isWaveComplete = false;
-    MSGPACK_DEFINE(status, retryAfterMs, state, pending, source, isWaveComplete)
+    /// With NotLeader: the request was certainly not executed.
+    bool isUnhandled = false;
+    MSGPACK_DEFINE(status, retryAfterMs, state, pending, source, isWaveComplete, isUnhandled)
 };
 
 struct Call {
--- a/tests/jobs/leader_client_test.cpp
+++ b/tests/jobs/leader_client_test.cpp
@@ -129,3 +129,35 @@
     call();
     CHECK(outcomes.size() == 1);
 }
+
+// Guards against callers that are told "unknown" at their deadline although every controller has turned the request down.
+TEST_CASE("a request counts as not sent once each controller that received it has said that it did not handle it", "[leader-client]")
+{
+    net::EventLoop loop;
+    net::OffsetClock clock;
+    EventLog log(clock, -1, { 0, 0, 0 });
+    std::vector<std::function<void(Reply)>> received;
+    LeaderClient client(loop, clock, log, { { "self", "zone", "" }, {}, [&](const Request&, std::function<void(Reply)> respond) { received.push_back(std::move(respond)); } });
+    client.setLocalLeader(true, 1);
+    std::vector<LeaderClient::Outcome> outcomes;
+    auto call = [&] {
+        auto deadline = clock.now() + std::chrono::hours(1);
+        client.call(ReadCatalogRequest {}, deadline, deadline, [&](const LeaderClient::Outcome& result) { outcomes.push_back(result); });
+    };
+    auto turnDown = [&](bool isUnhandled) {
+        Reply reply;
+        reply.status = ReplyStatus::NotLeader;
+        reply.isUnhandled = isUnhandled;
+        received.back()(reply);
+    };
+    call();
+    turnDown(true);
+    call();
+    turnDown(false);
+    call();
+    client.close();
+    REQUIRE(outcomes.size() == 3);
+    CHECK_FALSE(outcomes[0].wasSent);
+    CHECK(outcomes[1].wasSent);
+    CHECK(outcomes[2].wasSent);
+}
