Keep decisions in the log under load, and summarize what repeats

Cause: one rate limit for all lines but changes of state, and a note at each flush. Change: lines that explain an outcome have a limit of their own; what exceeds the limits is counted by event and summarized once a second; the end of a job has a line with its age, objective and number of placements. The new test fails with one limit for all lines (decisionLine as line: refusals among the dropped).

--- a/include/vanillalift/job.h
+++ b/include/vanillalift/job.h
@@ -256,6 +256,9 @@
     JobPhaseCount,
 };
 
+/// @returns the name used in logs, e.g. "completed".
+std::string_view jobPhaseName(JobPhase phase);
+
 /// A maintenance wave: a set of instances, each of which has to be taken down once.
 struct Wave {
     uint64_t number = 0;
--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -4,9 +4,17 @@
 #include <cerrno>
 #include <poll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace vanillalift {
 
+namespace {
+
+    /// Interval of the summaries of lines that exceeded the rate limit.
+    constexpr std::chrono::milliseconds summaryInterval { 1000 };
+
+} // namespace
+
 EventLog::Line::Line(EventLog* log, std::string_view event)
     : m_log(log)
 {
@@ -62,25 +70,62 @@
     : m_clock(clock)
     , m_fd(fd)
     , m_limits(limits)
-    , m_tokens(limits.burst)
+    , m_repetitions { limits.linesPerSecond, limits.burst, limits.burst }
+    , m_decisions { limits.decisionsPerSecond, limits.decisionBurst, limits.decisionBurst }
     , m_refilledAt(clock.now())
+    , m_nextSummaryAt(clock.now())
 {
 }
 
-bool EventLog::takeToken()
+bool EventLog::Budget::take()
 {
-    auto now = m_clock.now();
-    m_tokens = std::min(m_limits.burst, m_tokens + std::chrono::duration<double>(now - m_refilledAt).count() * m_limits.linesPerSecond);
-    m_refilledAt = now;
-    if (m_tokens < 1) {
-        m_dropped++;
+    if (tokens < 1)
         return false;
-    }
-    m_tokens--;
+    tokens--;
     return true;
 }
 
-EventLog::Line EventLog::line(std::string_view event) { return { takeToken() ? this : nullptr, event }; }
+void EventLog::refill()
+{
+    auto now = m_clock.now();
+    auto seconds = std::chrono::duration<double>(now - m_refilledAt).count();
+    m_refilledAt = now;
+    for (auto* it : { &m_repetitions, &m_decisions })
+        it->tokens = std::min(it->burst, it->tokens + seconds * it->rate);
+}
+
+EventLog::Line EventLog::limitedLine(std::string_view event, bool isPermitted)
+{
+    if (isPermitted)
+        return { this, event };
+    m_dropped++;
+    auto it = m_limitedByEvent.find(event);
+    if (it == m_limitedByEvent.end())
+        it = m_limitedByEvent.emplace(event, 0).first;
+    it->second++;
+    return { nullptr, event };
+}
+
+EventLog::Line EventLog::line(std::string_view event)
+{
+    refill();
+    return limitedLine(event, m_repetitions.take());
+}
+
+EventLog::Line EventLog::decisionLine(std::string_view event)
+{
+    refill();
+    return limitedLine(event, m_decisions.take() || m_repetitions.take());
+}
+
+void EventLog::summarize()
+{
+    if (m_limitedByEvent.empty() || m_isFailing || m_clock.now() < m_nextSummaryAt || m_buffer.size() >= m_limits.maxBufferedBytes / 2)
+        return;
+    m_nextSummaryAt = m_clock.now() + summaryInterval;
+    for (const auto& [event, count] : std::exchange(m_limitedByEvent, {}))
+        stateLine("log-summary").field("of", std::string_view(event)).field("dropped", count);
+}
 
 EventLog::Line EventLog::stateLine(std::string_view event) { return { this, event }; }
 
@@ -88,6 +133,7 @@
 {
     if (m_buffer.size() + text.size() > m_limits.maxBufferedBytes) {
         m_dropped++;
+        m_unwritten++;
         return;
     }
     m_buffer += text;
@@ -96,9 +142,10 @@
 
 void EventLog::flush()
 {
-    if (m_dropped != m_reportedDropped && !m_isFailing && m_buffer.size() < m_limits.maxBufferedBytes / 2) {
-        m_buffer += "time=" + std::to_string(wallClockMs()) + " event=log-dropped lines=" + std::to_string(m_dropped - m_reportedDropped) + '\n';
-        m_reportedDropped = m_dropped;
+    summarize();
+    if (m_unwritten != m_reportedUnwritten && !m_isFailing && m_buffer.size() < m_limits.maxBufferedBytes / 2) {
+        m_buffer += "time=" + std::to_string(wallClockMs()) + " event=log-dropped lines=" + std::to_string(m_unwritten - m_reportedUnwritten) + '\n';
+        m_reportedUnwritten = m_unwritten;
     }
     while (!m_buffer.empty()) {
         // A pipe that polls as writable accepts PIPE_BUF (4096) bytes without blocking.
@@ -118,17 +165,19 @@
         m_buffer.erase(0, static_cast<size_t>(n));
         if (m_buffer.empty()) {
             m_isFailing = false;
-            m_writtenDropped = m_reportedDropped;
+            m_writtenUnwritten = m_reportedUnwritten;
         }
     }
 }
 
 void EventLog::dropBuffer()
 {
-    m_dropped += static_cast<uint64_t>(std::count(m_buffer.begin(), m_buffer.end(), '\n'));
+    auto lines = static_cast<uint64_t>(std::count(m_buffer.begin(), m_buffer.end(), '\n'));
+    m_dropped += lines;
+    m_unwritten += lines;
     m_buffer.clear();
     // The lines that a lost report counted are reported again once a line could be written.
-    m_reportedDropped = m_writtenDropped;
+    m_reportedUnwritten = m_writtenUnwritten;
     m_isFailing = true;
 }
 
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -240,7 +240,8 @@
     releaseRun(session, run);
     session.uncommittedEnds++;
     m_pendingEnds.push_back({ run.key, end, checkpoint.empty() ? run.checkpoint : checkpoint });
-    m_log.line("run-end").field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("end", runEndName(end)).field("cause", cause).field("percent", run.percent);
+    auto line = end == RunEnd::Done ? m_log.line("run-end") : m_log.decisionLine("run-end");
+    std::move(line).field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("end", runEndName(end)).field("cause", cause).field("percent", run.percent);
 }
 
 void Dispatcher::flushRunEnds()
@@ -365,7 +366,7 @@
     auto* session = findSession(endpointId);
     if (!known || !session)
         return onRecorded();
-    m_log.line("endpoint-leave").field("endpoint", endpointId).field("born", known->startedAtMs).field("draining", known->isDraining).field("runs", session->runs.size()).field("repeated", known->hasDeregistered);
+    m_log.decisionLine("endpoint-leave").field("endpoint", endpointId).field("born", known->startedAtMs).field("draining", known->isDraining).field("runs", session->runs.size()).field("repeated", known->hasDeregistered);
     session->deregistrationWaiters.push_back(std::move(onRecorded));
     if (session->runs.empty())
         return removeEndpoint(*session, RemovalReason::Left);
@@ -516,7 +517,7 @@
         bool hasLeft = last.hasDeregistered || session->removalReason == RemovalReason::Left;
         std::string_view cause = session->isRemovalPending ? "removed" : "replaced";
         handleIncarnationEnd(*session, hasLeft ? "left" : cause);
-        m_log.line("endpoint-removed").field("endpoint", last.id).field("born", last.startedAtMs).field("runs", session->runs.size());
+        m_log.decisionLine("endpoint-removed").field("endpoint", last.id).field("born", last.startedAtMs).field("runs", session->runs.size());
         for (auto& [key, run] : session->runs) {
             if (run.phase == RunPhase::Committing) {
                 // The store rejects the placement when the command is applied.
@@ -590,8 +591,18 @@
     return loads;
 }
 
+void Dispatcher::logJobEnd(const Job& job)
+{
+    const auto* plan = m_plans.contains(job.serial) ? &m_plans.at(job.serial) : nullptr;
+    auto ageMs = job.finishedAtMs - job.acceptedAtMs;
+    auto objectiveMs = plan ? std::chrono::duration_cast<std::chrono::milliseconds>(plan->objective).count() : 0;
+    auto line = job.phase == JobPhase::Failed ? m_log.decisionLine("job-end") : m_log.line("job-end");
+    std::move(line).field("job", job.spec.id).field("queue", job.queue.name).field("workspace", job.workspace).field("phase", jobPhaseName(job.phase)).field("age-ms", ageMs).field("objective-ms", objectiveMs).field("placements", job.placementCount);
+}
+
 void Dispatcher::onJobFinished(Job& job)
 {
+    logJobEnd(job);
     m_plans.erase(job.serial);
     m_advice.erase(m_advice.lower_bound({ job.serial, 0, 0, 0 }), m_advice.lower_bound({ job.serial + 1, 0, 0, 0 }));
     if (job.placementCount == 0)
@@ -626,7 +637,7 @@
 
 void Dispatcher::onPlacementRefused(Job& job, const RunKey& run, const std::string& endpoint)
 {
-    m_log.line("place-refused").field("job", job.spec.id).field("task", run.task).field("run", run.number).field("endpoint", endpoint);
+    m_log.decisionLine("place-refused").field("job", job.spec.id).field("task", run.task).field("run", run.number).field("endpoint", endpoint);
     onRunEnded(job, { run, RunEnd::NotStarted, "" }, endpoint);
 }
 
--- a/src/jobs/dispatcher_crashes.cpp
+++ b/src/jobs/dispatcher_crashes.cpp
@@ -209,7 +209,7 @@
     if (!state)
         return;
     if (state->crashes.crashes > 0)
-        m_log.line("task-suspect").field("job", job.spec.id).field("task", task).field("crashes", state->crashes.crashes).field("blame", state->crashes.blame).field("open-crashes", state->openCrashes).field("open-blame", state->openBlame);
+        m_log.decisionLine("task-suspect").field("job", job.spec.id).field("task", task).field("crashes", state->crashes.crashes).field("blame", state->crashes.blame).field("open-crashes", state->openCrashes).field("open-blame", state->openBlame);
     if (!isGivenUp)
         return;
     m_stats.jobsGivenUp++;
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -223,6 +223,7 @@
     /// @param cause logged with the end.
     void queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint, std::string_view cause);
     void flushRunEnds();
+    void logJobEnd(const Job& job);
 
     // Requests to endpoints, and leases (dispatcher_requests.cpp)
     [[nodiscard]] bool hasLeaderAuthority() const;
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -198,7 +198,7 @@
     if (session.unansweredStatusRequests > 0)
         retryAllPlacements();
     if (session.unansweredStatusRequests > 1)
-        m_log.line("endpoint-regained").field("endpoint", session.endpoint.id).field("failures", session.unansweredStatusRequests);
+        m_log.decisionLine("endpoint-regained").field("endpoint", session.endpoint.id).field("failures", session.unansweredStatusRequests);
     session.unansweredStatusRequests = 0;
     session.isConnectionLost = false;
     session.lastReplyAt = now;
@@ -259,7 +259,7 @@
             continue;
         }
         // The store has no placement of this run there.
-        m_log.line("unknown-run").field("job", it.task.job).field("run", it.run).field("endpoint", session.endpoint.id);
+        m_log.decisionLine("unknown-run").field("job", it.task.job).field("run", it.run).field("endpoint", session.endpoint.id);
         // The next report includes the run again if it is not stopped now.
         if (!session.canSendRunRequest())
             continue;
@@ -340,7 +340,7 @@
     bool isStartupStalled = run.isLongRunning && !run.mustStop && run.speedPercent == 100 && run.percent < 100 && now - run.progressAt > stallTimeout;
     if (!isStalled && !isStartupStalled)
         return;
-    m_log.line("stalled").field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("percent", run.percent);
+    m_log.decisionLine("stalled").field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("percent", run.percent);
     recordFailure(session, "a task makes no progress");
     run.mustStop = true;
 }
@@ -373,7 +373,7 @@
         return;
     auto doublings = std::min(session.consecutiveFailures - backoffAfterFailures, maxBackoffDoublings);
     session.backoffUntil = m_clock.now() + initialBackoff * (1U << doublings);
-    m_log.line("endpoint-suspect").field("endpoint", session.endpoint.id).field("reason", reason).field("failures", session.consecutiveFailures);
+    m_log.decisionLine("endpoint-suspect").field("endpoint", session.endpoint.id).field("reason", reason).field("failures", session.consecutiveFailures);
 }
 
 void Dispatcher::sendStart(EndpointSession& session, Run& run)
@@ -431,7 +431,7 @@
         }
         return;
     }
-    m_log.line("start-refused").field("job", run->jobId).field("task", key.task).field("run", key.number).field("endpoint", session.endpoint.id).field("status", endpointReplyStatusName(reply.status)).field("earlier", run->hasUnansweredStart);
+    m_log.decisionLine("start-refused").field("job", run->jobId).field("task", key.task).field("run", key.number).field("endpoint", session.endpoint.id).field("status", endpointReplyStatusName(reply.status)).field("earlier", run->hasUnansweredStart);
     if (run->phase != RunPhase::Starting)
         return;
     if (reply.status == EndpointReplyStatus::Unknown) {
@@ -572,7 +572,7 @@
         resolveSuspects(session, false);
     // When it comes back, its runs have to be reconciled with the store before it gets tasks.
     session.isReconciled = false;
-    m_log.line("lease-ended").field("endpoint", session.endpoint.id).field("failures", session.unansweredStatusRequests);
+    m_log.decisionLine("lease-ended").field("endpoint", session.endpoint.id).field("failures", session.unansweredStatusRequests);
 }
 
 void Dispatcher::removeEndpoint(EndpointSession& session, RemovalReason reason)
@@ -582,7 +582,7 @@
     session.isRemovalPending = true;
     session.removalReason = reason;
     session.nextStatusRequestAt = m_clock.now() + config::endpointExpiry;
-    m_log.line("endpoint-gone").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("reason", removalReasonText(reason));
+    m_log.decisionLine("endpoint-gone").field("endpoint", session.endpoint.id).field("born", session.endpoint.startedAtMs).field("reason", removalReasonText(reason));
     m_desc.propose(RemoveEndpoint { session.endpoint.id, session.endpoint.startedAtMs, reason == RemovalReason::Replaced });
 }
 
--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -110,7 +110,7 @@
         if (!instances) {
             m_isListing = false;
             m_nextListAt = now + listInterval;
-            m_log.line("instances-unread");
+            m_log.decisionLine("instances-unread");
             return;
         }
         for (auto& it : *instances)
@@ -234,7 +234,7 @@
         auto& progress = m_progress[{ wave, name }];
         auto known = m_instances.find(name);
         auto state = known == m_instances.end() ? std::string_view("not-listed") : stateName(known->second.instance.state);
-        m_log.line("wave-order").field("wave", wave).field("instance", name).field("status", instanceReplyStatusName(status)).field("listed", state);
+        m_log.decisionLine("wave-order").field("wave", wave).field("instance", name).field("status", instanceReplyStatusName(status)).field("listed", state);
         if (status == InstanceReplyStatus::Accepted || status == InstanceReplyStatus::Impossible || status == InstanceReplyStatus::NotInWave) {
             progress.acceptedAt = now;
             progress.hasReturned = status != InstanceReplyStatus::Accepted;
--- a/src/jobs/instance_manager_pools.cpp
+++ b/src/jobs/instance_manager_pools.cpp
@@ -128,7 +128,7 @@
         const auto* session = sessionOf(name);
         if (!session || session->isRemovalPending || !isListedElsewhere(known, *session))
             continue;
-        m_log.line("endpoint-moved").field("endpoint", session->endpoint.id).field("instance", name).field("recorded", session->endpoint.service).field("listed", known.instance.pool);
+        m_log.decisionLine("endpoint-moved").field("endpoint", session->endpoint.id).field("instance", name).field("recorded", session->endpoint.service).field("listed", known.instance.pool);
         m_dispatcher.removeMovedEndpoint(session->endpoint.id);
     }
 }
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -63,4 +63,10 @@
     return names.at(static_cast<size_t>(end));
 }
 
+std::string_view jobPhaseName(JobPhase phase)
+{
+    constexpr std::array<std::string_view, static_cast<size_t>(JobPhase::JobPhaseCount)> names { "active", "completed", "failed", "cancelled" };
+    return names.at(static_cast<size_t>(phase));
+}
+
 } // namespace vanillalift::jobs
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -125,7 +125,7 @@
         return respondUnknown(ReplyStatus::NoSuchJob, respond);
     if (!job->isActive())
         return respond(makeReply(ReplyStatus::Done));
-    m_log.line("cancel").field("job", id);
+    m_log.decisionLine("cancel").field("job", id);
     propose(CancelJob { id, wallClockMs() }, respond);
 }
 
--- a/tests/jobs/event_log_test.cpp
+++ b/tests/jobs/event_log_test.cpp
@@ -1,4 +1,5 @@
 #include "core/event_log_p.h"
+#include "net_fixture.h"
 #include "node/host_setup_p.h"
 
 #include <catch2/catch.hpp>
@@ -105,6 +106,41 @@
     close(target);
 }
 
+TEST_CASE("thousands of placements a second displace no refusal, and their number is summarized")
+{
+    net::OffsetClock clock;
+    Pipe pipe;
+    fcntl(pipe.fds[1], F_SETPIPE_SZ, 1 << 20);
+    EventLog log(clock, pipe.fds[1], {});
+    std::string text;
+    auto flush = [&] {
+        log.flush();
+        for (auto part = readAll(pipe.fds[0]); !part.empty(); part = readAll(pipe.fds[0]))
+            text += part;
+    };
+    for (int second = 0; second < 5; second++) {
+        for (int n = 0; n < 2000; n++) {
+            log.line("place").field("n", n);
+            if (n % 40 == 0)
+                log.decisionLine("request").field("n", n);
+            if (n % 200 == 0)
+                flush();
+        }
+        clock.advance(std::chrono::seconds(1));
+    }
+    flush();
+    auto count = [&](const std::string& part) {
+        size_t found = 0;
+        for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+            found++;
+        return found;
+    };
+    CHECK(count("event=request ") == 250);
+    CHECK(count("event=log-summary of=place ") >= 4);
+    CHECK(count("event=log-summary of=request ") == 0);
+    CHECK(count("event=place ") + log.dropped() == 10000);
+}
+
 TEST_CASE("a slow reader of the log loses no line that fits the buffer")
 {
     SystemClock clock;
