Divide instances among pools that together want more than there are

While the wishes of all pools exceed the usable instances, each pool now gets a share of them by what it wants, one instance at least if it has work, and an instance changes pool only if its callers gain more there, less the time of the move, than here. Idle instances go first, then spare ones; busy ones are drained for what is still short. The `move` line tells what is saved there and here, the `pool` line the share. Behind `scarcity`; without scarcity, or with the switch off, plans are those of before (compared by a test).

Tests seen to fail: three with the division off, one without the minimum of one instance, one without the cost of a move.

--- a/src/jobs/instance_manager_pools.cpp
+++ b/src/jobs/instance_manager_pools.cpp
@@ -155,13 +155,13 @@
     removeMovedEndpoints();
     auto pools = describePools();
     auto instances = describeInstances(pools);
-    auto actions = planPools(pools, instances, m_hasDemand, now);
+    auto actions = planPools(pools, instances, m_hasDemand, now, { m_desc.features.scarcity, m_desc.moveTime });
     if (now >= m_nextPoolLogAt) {
         m_nextPoolLogAt = now + poolLogInterval;
         for (size_t n = 0; n < pools.size(); n++) {
             auto count = [&](auto test) { return std::count_if(instances.begin(), instances.end(), [&](const PoolInstance& it) { return it.pool == n && test(it); }); };
             auto isListedElsewhere = [&](const PoolInstance& it) { return !m_moves.contains(it.name) && m_instances.at(it.name).instance.pool != pools[n].name; };
-            m_log.stateLine("pool").field("pool", pools[n].name).field("wanted", desiredInstances(pools[n].load)).field("instances", count([](const auto&) { return true; })).field("idle", count([](const auto& it) { return it.isIdle; })).field("fixed", count([](const auto& it) { return it.isPinned; })).field("away", count([](const auto& it) { return it.isUnavailable; })).field("coming", count([](const auto& it) { return it.isMovingIn; })).field("idle-fixed", count([](const auto& it) { return it.isIdle && it.isPinned; })).field("elsewhere", count(isListedElsewhere)).field("arriving", pools[n].load.arriving).field("runnable", pools[n].load.runnable).field("backlog", pools[n].load.backlogSeconds).field("lasting", pools[n].load.reservedByLongRunning).field("limited", pools[n].load.limited);
+            m_log.stateLine("pool").field("pool", pools[n].name).field("wanted", desiredInstances(pools[n].load)).field("instances", count([](const auto&) { return true; })).field("idle", count([](const auto& it) { return it.isIdle; })).field("fixed", count([](const auto& it) { return it.isPinned; })).field("away", count([](const auto& it) { return it.isUnavailable; })).field("coming", count([](const auto& it) { return it.isMovingIn; })).field("idle-fixed", count([](const auto& it) { return it.isIdle && it.isPinned; })).field("elsewhere", count(isListedElsewhere)).field("arriving", pools[n].load.arriving).field("runnable", pools[n].load.runnable).field("backlog", pools[n].load.backlogSeconds).field("lasting", pools[n].load.reservedByLongRunning).field("limited", pools[n].load.limited).field("share", actions.shares.empty() ? desiredInstances(pools[n].load) : static_cast<double>(actions.shares[n]));
         }
     }
     for (auto n : actions.cancelDrain)
@@ -173,7 +173,7 @@
         auto& move = m_moves[instance.name];
         move.from = pools[instance.pool].name;
         move.pool = pools[it.pool].name;
-        m_log.line("move").field("instance", instance.name).field("from", move.from).field("to", move.pool).field("wanted", desiredInstances(pools[it.pool].load)).field("arriving", pools[it.pool].load.arriving).field("backlog", pools[it.pool].load.backlogSeconds);
+        m_log.line("move").field("instance", instance.name).field("from", move.from).field("to", move.pool).field("wanted", desiredInstances(pools[it.pool].load)).field("arriving", pools[it.pool].load.arriving).field("backlog", pools[it.pool].load.backlogSeconds).field("saved-there", it.savedThere).field("saved-here", it.savedHere);
     }
     for (auto& [name, move] : m_moves) {
         if (!move.pool.empty() && !move.isAccepted && !move.isCallPending && now >= move.nextCallAt)
--- a/src/policy/pool_plan.cpp
+++ b/src/policy/pool_plan.cpp
@@ -32,14 +32,221 @@
         return std::any_of(pools.begin(), pools.end(), [&](const Pool& it) { return it.load.isRising && it.load.arriving >= threshold; });
     }
 
+    /// The demand of a pool is expected to last at least, and at most, this many times as long as a move takes.
+    constexpr double minLastingMoves = 2;
+    constexpr double maxLastingMoves = 8;
+    /// While a pool's backlog grows, its demand is expected to last at least this many times as long as a move takes.
+    constexpr double growingLastingMoves = 3;
+    /// What an instance loses while it moves, in units of the time of a move: with a drain before the move, and without one.
+    constexpr double drainAndMoveCost = 1.5;
+    constexpr double moveCost = 1;
+
     struct Balance {
         double desired = 0;
         size_t present = 0;
         size_t draining = 0;
+        /// Instances that cannot leave the pool.
+        size_t pinned = 0;
 
         [[nodiscard]] double surplus() const { return static_cast<double>(present) - static_cast<double>(draining) - desired; }
     };
 
+    bool hasWork(const PoolLoad& load) { return load.arriving > 0 || load.runnable > 0 || load.backlogSeconds > 0; }
+
+    /// Divides instances among pools that together want more than there are.
+    class ScarcityPlanner {
+    public:
+        ScarcityPlanner(std::span<const Pool> pools, std::span<const PoolInstance> instances, std::vector<Balance>& balance, const ScarcityRules& rules)
+            : m_pools(pools)
+            , m_instances(instances)
+            , m_balance(balance)
+            , m_rules(rules)
+        {
+        }
+
+        PoolActions plan()
+        {
+            divide();
+            cancelDrains();
+            sortCandidates();
+            moveIdle();
+            drainBusy();
+            return std::move(m_actions);
+        }
+
+    private:
+        /// What one more instance than @p n saves the callers of a pool: its demand, in equal parts per instance.
+        [[nodiscard]] double saved(size_t pool, size_t n) const { return m_balance[pool].desired / (static_cast<double>(n) + 1); }
+        [[nodiscard]] size_t staying(size_t pool) const { return m_balance[pool].present - m_balance[pool].draining; }
+
+        void divide()
+        {
+            auto& shares = m_actions.shares;
+            shares.assign(m_pools.size(), 0);
+            size_t left = 0;
+            for (const auto& it : m_balance)
+                left += it.present;
+            for (size_t n = 0; n < m_pools.size(); n++) {
+                if (m_pools[n].isSpare)
+                    continue;
+                // One instance at least, so that no pool with work starves.
+                shares[n] = std::min(left, std::max<size_t>(m_balance[n].pinned, hasWork(m_pools[n].load) ? 1 : 0));
+                left -= shares[n];
+            }
+            for (; left > 0; left--) {
+                std::optional<size_t> best;
+                for (size_t n = 0; n < m_pools.size(); n++) {
+                    bool isWanted = !m_pools[n].isSpare && static_cast<double>(shares[n]) < m_balance[n].desired;
+                    if (isWanted && (!best || saved(n, shares[n]) > saved(*best, shares[*best])))
+                        best = n;
+                }
+                if (!best)
+                    return;
+                shares[*best]++;
+            }
+        }
+
+        [[nodiscard]] bool isWorthMoving(size_t from, size_t to, double cost) const
+        {
+            if (m_pools[from].isSpare || staying(to) == 0)
+                return true;
+            auto moveSeconds = std::max(0.1, std::chrono::duration<double>(m_rules.moveTime).count());
+            auto lasting = m_pools[to].load.backlogSeconds / static_cast<double>(staying(to)) / moveSeconds;
+            bool isGrowing = m_pools[to].load.isRising || m_pools[to].load.arriving > static_cast<double>(staying(to));
+            auto shortest = isGrowing ? growingLastingMoves : minLastingMoves;
+            lasting = std::clamp(lasting, shortest, maxLastingMoves);
+            return saved(to, staying(to)) * (1 - cost / lasting) > saved(from, staying(from) - 1);
+        }
+
+        void cancelDrains()
+        {
+            for (size_t n = 0; n < m_instances.size(); n++) {
+                const auto& it = m_instances[n];
+                if (!it.isDrainingForMove || it.isUnavailable || staying(it.pool) >= m_actions.shares[it.pool])
+                    continue;
+                m_actions.cancelDrain.push_back(n);
+                m_balance[it.pool].draining--;
+                m_isKept.resize(m_instances.size(), false);
+                m_isKept[n] = true;
+            }
+        }
+
+        void sortCandidates()
+        {
+            m_isKept.resize(m_instances.size(), false);
+            m_idle.resize(m_pools.size());
+            m_busy.resize(m_pools.size());
+            for (size_t n = 0; n < m_instances.size(); n++) {
+                const auto& it = m_instances[n];
+                if (m_isKept[n] || it.isPinned || it.isMovingIn || it.isUnavailable)
+                    continue;
+                if (it.isDrainingForMove) {
+                    if (it.isIdle)
+                        m_drained.push_back(n);
+                } else {
+                    (it.isIdle ? m_idle : m_busy)[it.pool].push_back(n);
+                }
+            }
+            // Taken from the end: the least loaded first.
+            for (auto& it : m_busy)
+                std::sort(it.begin(), it.end(), [&](size_t a, size_t b) { return m_instances[a].load > m_instances[b].load; });
+        }
+
+        [[nodiscard]] std::optional<size_t> neediest() const
+        {
+            std::optional<size_t> found;
+            for (size_t n = 0; n < m_pools.size(); n++) {
+                if (m_pools[n].isSpare || staying(n) >= m_actions.shares[n])
+                    continue;
+                if (!found || saved(n, staying(n)) > saved(*found, staying(*found)))
+                    found = n;
+            }
+            return found;
+        }
+
+        /// @returns the pool in which an instance of @p candidates is missed least.
+        [[nodiscard]] std::optional<size_t> donor(const std::vector<std::vector<size_t>>& candidates, size_t to, double cost) const
+        {
+            std::optional<size_t> found;
+            for (size_t n = 0; n < m_pools.size(); n++) {
+                bool isOversupplied = m_pools[n].isSpare || staying(n) > m_actions.shares[n];
+                if (n == to || candidates[n].empty() || !isOversupplied || !isWorthMoving(n, to, cost))
+                    continue;
+                // Instances that are already billed are moved before spare ones.
+                bool isBetter = !found || m_pools[*found].isSpare || (!m_pools[n].isSpare && saved(n, staying(n) - 1) < saved(*found, staying(*found) - 1));
+                if (isBetter)
+                    found = n;
+            }
+            return found;
+        }
+
+        void move(size_t instance, size_t to)
+        {
+            const auto& it = m_instances[instance];
+            auto& from = m_balance[it.pool];
+            if (it.isDrainingForMove)
+                from.draining--;
+            from.present--;
+            m_actions.moves.push_back({ instance, to, saved(to, staying(to)), saved(it.pool, staying(it.pool)) });
+            m_balance[to].present++;
+        }
+
+        void moveIdle()
+        {
+            while (auto to = neediest()) {
+                if (!m_drained.empty()) {
+                    auto instance = m_drained.back();
+                    m_drained.pop_back();
+                    // Its own pool may be the one that lacks instances now.
+                    if (m_instances[instance].pool != *to) {
+                        move(instance, *to);
+                        continue;
+                    }
+                }
+                auto from = donor(m_idle, *to, moveCost);
+                if (!from)
+                    return;
+                auto instance = m_idle[*from].back();
+                m_idle[*from].pop_back();
+                move(instance, *to);
+            }
+        }
+
+        /// Busy instances finish what they run before they move.
+        void drainBusy()
+        {
+            size_t drained = 0;
+            for (const auto& it : m_balance)
+                drained += it.draining;
+            while (auto to = neediest()) {
+                // The instances that are drained already are for the neediest pools.
+                if (drained > 0) {
+                    drained--;
+                    m_balance[*to].present++;
+                    continue;
+                }
+                auto from = donor(m_busy, *to, drainAndMoveCost);
+                if (!from)
+                    return;
+                m_actions.drainForMove.push_back(m_busy[*from].back());
+                m_busy[*from].pop_back();
+                m_balance[*from].draining++;
+                m_balance[*to].present++;
+            }
+        }
+
+        std::span<const Pool> m_pools;
+        std::span<const PoolInstance> m_instances;
+        std::vector<Balance>& m_balance;
+        const ScarcityRules& m_rules;
+        std::vector<bool> m_isKept;
+        /// Instances that may leave, by pool: idle ones, busy ones from the most to the least loaded, and those that are drained.
+        std::vector<std::vector<size_t>> m_idle;
+        std::vector<std::vector<size_t>> m_busy;
+        std::vector<size_t> m_drained;
+        PoolActions m_actions;
+    };
+
 } // namespace
 
 double desiredInstances(const PoolLoad& load)
@@ -52,7 +259,7 @@
     return desired + (load.waitingLongRunningTasks > 0 ? reserveInstances : 0);
 }
 
-PoolActions planPools(std::span<const Pool> pools, std::span<const PoolInstance> instances, bool mayBecomeSpare, TimePoint now)
+PoolActions planPools(std::span<const Pool> pools, std::span<const PoolInstance> instances, bool mayBecomeSpare, TimePoint now, const ScarcityRules& rules)
 {
     PoolActions actions;
     std::vector<Balance> balance(pools.size());
@@ -66,6 +273,7 @@
     for (const auto& it : instances) {
         balance[it.pool].present += it.isUnavailable ? 0 : 1;
         balance[it.pool].draining += it.isDrainingForMove && !it.isUnavailable ? 1 : 0;
+        balance[it.pool].pinned += it.isPinned && !it.isUnavailable ? 1 : 0;
         movingIn[it.pool] += it.isMovingIn ? 1 : 0;
     }
     // Waiting long-running tasks fit on none of the pool's instances, however low their load: tasks of a step can require
@@ -76,6 +284,14 @@
         auto settled = static_cast<double>(balance[n].present) - static_cast<double>(balance[n].draining) - movingIn[n];
         balance[n].desired = std::max(balance[n].desired, settled + static_cast<double>(std::min(pools[n].load.waitingLongRunningTasks, maxInstancesForWaiting)));
     }
+    double wanted = 0;
+    double available = 0;
+    for (const auto& it : balance) {
+        wanted += it.desired;
+        available += static_cast<double>(it.present);
+    }
+    if (rules.isEnabled && wanted > available)
+        return ScarcityPlanner(pools, instances, balance, rules).plan();
     std::vector<bool> isTaken(instances.size(), false);
     // A pool whose demand has returned keeps the instances that it was about to give up.
     for (size_t n = 0; n < instances.size(); n++) {
--- a/src/policy/pool_plan_p.h
+++ b/src/policy/pool_plan_p.h
@@ -63,6 +63,9 @@
 struct PoolMove {
     size_t instance = 0;
     size_t pool = 0;
+    /// In scarcity: demand per instance that the target pool and the present pool would be left with. 0 otherwise.
+    double savedThere = 0;
+    double savedHere = 0;
 };
 
 struct PoolActions {
@@ -71,6 +74,16 @@
     std::vector<size_t> drainForMove;
     /// Instances that were drained for a move and stay in their pool.
     std::vector<size_t> cancelDrain;
+    /// In scarcity: the number of instances that each pool is to have. Empty while there is no scarcity.
+    std::vector<size_t> shares;
+};
+
+/// How instances are divided while pools together want more than there are.
+struct ScarcityRules {
+    /// Without it, instances leave only pools that have more than they want.
+    bool isEnabled = false;
+    /// How long an instance that moves is of no use to any pool.
+    Duration moveTime = std::chrono::seconds(2);
 };
 
 /// @returns the number of instances that the pool needs, its reserve included.
@@ -79,7 +92,9 @@
 /// Plans moves of instances between pools whose demand peaks at different times. Pools with a shortage get idle instances
 /// from pools with a surplus, or else from the spare pool; instances that stay idle move to the spare pool, unless a peak is
 /// starting in some pool. Instances with long-running tasks are not moved.
+/// While pools together want more instances than there are, each gets a share of them by its demand, and an instance moves if
+/// it saves more in the other pool.
 /// @param mayBecomeSpare whether idle instances may move to the spare pool.
-PoolActions planPools(std::span<const Pool> pools, std::span<const PoolInstance> instances, bool mayBecomeSpare, TimePoint now);
+PoolActions planPools(std::span<const Pool> pools, std::span<const PoolInstance> instances, bool mayBecomeSpare, TimePoint now, const ScarcityRules& rules = {});
 
 } // namespace vanillalift::jobs
