--- a/tests/jobs/pool_scarcity_test.cpp
+++ b/tests/jobs/pool_scarcity_test.cpp
@@ -126,7 +126,7 @@
     CHECK(fleet.plan().shares[1] >= 1);
     // Also if its instances have all been lost.
     fleet.instances.pop_back();
-    CHECK(fleet.plan().drainForMove.size() >= 1);
+    CHECK(!fleet.plan().drainForMove.empty());
 }
 
 TEST_CASE("idle instances move before busy ones are drained, those of pools before spare ones", "[pools]")
