Tell which jobs exceed their workspace's agreed rate

What a workspace sends beyond its agreed rate was accepted and served like what it is owed, and nothing told the two apart.

A token bucket for each workspace (rate: its weight; depth: what the settings add to the rate in a window) decides when the leader accepts a job. The outcome is part of PutJob and of the job; the buckets are kept by the store from these commands, so that a new leader goes on where the old one stopped. Long-running jobs are not counted: the workspace's limit bounds them.

--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -107,6 +107,7 @@
         return;
     m_catalog = std::move(command.catalog);
     indexQueues();
+    m_agreedRate.retain([this](const std::string& name) { return m_catalog.workspaceNamed(name) != nullptr; });
     if (m_observer)
         m_observer->onCatalog();
 }
@@ -186,6 +187,9 @@
     job->serial = ++m_lastSerial;
     job->workspace = std::move(command.workspace);
     job->acceptedAtMs = command.acceptedAtMs;
+    job->isBeyondRate = command.isBeyondRate;
+    if (const auto* workspace = m_catalog.workspaceNamed(job->workspace))
+        m_agreedRate.record(workspace->name, workspace->weight, job->acceptedAtMs, job->isBeyondRate);
     if (queue)
         job->queue = *queue;
     job->queue.name = command.queue;
@@ -509,6 +513,7 @@
     for (const auto& [key, it] : m_suspects)
         suspects.emplace_back(key.first, it);
     msgpack::pack(buf, suspects);
+    msgpack::pack(buf, m_agreedRate);
     return { buf.data(), buf.size() };
 }
 
@@ -540,6 +545,9 @@
     // Snapshots of earlier versions end here.
     if (offset < snapshot.size())
         restoreSuspects(next().get());
+    m_agreedRate = {};
+    if (offset < snapshot.size())
+        next().get().convert(m_agreedRate);
 }
 
 void JobStore::restoreSuspects(const msgpack::object& object)
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/agreed_rate_p.h"
 #include "policy/crash_attribution_p.h"
 
 #include <vanillalift/job.h>
@@ -43,7 +44,8 @@
     std::string workspace;
     std::string queue;
     int64_t acceptedAtMs = 0;
-    MSGPACK_DEFINE(spec, workspace, queue, acceptedAtMs)
+    bool isBeyondRate = false;
+    MSGPACK_DEFINE(spec, workspace, queue, acceptedAtMs, isBeyondRate)
 };
 struct CancelJob {
     std::string id;
@@ -199,7 +201,9 @@
     /// Number of placements over all tasks.
     uint32_t placementCount = 0;
     std::vector<Occurrence> occurrences;
-    MSGPACK_DEFINE(serial, spec, workspace, queue, acceptedAtMs, phase, finishedAtMs, hasStarted, placementCount, occurrences, hasRun)
+    /// Its workspace had submitted as much as agreed when it was accepted.
+    bool isBeyondRate = false;
+    MSGPACK_DEFINE(serial, spec, workspace, queue, acceptedAtMs, phase, finishedAtMs, hasStarted, placementCount, occurrences, hasRun, isBeyondRate)
 
     [[nodiscard]] bool isActive() const { return phase == JobPhase::Active; }
     [[nodiscard]] bool isLongRunning() const { return !spec.steps.empty() && spec.steps.front().isLongRunning; }
@@ -293,6 +297,8 @@
     [[nodiscard]] const std::map<std::string, ReplicaInfo>& replicas() const { return m_replicas; }
     /// @returns runs that are suspected of having crashed their endpoint.
     [[nodiscard]] const std::map<IncarnationKey, SuspectRuns>& suspects() const { return m_suspects; }
+    /// @returns how much of their agreed rates the workspaces have used.
+    [[nodiscard]] const AgreedRate& agreedRate() const { return m_agreedRate; }
     [[nodiscard]] Job* findJob(std::string_view id);
     [[nodiscard]] const Job* findJob(std::string_view id) const;
     [[nodiscard]] Job* findJobBySerial(uint64_t serial);
@@ -349,6 +355,7 @@
     std::map<uint64_t, WaveState> m_waves;
     std::map<std::string, ReplicaInfo> m_replicas;
     std::map<IncarnationKey, SuspectRuns> m_suspects;
+    AgreedRate m_agreedRate;
     uint64_t m_lastSerial = 0;
     uint64_t m_skippedCommands = 0;
 };
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -38,6 +38,7 @@
     , m_batcher(batcher)
     , m_clock(clock)
     , m_log(log)
+    , m_agreedRate(store.agreedRate())
 {
 }
 
@@ -82,6 +83,18 @@
     read(*queue, id, respond);
 }
 
+bool JobService::countJob(const JobSpec& job, const std::string& name, int64_t atMs)
+{
+    const auto* workspace = m_store.catalog().workspaceNamed(name);
+    if (!workspace)
+        return false;
+    // The limit of the workspace bounds what runs until it is cancelled.
+    bool isLongRunning = !job.steps.empty() && job.steps.front().isLongRunning;
+    bool isBeyond = m_desc.features.entitlement && !isLongRunning && m_agreedRate.isBeyond(name, workspace->weight, atMs, m_desc.features.agreedRate);
+    m_agreedRate.record(name, workspace->weight, atMs, isBeyond);
+    return isBeyond;
+}
+
 void JobService::submit(ClientRequest& request, const Queue& queue, const std::string& id, const std::string& workspace, const Respond& respond)
 {
     if (id.empty())
@@ -93,8 +106,10 @@
     if (callbacks.size() > 1)
         return;
     request.job.id = id;
-    m_log.line("accept").field("job", id).field("queue", queue.name).field("workspace", workspace).field("steps", request.job.steps.size()).field("config", m_store.catalog().version);
-    PutJob command { std::move(request.job), workspace, queue.name, wallClockMs() };
+    auto acceptedAtMs = wallClockMs();
+    bool isBeyondRate = countJob(request.job, workspace, acceptedAtMs);
+    m_log.line("accept").field("job", id).field("queue", queue.name).field("workspace", workspace).field("steps", request.job.steps.size()).field("config", m_store.catalog().version).field("beyond-rate", isBeyondRate);
+    PutJob command { std::move(request.job), workspace, queue.name, acceptedAtMs, isBeyondRate };
     m_batcher.propose(command, [this, id, isAlive = m_isAlive](bool isCommitted) {
         if (!*isAlive)
             return;
--- a/src/node/job_service_p.h
+++ b/src/node/job_service_p.h
@@ -5,6 +5,7 @@
 #include "messages_p.h"
 
 #include <vanillalift/clock.h>
+#include <vanillalift/features.h>
 
 #include <functional>
 #include <map>
@@ -22,6 +23,7 @@
         /// Whether no other controller can have been elected: what is unknown here then exists nowhere.
         std::function<bool()> isSoleLeader;
         std::function<void(const JoinRequest&)> handleJoin;
+        Features features;
     };
 
     JobService(Desc desc, jobs::JobStore& store, jobs::Dispatcher& dispatcher, CommandBatcher& batcher, const Clock& clock, EventLog& log);
@@ -39,6 +41,9 @@
     void handle(ReadWaveRequest& request, const Respond& respond);
     void handle(JoinRequest& request, const Respond& respond);
 
+    /// Counts the job against its workspace's agreed rate.
+    /// @returns whether it exceeds the rate.
+    bool countJob(const jobs::JobSpec& job, const std::string& workspace, int64_t atMs);
     void submit(ClientRequest& request, const jobs::Queue& queue, const std::string& id, const std::string& workspace, const Respond& respond);
     void read(const jobs::Queue& queue, const std::string& id, const Respond& respond);
     void cancel(const std::string& id, const Respond& respond);
@@ -54,6 +59,8 @@
     EventLog& m_log;
     /// Submissions whose commit is pending, by job id, with the callbacks of all requests that submitted the job.
     std::map<std::string, std::vector<Respond>> m_pendingSubmissions;
+    /// Includes jobs whose commit is pending.
+    jobs::AgreedRate m_agreedRate;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
