Run jobs beyond the agreed rate in room that nothing else wants

A workspace that sent many times its rate took instances and room from the others, and pools asked for instances for jobs that could no longer end in time.

Jobs beyond the rate come after all others of their pool whose completion has a value, and add nothing to what the pools ask for while anything else waits, or has within the last 3 s. The same holds for the demand of jobs that can no longer end before they expire, where admission is switched on.

Seen to fail without the tiers and without isDeferred(): both tests.

--- a/src/jobs/demand_history.cpp
+++ b/src/jobs/demand_history.cpp
@@ -25,7 +25,8 @@
 void DemandHistory::add(const Job& job)
 {
     bool isOld = wallClockMs() - job.acceptedAtMs > maxJobAge.count();
-    if (isOld || job.isLongRunning() || job.spec.occurrences != 0)
+    // Jobs beyond the agreed rate run in room that nothing else wants.
+    if (isOld || job.isBeyondRate || job.isLongRunning() || job.spec.occurrences != 0)
         return;
     auto estimate = estimateJob(job, 0);
     m_arrivals[m_store.queueOf(job).service].add(estimate.totalWorkMs, estimate.totalMemoryMs / 1000, m_clock.now());
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher_p.h"
 
 #include "core/event_log_p.h"
+#include "policy/queue_order_p.h"
 
 #include <vanillalift/config.h>
 
@@ -17,6 +18,9 @@
     /// Longest time for which the acknowledgement of an endpoint's deregistration waits for its tasks to stop. The endpoint repeats an
     /// unanswered deregistration after 1 s.
     constexpr std::chrono::milliseconds maxDeregistrationAckDelay { 800 };
+    /// Time without waiting tasks after which pools may ask for instances for deferred jobs: twice the time that an
+    /// instance takes to move, since it may have to go back.
+    constexpr std::chrono::milliseconds quietPeriod { 3000 };
 
 } // namespace
 
@@ -573,7 +577,8 @@
         }
         auto workMs = isScheduled ? plan.dueWorkMs : plan.estimate.workMs;
         auto memoryMs = isScheduled ? plan.dueMemoryMs : plan.estimate.memoryMs;
-        load.backlog += { static_cast<int64_t>(workMs), static_cast<int64_t>(memoryMs / 1000), 0 };
+        auto& backlog = isDeferred(plan) ? load.deferredBacklog : load.backlog;
+        backlog += { static_cast<int64_t>(workMs), static_cast<int64_t>(memoryMs / 1000), 0 };
         load.objectiveSeconds += std::chrono::duration<double>(plan.objective).count();
         counts[m_store.queueOf(job).service]++;
     }
@@ -584,6 +589,7 @@
         }
     }
     addReadyNeeds(loads);
+    addDeferredLoad(loads);
     for (auto& [service, load] : loads) {
         if (counts[service] > 0)
             load.objectiveSeconds /= counts[service];
@@ -663,6 +669,11 @@
 {
     std::map<std::pair<std::string, std::string>, Resources> needs;
     for (const auto& [serial, plan] : m_plans) {
+        if (isDeferred(plan)) {
+            for (const auto& key : plan.ready)
+                loads[m_store.queueOf(*plan.job).service].deferredReady += reservedNeed(plan.job->spec.steps[key.step]);
+            continue;
+        }
         auto& need = needs[{ m_store.queueOf(*plan.job).service, plan.job->workspace }];
         for (const auto& key : plan.ready) {
             const auto& step = plan.job->spec.steps[key.step];
@@ -689,6 +700,29 @@
     }
 }
 
+void Dispatcher::addDeferredLoad(std::map<std::string, ServiceLoad>& loads)
+{
+    auto now = m_clock.now();
+    if (std::any_of(loads.begin(), loads.end(), [](const auto& it) { return it.second.ready != Resources {}; }))
+        m_lastWaitingAt = now;
+    if (now - m_lastWaitingAt < quietPeriod)
+        return;
+    for (auto& [service, load] : loads) {
+        load.ready += load.deferredReady;
+        load.backlog += load.deferredBacklog;
+    }
+}
+
+bool Dispatcher::isDeferred(const JobPlan& plan) const
+{
+    if (plan.job->isBeyondRate)
+        return true;
+    if (!m_desc.features.admission || plan.job->isLongRunning() || plan.job->spec.occurrences != 0)
+        return false;
+    auto expiresAt = plan.acceptedAt + expiryFactor * plan.objective;
+    return m_clock.now() + std::chrono::milliseconds(static_cast<int64_t>(plan.estimate.criticalPathMs * estimateTolerance)) > expiresAt;
+}
+
 bool Dispatcher::hasWaitingLongRunningTasks(std::string_view service) const
 {
     return std::any_of(m_plans.begin(), m_plans.end(), [&](const auto& it) {
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -157,6 +157,10 @@
         Resources ready;
         /// Resources of tasks that are held back only by their workspaces' limits.
         Resources limited;
+        /// The same for jobs beyond their workspaces' agreed rates and for jobs whose completion has no value, which run in room that
+        /// nothing else wants: added to `ready` and `backlog` only while nothing else waits.
+        Resources deferredReady;
+        Resources deferredBacklog;
         /// Work accepted and not done: resources times seconds of run time.
         Resources backlog;
         /// Mean latency objective of the jobs in the backlog, counted from submission, in seconds.
@@ -317,6 +321,10 @@
     void collectReady(JobPlan& plan, uint32_t occurrence);
     void flushPlacements();
     void addReadyNeeds(std::map<std::string, ServiceLoad>& loads);
+    /// Adds the load of deferred jobs, unless other jobs have waited lately.
+    void addDeferredLoad(std::map<std::string, ServiceLoad>& loads);
+    /// @returns whether the job runs in room that nothing else wants.
+    [[nodiscard]] bool isDeferred(const JobPlan& plan) const;
     [[nodiscard]] bool isWithinLimit(const Job& job, const StepSpec& step, uint32_t count);
     [[nodiscard]] bool isSchedulable(const EndpointSession& session, TimePoint now) const;
     /// @returns the advice for the task's step.
@@ -358,6 +366,8 @@
     /// Mean ratio of measured to declared run time of tasks, by queue.
     std::map<std::string, MovingAverage> m_runTimeRatio;
     TimePoint m_nextSpeculationAt;
+    /// When tasks of jobs that are not deferred last waited for room.
+    TimePoint m_lastWaitingAt;
     /// By the first task of the step.
     std::map<TaskKey, StepAdvice> m_advice;
     /// A call to the advice service is pending.
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-    /// A job that takes longer than this multiple of its latency objective has no value.
-    constexpr int expiryFactor = 3;
     /// Largest number of needs that UnplaceableNeeds remembers.
     constexpr size_t maxUnplaceableNeeds = 16;
     /// Time before its due time from which the work of an occurrence counts as demand: an instance takes 1.5 s to move.
@@ -210,6 +208,7 @@
         entry.workMs = plan->estimate.workMs;
         entry.relativeSize = plan->relativeSize;
         entry.fairShareRatio = shares[job.workspace];
+        entry.isBeyondRate = job.isBeyondRate;
         ordered.push_back(entry);
     }
     UnplaceableNeeds failed;
--- a/src/policy/queue_order.cpp
+++ b/src/policy/queue_order.cpp
@@ -10,6 +10,8 @@
         Lasting,
         OnTime,
         Late,
+        OnTimeBeyondRate,
+        LateBeyondRate,
         Expired,
         TierCount,
     };
@@ -20,8 +22,6 @@
     constexpr double maxValue = 4;
     /// Factor on the value density of started jobs.
     constexpr double startedFactor = 3;
-    /// Estimates are off by about a fifth: a job is expected to finish in time if this fraction of its estimate fits.
-    constexpr double estimateTolerance = 0.8;
 
     struct Ranked {
         uint64_t serial = 0;
@@ -37,8 +37,10 @@
             return Tier::Lasting;
         auto endsAt = now + std::chrono::microseconds(static_cast<int64_t>(job.criticalPathMs * estimateTolerance * 1000));
         if (endsAt <= job.objectiveAt)
-            return Tier::OnTime;
-        return endsAt <= job.expiresAt ? Tier::Late : Tier::Expired;
+            return job.isBeyondRate ? Tier::OnTimeBeyondRate : Tier::OnTime;
+        if (endsAt <= job.expiresAt)
+            return job.isBeyondRate ? Tier::LateBeyondRate : Tier::Late;
+        return Tier::Expired;
     }
 
     /// Value per core-millisecond of remaining work.
--- a/src/policy/queue_order_p.h
+++ b/src/policy/queue_order_p.h
@@ -8,6 +8,11 @@
 
 namespace vanillalift::jobs {
 
+/// A job that takes longer than this multiple of its latency objective has no value.
+constexpr int expiryFactor = 3;
+/// Estimates are off by about a fifth: a job is expected to finish in time if this fraction of its estimate fits.
+constexpr double estimateTolerance = 0.8;
+
 /// A job with tasks to place, with the properties that decide its rank.
 struct SchedulableJob {
     uint64_t serial = 0;
@@ -27,11 +32,14 @@
     /// Capacity that the job's workspace uses relative to its weighted fair share among the workspaces with work: 1 for exactly
     /// its share, 2 for twice as much. Above 1, the job's value is divided by the ratio; below 1, there is no bonus.
     double fairShareRatio = 0;
+    /// The workspace had submitted as much as agreed when it submitted the job.
+    bool isBeyondRate = false;
 };
 
 /// Ranks jobs for a pool that may not have capacity for all of them: long-running jobs first; then those that can still meet
-/// their objective; then those that can still complete before they expire; then the rest. Within each group, the order is by
-/// priority, then by value per remaining work, then by the earliest objective. Started jobs are preferred to new ones.
+/// their objective; then those that can still complete before they expire; then jobs beyond their workspace's agreed rate, in the same
+/// two groups; then those whose completion has no value. Within each group, the order is by priority, then by value per
+/// remaining work, then by the earliest objective. Started jobs are preferred to new ones.
 /// @returns the serial numbers, highest rank first.
 std::vector<uint64_t> orderJobs(std::span<const SchedulableJob> jobs, TimePoint now);
 
--- a/tests/jobs/entitlement_test.cpp
+++ b/tests/jobs/entitlement_test.cpp
@@ -1,14 +1,21 @@
 #include <catch2/catch.hpp>
 
+#include "endpoint_sim.h"
 #include "jobs/job_store_p.h"
+#include "policy/queue_order_p.h"
 
+#include <algorithm>
 #include <deque>
 
 using namespace vanillalift;
 using namespace vanillalift::jobs;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
+const TimePoint start { std::chrono::hours(100) };
+
 Catalog makeCatalog(double weight)
 {
     Catalog catalog;
@@ -120,3 +127,59 @@
     applyCatalog(store, catalog);
     CHECK_FALSE(store.agreedRate().isBeyond("large", 1, 2000, {}));
 }
+
+TEST_CASE("jobs beyond the agreed rate come after those within it, and before those whose result has no value", "[entitlement]")
+{
+    // Load: one workspace sends many small jobs beyond its rate, which have the highest value for their work.
+    std::vector<SchedulableJob> jobs(5);
+    for (size_t n = 0; n < jobs.size(); n++) {
+        auto& it = jobs[n];
+        it.serial = n + 1;
+        it.workMs = n < 2 ? 100 : 4000;
+        it.criticalPathMs = 100;
+        it.objectiveAt = start + seconds(2);
+        it.expiresAt = start + seconds(6);
+        it.isBeyondRate = n < 2;
+    }
+    jobs[1].objectiveAt = jobs[3].objectiveAt = start;
+    jobs[4].expiresAt = jobs[4].objectiveAt = start - seconds(1);
+    CHECK(orderJobs(jobs, start) == std::vector<uint64_t> { 3, 4, 1, 2, 5 });
+    // What runs until it is cancelled is restarted first.
+    jobs[0].isLongRunning = true;
+    CHECK(orderJobs(jobs, start).front() == 1);
+}
+
+TEST_CASE("pools ask for instances for jobs beyond the agreed rate only while nothing else waits", "[entitlement]")
+{
+    // Load: all endpoints are full, and one job within and one beyond its workspace's rate wait.
+    sim::Site site(1);
+    for (int n = 0; n < 16; n++)
+        site.submit("full" + std::to_string(n), 1, true);
+    site.run(seconds(2));
+    auto propose = [&](const std::string& id, int64_t cpu, bool isBeyondRate) {
+        JobSpec spec;
+        spec.id = id;
+        spec.steps.emplace_back();
+        spec.steps.front().need = { cpu, 100, 0 };
+        spec.steps.front().estimateMs = 800;
+        site.leader.propose(PutJob { spec, "", "q", wallClockMs(), isBeyondRate });
+    };
+    auto waitAndLoad = [&](Duration time) {
+        auto until = site.world.clock.time + time;
+        while (site.world.clock.time < until) {
+            std::ignore = site.leader.dispatcher->loads();
+            site.run(milliseconds(100));
+        }
+        return site.leader.dispatcher->loads()["s"];
+    };
+    propose("beyond", 1000, true);
+    propose("within", 2000, false);
+    auto load = waitAndLoad(seconds(1));
+    CHECK(load.ready.cpu == 2000);
+    CHECK(load.backlog.cpu == 1600);
+    site.leader.propose(CancelJob { "within", wallClockMs() });
+    CHECK(waitAndLoad(seconds(2)).ready.cpu == 0);
+    load = waitAndLoad(seconds(2));
+    CHECK(load.ready.cpu == 1000);
+    CHECK(load.backlog.cpu == 800);
+}
