--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement_p.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillalift::jobs {
 
@@ -18,6 +19,8 @@
     constexpr double remoteDataCost = 50;
     constexpr double interferenceCost = 20;
     constexpr double slownessCost = 10;
+    /// For an endpoint that would no longer fit the largest waiting task; outweighs any difference in capacity left over.
+    constexpr double splitCost = 4;
     /// Failures beyond this number add no cost.
     constexpr uint32_t maxCountedFailures = 3;
     /// Runs beyond this number add no cost.
@@ -28,7 +31,7 @@
         const auto& endpoint = *it.endpoint;
         if (!reservedNeed(step).fitsIn(it.free) || endpoint.id == hints.exclude)
             return false;
-        if (hints.isIsolated ? !it.isQuiet : it.isReserved)
+        if (it.isHeldForOther || (hints.isIsolated ? !it.isQuiet : it.isReserved))
             return false;
         if (step.maxPerEndpoint != 0 && it.runsOfStep >= step.maxPerEndpoint)
             return false;
@@ -39,18 +42,23 @@
 
     /// Sum of the shares of the endpoint's CPU and memory capacity that would remain free: filling full endpoints first
     /// keeps whole endpoints free for large tasks.
-    double leftoverShare(const StepSpec& step, const PlacementCandidate& it)
+    double leftoverShare(const StepSpec& step, const PlacementHints& hints, const PlacementCandidate& it)
     {
-        auto need = reservedNeed(step);
+        auto left = it.free - reservedNeed(step);
         const auto& capacity = it.endpoint->capacity;
         auto share = [](int64_t amount, int64_t total) { return total > 0 ? static_cast<double>(amount) / static_cast<double>(total) : 0; };
-        return share(it.free.cpu - need.cpu, capacity.cpu) + share(it.free.memory - need.memory, capacity.memory);
+        auto cpu = share(left.cpu, capacity.cpu);
+        auto memory = share(left.memory, capacity.memory);
+        if (!hints.largestWaiting)
+            return cpu + memory;
+        bool isSplit = hints.largestWaiting->fitsIn(it.free) && !hints.largestWaiting->fitsIn(left);
+        return cpu + memory + std::abs(cpu - memory) + (isSplit ? splitCost : 0);
     }
 
     double cost(const StepSpec& step, const PlacementHints& hints, const PlacementCandidate& it)
     {
         const auto& endpoint = *it.endpoint;
-        double sum = leftoverShare(step, it);
+        double sum = leftoverShare(step, hints, it);
         if (it.isDueForMaintenance && step.isLongRunning)
             sum += maintenanceCost;
         if (endpoint.id == hints.avoid)
--- a/src/policy/placement_p.h
+++ b/src/policy/placement_p.h
@@ -25,6 +25,8 @@
     uint32_t suspectRuns = 0;
     /// Reserved for a task that is started apart from others.
     bool isReserved = false;
+    /// Room there is reserved for a larger task, which this one would delay.
+    bool isHeldForOther = false;
     /// No run has been started there for a while.
     bool isQuiet = true;
     /// An endpoint at its address crashed recently.
@@ -48,10 +50,13 @@
     bool isIsolated = false;
     /// Endpoint ids that the advice service allows; nullptr if the queue does not use the service.
     const std::vector<std::string>* allowed = nullptr;
+    /// Largest need among the tasks that wait, if it is larger than this task's; nullptr otherwise.
+    const Resources* largestWaiting = nullptr;
 };
 
 /// Chooses the endpoint for a task among those where it fits: preferably one without recent failures, on the rack of its data, and
-/// with the least capacity left over (best fit). Latency-sensitive and best-effort tasks are kept apart where possible, and so are
+/// with the least capacity left over (best fit). If larger tasks wait, an endpoint with room for the largest one is kept whole where
+/// possible, and processors and memory are used up evenly. Latency-sensitive and best-effort tasks are kept apart where possible, and so are
 /// tasks under which endpoints have crashed. Isolated tasks get an endpoint on which nothing has been started for a while.
 /// @returns the index of the candidate, or nothing if no endpoint can take the task.
 std::optional<size_t> choosePlacement(const StepSpec& step, const PlacementHints& hints, std::span<const PlacementCandidate> candidates);
