Reserve room for large tasks that wait, behind a switch

With Features::reservations, large tasks and gangs that found no room get a reservation on an endpoint. Other tasks are placed there if they end before, or in room that the reserved task leaves; long-running tasks and queues of higher priority are not held back. A reservation is given up when its job has ended or cannot end in time, its workspace is at its limit, its endpoint is lost, cordoned or due for maintenance, or its time has passed by more than the uncertainty; then others may use the room for a second. Reservations are part of the leader's sessions, so none outlives a term. Large tasks that wait are looked at every 100 ms, and their number is bounded.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -280,6 +280,7 @@
     auto now = m_clock.now();
     stats.endpoints = m_sessions.size();
     for (const auto& [id, session] : m_sessions) {
+        stats.reservationsHeld += session->reservation ? 1 : 0;
         if (!isReachable(*session, now))
             stats.endpointsSilent++;
         else if (!session->isCapacityCertain(now, m_desc.maxCapacityReportAge))
--- a/src/jobs/dispatcher_crashes.cpp
+++ b/src/jobs/dispatcher_crashes.cpp
@@ -121,6 +121,7 @@
 void Dispatcher::handleIncarnationEnd(EndpointSession& session, std::string_view cause)
 {
     auto now = m_clock.now();
+    giveUpReservation(session, "endpoint-lost");
     recordSuspects(session);
     bool wasReplaced = session.removalReason == RemovalReason::None || session.removalReason == RemovalReason::Replaced;
     bool isCrash = wasReplaced && !isEndPlanned(session);
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -6,6 +6,7 @@
 #include "policy/crash_attribution_p.h"
 #include "policy/job_estimate_p.h"
 #include "policy/placement_p.h"
+#include "policy/run_time_model_p.h"
 #include "step_advice_p.h"
 
 #include <vanillalift/features.h>
@@ -59,6 +60,13 @@
     uint64_t placements = 0;
     /// Endpoints evaluated as candidates for a task, whether or not it was placed: the cost of placement.
     uint64_t endpointsEvaluated = 0;
+    /// Reservations made; those whose room a task of their step has taken; those given up.
+    uint64_t reservationsMade = 0;
+    uint64_t reservationsKept = 0;
+    uint64_t reservationsGivenUp = 0;
+    /// Jobs placed after they were refused an endpoint because its room was reserved.
+    uint64_t jobsBehindReservations = 0;
+    size_t reservationsHeld = 0;
     /// Endpoints; those that do not answer, or have not in this term; those that answer but whose capacity is uncertain, so that no
     /// task is started there.
     size_t endpoints = 0;
@@ -84,11 +92,16 @@
     std::vector<TaskKey> ready;
     /// Minimum over these tasks, separately for each resource.
     Resources smallestNeed;
+    /// The largest of the needs of these tasks by processors.
+    Resources largestNeed;
+    bool hasWaitingGang = false;
     /// Run numbers of placements that are proposed but not committed yet. An earlier run of the task may end meanwhile.
     std::map<TaskKey, uint32_t> proposedRuns;
     bool isDirty = true;
     /// When the plan has to be recomputed because an occurrence becomes due or due soon.
     TimePoint refreshAt = TimePoint::max();
+    /// A task of the job was refused an endpoint whose room is reserved.
+    bool waitsBehindReservation = false;
     /// Earliest time of the next log entry about its waiting tasks.
     TimePoint nextWaitLogAt;
 
@@ -290,6 +303,29 @@
 
     [[nodiscard]] static bool isReachable(const EndpointSession& session, TimePoint now);
 
+    // Reservations (dispatcher_reservations.cpp)
+    /// Gives up the reservations of the pool that have proved wrong or are of no use any more.
+    void checkReservations(const std::string& service, TimePoint now);
+    /// @returns why the reservation is of no use any more; empty if it holds.
+    [[nodiscard]] std::string_view reservationFault(const EndpointSession& session, TimePoint now);
+    void giveUpReservation(EndpointSession& session, std::string_view cause);
+    /// Reserves room for large tasks that found none.
+    void makeReservations(const std::string& service, const std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions);
+    /// @param limit most reservations to make.
+    /// @returns the number of reservations made for the task's step.
+    size_t reserveRoom(const JobPlan& plan, const TaskKey& key, std::span<const ReservableEndpoint> endpoints, const std::vector<EndpointSession*>& sessions, size_t limit);
+    /// Accounts for a task that is placed on an endpoint with a reservation.
+    void updateReservation(EndpointSession& session, JobPlan& plan, const TaskKey& key);
+    /// @returns when the job's remaining steps have to start for its result to be of use.
+    [[nodiscard]] static TimePoint latestStartOf(const JobPlan& plan);
+    /// Marks the endpoints on which the task would delay a reserved one.
+    void markHeld(std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, const JobPlan& plan, const TaskKey& key) const;
+    /// @returns the time that most tasks of the step take at most.
+    [[nodiscard]] Duration longRunTime(const JobPlan& plan, uint32_t step) const;
+    [[nodiscard]] TimePoint expectedEnd(const Run& run, TimePoint now) const;
+    /// @returns the tasks of the step that wait.
+    [[nodiscard]] static uint32_t waitingTasks(const JobPlan& plan, const TaskKey& step);
+
     // Placement (dispatcher_placement.cpp)
     /// Retry state of one service: placement of its waiting tasks is retried when something has changed.
     struct PlacementState {
@@ -297,6 +333,8 @@
         /// Some tasks are held back by their workspace's limit.
         bool isLimited = false;
         TimePoint retryAt;
+        /// When large tasks that wait are looked at again.
+        TimePoint reserveAt;
     };
     class UnplaceableNeeds;
     void place();
@@ -304,6 +342,8 @@
     /// @param maxFree largest free capacity among the schedulable endpoints, separately for each resource.
     std::vector<JobPlan*> candidatePlans(const std::string& service, const Resources& maxFree, size_t endpoints);
     void placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, UnplaceableNeeds& failed, PlacementState& state);
+    /// @returns the serial numbers of the plans' jobs, highest rank first.
+    std::vector<uint64_t> rankPlans(const std::vector<JobPlan*>& plans, TimePoint now) const;
     /// Schedules a placement retry after a run released endpoint capacity and part of its workspace's limit.
     void markCapacityFreed(const EndpointSession& session, const Run& run);
     void retryAllPlacements();
@@ -326,6 +366,7 @@
     /// Asks the advice service about endpoints for the task's step that it has not answered about.
     /// @param needsRoom ask only about endpoints on which a task of the step fits now.
     void requestAdvice(const JobPlan& plan, const TaskKey& key, std::span<const PlacementCandidate> candidates, bool needsRoom);
+    [[nodiscard]] static uint32_t runsOfStep(const EndpointSession& session, const TaskKey& key);
     void preparePlacement(PlacementCandidate& candidate, const EndpointSession& session, const TaskKey& key, const StepSpec& step) const;
 
     DispatcherDesc m_desc;
@@ -357,6 +398,10 @@
     std::map<std::string, MovingAverage> m_meanWork;
     /// Mean ratio of measured to declared run time of tasks, by queue.
     std::map<std::string, MovingAverage> m_runTimeRatio;
+    RunTimeModel m_runTimes;
+    /// Steps with reservations in the pool whose tasks are being placed, and the largest need that waits there.
+    std::set<TaskKey> m_reservedSteps;
+    Resources m_largestWaiting;
     TimePoint m_nextSpeculationAt;
     /// By the first task of the step.
     std::map<TaskKey, StepAdvice> m_advice;
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-    /// A job that takes longer than this multiple of its latency objective has no value.
-    constexpr int expiryFactor = 3;
     /// Largest number of needs that UnplaceableNeeds remembers.
     constexpr size_t maxUnplaceableNeeds = 16;
     /// Time before its due time from which the work of an occurrence counts as demand: an instance takes 1.5 s to move.
@@ -23,6 +21,8 @@
     constexpr std::chrono::milliseconds dueRecheckInterval { 1000 };
     /// Interval of log entries about a job whose tasks cannot be placed.
     constexpr std::chrono::milliseconds waitLogInterval { 3000 };
+    /// Interval at which large tasks that wait are looked at for reservations.
+    constexpr std::chrono::milliseconds reservationInterval { 100 };
     /// Minimum time between a reply with a step's advice and the next request for it.
     constexpr std::chrono::milliseconds adviceRetryDelay { 200 };
     /// Timeout of a request for advice, in addition to the decision time in the queue's settings.
@@ -45,21 +45,27 @@
 /// The smallest needs that did not fit on any endpoint in this pass, to skip tasks that need at least as much.
 class Dispatcher::UnplaceableNeeds {
 public:
-    [[nodiscard]] bool covers(const Resources& need) const
+    /// @param runTime of the task; it may end before a reservation that turns away a longer one.
+    [[nodiscard]] bool covers(const Resources& need, Duration runTime) const
     {
-        return std::any_of(m_needs.begin(), m_needs.end(), [&](const auto& it) { return it.fitsIn(need); });
+        return std::any_of(m_needs.begin(), m_needs.end(), [&](const auto& it) { return it.need.fitsIn(need) && it.runTime <= runTime; });
     }
-    void add(const Resources& need)
+    /// @param runTime from which the need does not fit; zero if there is no room for a task of any length.
+    void add(const Resources& need, Duration runTime)
     {
-        if (covers(need))
+        if (covers(need, runTime))
             return;
-        std::erase_if(m_needs, [&](const auto& it) { return need.fitsIn(it); });
+        std::erase_if(m_needs, [&](const auto& it) { return need.fitsIn(it.need) && runTime <= it.runTime; });
         if (m_needs.size() < maxUnplaceableNeeds)
-            m_needs.push_back(need);
+            m_needs.push_back({ need, runTime });
     }
 
 private:
-    std::vector<Resources> m_needs;
+    struct Entry {
+        Resources need;
+        Duration runTime;
+    };
+    std::vector<Entry> m_needs;
 };
 
 void Dispatcher::refreshPlan(JobPlan& plan)
@@ -68,6 +74,8 @@
     plan.refreshAt = TimePoint::max();
     plan.ready.clear();
     plan.smallestNeed = { std::numeric_limits<int64_t>::max(), std::numeric_limits<int64_t>::max(), std::numeric_limits<int64_t>::max() };
+    plan.largestNeed = {};
+    plan.hasWaitingGang = false;
     plan.dueWorkMs = plan.dueMemoryMs = 0;
     auto& job = *plan.job;
     bool hasDue = false;
@@ -117,9 +125,12 @@
             if (!tasks[index].isIdle() && !(run && run->wantsSpeculativeCopy))
                 continue;
             plan.ready.push_back(key);
+            plan.hasWaitingGang = plan.hasWaitingGang || job.spec.steps[step].isGang;
             auto need = reservedNeed(job.spec.steps[step]);
             auto& smallest = plan.smallestNeed;
             smallest = { std::min(smallest.cpu, need.cpu), std::min(smallest.memory, need.memory), std::min(smallest.gpus, need.gpus) };
+            if (need.cpu > plan.largestNeed.cpu)
+                plan.largestNeed = need;
         }
     }
 }
@@ -154,7 +165,7 @@
     for (auto& [service, state] : m_placementStates) {
         if (!state.hasChanged && now < state.retryAt)
             continue;
-        state = { .hasChanged = false, .isLimited = false, .retryAt = now + m_desc.placementRetryInterval };
+        state = { .hasChanged = false, .isLimited = false, .retryAt = now + m_desc.placementRetryInterval, .reserveAt = state.reserveAt };
         placeService(service, state);
     }
     flushPlacements();
@@ -177,6 +188,8 @@
 void Dispatcher::placeService(const std::string& service, PlacementState& state)
 {
     auto now = m_clock.now();
+    if (m_desc.features.reservations)
+        checkReservations(service, now);
     std::vector<PlacementCandidate> candidates;
     std::vector<EndpointSession*> sessions;
     Resources maxFree;
@@ -201,6 +214,22 @@
         return;
     m_waitingIsolatedTasks = 0;
     auto plans = candidatePlans(service, maxFree, candidates.size());
+    m_largestWaiting = {};
+    for (const auto* plan : plans) {
+        if (plan->largestNeed.cpu > m_largestWaiting.cpu && plan->largestNeed.fitsIn(maxFree))
+            m_largestWaiting = plan->largestNeed;
+    }
+    UnplaceableNeeds failed;
+    for (auto serial : rankPlans(plans, now))
+        placeJob(m_plans.at(serial), candidates, sessions, failed, state);
+    if (!m_desc.features.reservations || now < state.reserveAt)
+        return;
+    state.reserveAt = now + reservationInterval;
+    makeReservations(service, candidates, sessions);
+}
+
+std::vector<uint64_t> Dispatcher::rankPlans(const std::vector<JobPlan*>& plans, TimePoint now) const
+{
     auto shares = fairShareRatios(plans);
     std::vector<SchedulableJob> ordered;
     for (const auto* plan : plans) {
@@ -212,9 +241,7 @@
         entry.fairShareRatio = shares[job.workspace];
         ordered.push_back(entry);
     }
-    UnplaceableNeeds failed;
-    for (auto serial : orderJobs(ordered, now))
-        placeJob(m_plans.at(serial), candidates, sessions, failed, state);
+    return orderJobs(ordered, now);
 }
 
 void Dispatcher::placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, UnplaceableNeeds& failed, PlacementState& state)
@@ -238,7 +265,9 @@
         // An isolated task and others may find different endpoints, so the failure of one says nothing about the other.
         const auto* task = plan.job->findTask(key);
         bool isIsolated = needsIsolation(task->possibleCrashes());
-        if (!isIsolated && (failedStep == stepOfOccurrence || failed.covers(need))) {
+        bool hasReservation = m_reservedSteps.contains(firstTaskOfStep(key));
+        auto runTime = m_reservedSteps.empty() ? Duration::zero() : longRunTime(plan, key.step);
+        if (!isIsolated && (failedStep == stepOfOccurrence || (!hasReservation && failed.covers(need, runTime)))) {
             unplaced.push_back(key);
             continue;
         }
@@ -256,8 +285,10 @@
         if (isCopy || isIsolated)
             continue;
         failedStep = stepOfOccurrence;
+        bool isBehindReservation = std::any_of(candidates.begin(), candidates.end(), [&](const auto& it) { return it.isHeldForOther && need.fitsIn(it.free); });
+        plan.waitsBehindReservation = plan.waitsBehindReservation || isBehindReservation;
         if (!isConstrained(step) && !m_store.queueOf(*plan.job).isAdvised)
-            failed.add(need);
+            failed.add(need, isBehindReservation ? runTime : Duration::zero());
     }
     plan.ready = std::move(unplaced);
     if (!plan.ready.empty())
@@ -308,17 +339,21 @@
 
 void Dispatcher::preparePlacement(PlacementCandidate& candidate, const EndpointSession& session, const TaskKey& key, const StepSpec& step) const
 {
-    candidate.runsOfStep = 0;
-    if (step.maxPerEndpoint == 0)
-        return;
+    candidate.runsOfStep = step.maxPerEndpoint == 0 ? 0 : runsOfStep(session, key);
+}
+
+uint32_t Dispatcher::runsOfStep(const EndpointSession& session, const TaskKey& key)
+{
+    uint32_t runs = 0;
     RunKey first { { key.job, key.occurrence, key.step, 0 }, 0 };
     for (auto it = session.runs.lower_bound(first); it != session.runs.end(); ++it) {
         const auto& task = it->first.task;
         if (task.job != key.job || task.occurrence != key.occurrence || task.step != key.step)
             break;
         // A run that has ended counts until its end is committed.
-        candidate.runsOfStep++;
+        runs++;
     }
+    return runs;
 }
 
 bool Dispatcher::placeTask(JobPlan& plan, const TaskKey& key, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions)
@@ -338,6 +373,9 @@
         hints.allowed = &allowed;
     for (size_t n = 0; n < candidates.size(); n++)
         preparePlacement(candidates[n], *sessions[n], key, step);
+    markHeld(candidates, sessions, plan, key);
+    if (m_desc.features.reservations && m_largestWaiting.cpu > step.need.cpu)
+        hints.largestWaiting = &m_largestWaiting;
     m_stats.endpointsEvaluated += candidates.size();
     auto chosen = choosePlacement(step, hints, candidates);
     if (!chosen && hints.isIsolated)
@@ -372,6 +410,7 @@
     auto allowed = advice ? advice->allowedEndpoints(m_clock.now()) : std::vector<std::string>();
     if (advice)
         hints.allowed = &allowed;
+    markHeld(candidates, sessions, plan, first);
     // Try on a copy of the candidates: either all members are placed or none.
     auto trial = candidates;
     std::vector<size_t> chosen;
@@ -406,6 +445,7 @@
 void Dispatcher::proposePlacement(JobPlan& plan, const TaskKey& key, uint32_t number, EndpointSession& session, const std::string& ticket)
 {
     RunKey run { key, number };
+    updateReservation(session, plan, key);
     addRun(session, *plan.job, run).ticket = ticket;
     plan.proposedRuns[key] = number;
     m_pendingPlacements.push_back({ run, session.endpoint.id });
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/reservation_plan_p.h"
 #include "policy/speed_estimate_p.h"
 
 #include <vanillalift/clock.h>
@@ -127,6 +128,9 @@
     uint32_t liveRuns = 0;
     /// No start is to be added until then: an isolated task has just been started, or is to be started.
     TimePoint reservedUntil;
+    /// Room that is kept for a large task, and from when there may be another one after it was given up.
+    std::optional<Reservation> reservation;
+    TimePoint reservableFrom;
     /// When a run was last placed or its start accepted.
     TimePoint lastStartAt;
     /// The endpoint has reported its runs in this leader's term, and they were compared with the store.
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -553,6 +553,11 @@
     visit("jobs_given_up_total", "Jobs that failed in this term because a task crashed endpoints.", static_cast<double>(stats.jobsGivenUp));
     visit("placements_total", "Tasks placed in this term.", static_cast<double>(stats.placements));
     visit("placement_trials_total", "Endpoints evaluated for tasks in this term, whether or not the task was placed.", static_cast<double>(stats.endpointsEvaluated));
+    visit("reservations_held", "Endpoints with room that is kept for a large task.", static_cast<double>(stats.reservationsHeld));
+    visit("reservations_made_total", "Reservations made in this term.", static_cast<double>(stats.reservationsMade));
+    visit("reservations_kept_total", "Reservations in this term whose room a task of their step has taken.", static_cast<double>(stats.reservationsKept));
+    visit("reservations_given_up_total", "Reservations given up in this term.", static_cast<double>(stats.reservationsGivenUp));
+    visit("jobs_behind_reservations_total", "Jobs placed in this term after a reservation for another one had kept them from free capacity.", static_cast<double>(stats.jobsBehindReservations));
     visit("endpoints_silent", "Endpoints that do not answer, or have not yet in this term.", static_cast<double>(stats.endpointsSilent));
     visit("endpoints_unreported", "Endpoints that answer but get no tasks because no recent heartbeat tells their capacity.", static_cast<double>(stats.endpointsUnreported));
     visit("ready_tasks", "Tasks that wait for free capacity.", static_cast<double>(stats.readyTasks));
--- a/src/policy/queue_order_p.h
+++ b/src/policy/queue_order_p.h
@@ -8,6 +8,9 @@
 
 namespace vanillalift::jobs {
 
+/// A job that takes longer than this multiple of its latency objective has no value.
+constexpr int expiryFactor = 3;
+
 /// A job with tasks to place, with the properties that decide its rank.
 struct SchedulableJob {
     uint64_t serial = 0;
