Record evacuated availability zones in the replicated state

Operators of some deployments withdraw an availability zone from use and give it back.

Tests: job_store_test, state_fuzz_test.

--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -178,6 +178,7 @@
     void onRunEnded(Job& job, const EndedRun& run, const std::string& endpoint) override;
     void onWave(const WaveState& /*wave*/) override { }
     void onSuspicion(Job& job, const TaskKey& task, bool isGivenUp) override;
+    void onEvacuation(const std::string& /*zone*/) override { }
 
 private:
     struct Waiter {
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -430,6 +430,13 @@
     }
 }
 
+void JobStore::apply(PutEvacuation& command)
+{
+    bool hasChanged = command.isEvacuated ? m_evacuations.try_emplace(command.zone, command.orderedAtMs).second : m_evacuations.erase(command.zone) > 0;
+    if (hasChanged && m_observer)
+        m_observer->onEvacuation(command.zone);
+}
+
 Job* JobStore::findJob(std::string_view id)
 {
     auto it = m_jobsById.find(std::string(id));
@@ -509,6 +516,7 @@
     for (const auto& [key, it] : m_suspects)
         suspects.emplace_back(key.first, it);
     msgpack::pack(buf, suspects);
+    msgpack::pack(buf, m_evacuations);
     return { buf.data(), buf.size() };
 }
 
@@ -537,9 +545,12 @@
         m_jobs[job->serial] = std::move(job);
     }
     m_suspects.clear();
-    // Snapshots of earlier versions end here.
+    m_evacuations.clear();
+    // Snapshots of earlier versions end here, or after the suspects.
     if (offset < snapshot.size())
         restoreSuspects(next().get());
+    if (offset < snapshot.size())
+        next().get().convert(m_evacuations);
 }
 
 void JobStore::restoreSuspects(const msgpack::object& object)
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -134,7 +134,16 @@
     MSGPACK_DEFINE(tasks)
 };
 
-using Command = std::variant<PutCatalog, PutEndpoint, RemoveEndpoint, PutJob, CancelJob, PlaceRuns, EndRuns, PutWave, MarkMaintained, PurgeJobs, PutReplica, RequestMaintenance, RecordSuspects, ResolveSuspects, ForgetCrashes, MarkDeregistered>;
+/// Withdraws an availability zone from use, or gives it back.
+struct PutEvacuation {
+    std::string zone;
+    bool isEvacuated = false;
+    /// Unix time of the order, in milliseconds; only reported.
+    int64_t orderedAtMs = 0;
+    MSGPACK_DEFINE(zone, isEvacuated, orderedAtMs)
+};
+
+using Command = std::variant<PutCatalog, PutEndpoint, RemoveEndpoint, PutJob, CancelJob, PlaceRuns, EndRuns, PutWave, MarkMaintained, PurgeJobs, PutReplica, RequestMaintenance, RecordSuspects, ResolveSuspects, ForgetCrashes, MarkDeregistered, PutEvacuation>;
 
 /// Appends one serialized command to a log entry.
 void appendCommand(std::string& entry, const Command& command);
@@ -263,6 +272,8 @@
     /// The task's crashes, or losses of endpoints that may be crashes, have changed.
     /// @param isGivenUp the job has failed because of the task's crashes.
     virtual void onSuspicion(Job& job, const TaskKey& task, bool isGivenUp) = 0;
+    /// The availability zone was evacuated or given back.
+    virtual void onEvacuation(const std::string& zone) = 0;
 };
 
 /// Deterministic state machine that every control instance builds from the same log. Must be used from one thread only.
@@ -291,6 +302,8 @@
     [[nodiscard]] const std::map<uint64_t, std::unique_ptr<Job>>& jobs() const { return m_jobs; }
     [[nodiscard]] const std::map<uint64_t, WaveState>& waves() const { return m_waves; }
     [[nodiscard]] const std::map<std::string, ReplicaInfo>& replicas() const { return m_replicas; }
+    /// @returns when each evacuated availability zone was evacuated, in Unix milliseconds, by zone.
+    [[nodiscard]] const std::map<std::string, int64_t>& evacuations() const { return m_evacuations; }
     /// @returns runs that are suspected of having crashed their endpoint.
     [[nodiscard]] const std::map<IncarnationKey, SuspectRuns>& suspects() const { return m_suspects; }
     [[nodiscard]] Job* findJob(std::string_view id);
@@ -323,6 +336,7 @@
     void apply(ResolveSuspects& command);
     void apply(ForgetCrashes& command);
     void apply(MarkDeregistered& command);
+    void apply(PutEvacuation& command);
     /// Calls the function with each recorded run whose job and task are still in the state.
     void forEachSuspect(SuspectRuns& suspects, const std::function<void(SuspectRun&, Job&, Task&)>& handler);
 
@@ -349,6 +363,7 @@
     std::map<uint64_t, WaveState> m_waves;
     std::map<std::string, ReplicaInfo> m_replicas;
     std::map<IncarnationKey, SuspectRuns> m_suspects;
+    std::map<std::string, int64_t> m_evacuations;
     uint64_t m_lastSerial = 0;
     uint64_t m_skippedCommands = 0;
 };
--- a/tests/jobs/job_store_test.cpp
+++ b/tests/jobs/job_store_test.cpp
@@ -276,6 +276,41 @@
     CHECK(other.replicas().at("10.0.0.1:7000").isReplacement);
 }
 
+TEST_CASE("evacuated availability zones are part of the state and of its snapshot, and repeated orders change nothing", "[store]")
+{
+    Fixture f;
+    f.apply(PutEvacuation { "z1", true, 1000 });
+    f.apply(PutEvacuation { "z2", true, 1500 });
+    f.apply(PutEvacuation { "z1", true, 2000 });
+    JobStore other;
+    other.restore(f.store.snapshot());
+    CHECK(other.evacuations() == std::map<std::string, int64_t> { { "z1", 1000 }, { "z2", 1500 } });
+    f.apply(PutEvacuation { "z1", false, 3000 });
+    f.apply(PutEvacuation { "z1", false, 3500 });
+    CHECK(f.store.evacuations() == std::map<std::string, int64_t> { { "z2", 1500 } });
+    other.restore(f.store.snapshot());
+    CHECK(other.evacuations() == f.store.evacuations());
+}
+
+// Guards against a controller that cannot start after an update: the snapshot on its disk ends before the evacuations.
+TEST_CASE("a snapshot of a version without evacuations is read", "[store]")
+{
+    Fixture f;
+    auto snapshot = f.store.snapshot();
+    constexpr char emptyMap = static_cast<char>(0x80);
+    REQUIRE(snapshot.back() == emptyMap);
+    snapshot.pop_back();
+    JobStore other;
+    other.apply([] {
+        std::string entry;
+        appendCommand(entry, PutEvacuation { "z1", true, 1000 });
+        return entry;
+    }());
+    other.restore(snapshot);
+    CHECK(other.evacuations().empty());
+    CHECK(other.endpoints().size() == 1);
+}
+
 TEST_CASE("finished jobs are purged only when they have no placements", "[store]")
 {
     Fixture f;
--- a/tests/jobs/state_fuzz_test.cpp
+++ b/tests/jobs/state_fuzz_test.cpp
@@ -34,7 +34,7 @@
     auto number = [&](size_t n) { return static_cast<uint32_t>(random.below(n)); };
     auto run = [&] { return RunKey { { 1 + random.below(8), number(2), number(2), number(3) }, 1 + number(4) }; };
     auto startedAtMs = [&] { return static_cast<int64_t>(1 + random.below(3)); };
-    switch (random.below(16)) {
+    switch (random.below(17)) {
     case 0: {
         Catalog catalog;
         catalog.version = 1 + random.below(30);
@@ -88,6 +88,8 @@
         return RecordSuspects { name("e", 4), startedAtMs(), { { run(), 1 + number(50000), 0 } } };
     case 14:
         return ResolveSuspects { name("e", 4), startedAtMs(), random.chance(0.5), 8 };
+    case 15:
+        return PutEvacuation { name("z", 2), random.chance(0.5), 3 };
     default:
         return random.chance(0.5) ? Command { ForgetCrashes { { run().task } } } : Command { MarkDeregistered { name("e", 4), startedAtMs() } };
     }
