--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -434,6 +434,13 @@
     }
 }
 
+void JobStore::apply(PutEvacuation& command)
+{
+    bool hasChanged = command.isEvacuated ? m_evacuations.try_emplace(command.zone, command.orderedAtMs).second : m_evacuations.erase(command.zone) > 0;
+    if (hasChanged && m_observer)
+        m_observer->onEvacuation(command.zone);
+}
+
 Job* JobStore::findJob(std::string_view id)
 {
     auto it = m_jobsById.find(std::string(id));
@@ -514,6 +521,7 @@
         suspects.emplace_back(key.first, it);
     msgpack::pack(buf, suspects);
     msgpack::pack(buf, m_agreedRate);
+    msgpack::pack(buf, m_evacuations);
     return { buf.data(), buf.size() };
 }
 
@@ -542,12 +550,15 @@
         m_jobs[job->serial] = std::move(job);
     }
     m_suspects.clear();
-    // Snapshots of earlier versions end here.
+    m_evacuations.clear();
+    // Snapshots of earlier versions end here or after one of the following parts.
     if (offset < snapshot.size())
         restoreSuspects(next().get());
     m_agreedRate = {};
     if (offset < snapshot.size())
         next().get().convert(m_agreedRate);
+    if (offset < snapshot.size())
+        next().get().convert(m_evacuations);
 }
 
 void JobStore::restoreSuspects(const msgpack::object& object)
