Record measured run times in the log, and learn from them in every controller

Cause: what a leader had measured was lost with it, and other controllers knew declarations only.

The end of a run is logged with its measured and declared time.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -233,15 +233,15 @@
 
 TaskName Dispatcher::taskNameOf(const Run& run) const { return { run.jobId, run.key.task.occurrence, run.key.task.step, run.key.task.index }; }
 
-void Dispatcher::queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint, std::string_view cause)
+void Dispatcher::queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint, std::string_view cause, uint32_t runTimeMs)
 {
     if (run.phase == RunPhase::Ended)
         return;
     releaseRun(session, run);
     session.uncommittedEnds++;
-    m_pendingEnds.push_back({ run.key, end, checkpoint.empty() ? run.checkpoint : checkpoint });
+    m_pendingEnds.push_back({ run.key, end, checkpoint.empty() ? run.checkpoint : checkpoint, runTimeMs });
     auto line = end == RunEnd::Done ? m_log.line("run-end") : m_log.decisionLine("run-end");
-    std::move(line).field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("end", runEndName(end)).field("cause", cause).field("percent", run.percent);
+    std::move(line).field("job", run.jobId).field("task", run.key.task).field("run", run.key.number).field("endpoint", session.endpoint.id).field("end", runEndName(end)).field("cause", cause).field("percent", run.percent).field("run-ms", runTimeMs).field("declared-ms", run.estimateMs);
 }
 
 void Dispatcher::flushRunEnds()
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -221,7 +221,8 @@
 
     // Ends (dispatcher.cpp)
     /// @param cause logged with the end.
-    void queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint, std::string_view cause);
+    /// @param runTimeMs see EndedRun.
+    void queueRunEnd(EndpointSession& session, Run& run, RunEnd end, const std::string& checkpoint, std::string_view cause, uint32_t runTimeMs = 0);
     void flushRunEnds();
     void logJobEnd(const Job& job);
 
@@ -284,6 +285,8 @@
     // Speculative copies and speed estimates of endpoints (dispatcher_speculation.cpp)
     void planSpeculativeCopies();
     [[nodiscard]] Duration expectedRunTime(const Run& run);
+    /// @returns how long the task took whose run has just ended, in milliseconds; 0 if that says nothing about other runs.
+    [[nodiscard]] uint32_t measuredRunTimeMs(const EndpointSession& session, const Run& run) const;
     void updateSpeedEstimate(EndpointSession& session, const Run& run);
     /// @returns the run of a task that is not done and has exactly one, or nullptr.
     [[nodiscard]] const Run* onlyRunOf(const TaskKey& key, const Task& task) const;
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -355,7 +355,9 @@
     auto* run = findRun(session, key);
     if (!run || run->phase == RunPhase::Ended)
         return;
+    uint32_t runTimeMs = 0;
     if (report.end == RunEnd::Done) {
+        runTimeMs = measuredRunTimeMs(session, *run);
         m_stats.runsDone++;
         session.consecutiveFailures = 0;
         updateSpeedEstimate(session, *run);
@@ -363,7 +365,7 @@
         m_stats.runsFailed++;
         recordFailure(session, "a task failed");
     }
-    queueRunEnd(session, *run, report.end, report.checkpoint, "reported");
+    queueRunEnd(session, *run, report.end, report.checkpoint, "reported", runTimeMs);
 }
 
 void Dispatcher::recordFailure(EndpointSession& session, const char* reason)
--- a/src/jobs/dispatcher_speculation.cpp
+++ b/src/jobs/dispatcher_speculation.cpp
@@ -11,6 +11,11 @@
 
     /// Interval at which runs are checked for speculative copies.
     constexpr std::chrono::milliseconds speculationInterval { 100 };
+    constexpr uint32_t fullSpeedPercent = 100;
+    /// Speed below which an endpoint's runs say more about the endpoint than about their tasks.
+    constexpr double minSpeedToLearn = 0.7;
+    /// A day: longer runs count as this long.
+    constexpr int64_t maxRunTimeMs = 86'400'000;
 
 } // namespace
 
@@ -53,6 +58,16 @@
     return std::chrono::milliseconds(static_cast<int64_t>(run.estimateMs * ratio));
 }
 
+uint32_t Dispatcher::measuredRunTimeMs(const EndpointSession& session, const Run& run) const
+{
+    auto now = m_clock.now();
+    bool isMeasured = !run.isLongRunning && run.startedAt != TimePoint {} && !run.wasInherited && run.resumedFrom.empty() && run.targetSpeedPercent == fullSpeedPercent && run.speedPercent == fullSpeedPercent;
+    if (!isMeasured || run.mustStop || run.isBestEffort || session.speed.at(now) < minSpeedToLearn)
+        return 0;
+    auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - run.startedAt).count();
+    return static_cast<uint32_t>(std::clamp<int64_t>(ms, 1, maxRunTimeMs));
+}
+
 void Dispatcher::updateSpeedEstimate(EndpointSession& session, const Run& run)
 {
     auto now = m_clock.now();
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -41,6 +41,19 @@
     return std::all_of(after.begin(), after.end(), [&](uint32_t it) { return states[it].doneCount == states[it].tasks.size(); });
 }
 
+RunTimeKey Job::runTimeKey(uint32_t occurrence, uint32_t step) const
+{
+    RunTimeKey key { queue.name, step, static_cast<double>(spec.steps[step].estimateMs) };
+    // A job that has ended has no occurrences left.
+    if (occurrence >= occurrences.size())
+        return key;
+    const auto& state = occurrences[occurrence].steps[step];
+    key.siblings = state.measuredRuns;
+    if (state.measuredRuns > 0)
+        key.siblingMs = static_cast<double>(state.measuredMs) / state.measuredRuns;
+    return key;
+}
+
 Task* Job::findTask(const TaskKey& key)
 {
     bool isKnown = key.occurrence < occurrences.size() && key.step < occurrences[key.occurrence].steps.size()
@@ -107,6 +120,7 @@
         return;
     m_catalog = std::move(command.catalog);
     indexQueues();
+    m_runTimes.retainQueues([this](const std::string& name) { return m_queueByName.contains(name); });
     if (m_observer)
         m_observer->onCatalog();
 }
@@ -269,6 +283,8 @@
     if (run.end == RunEnd::Failed)
         task->lastFailedEndpoint = endpoint;
     const auto& spec = job->spec.steps[key.step];
+    if (run.end == RunEnd::Done && run.runTimeMs > 0 && !spec.isLongRunning)
+        learnRunTime(*job, run);
     if (job->isActive() && !task->isDone && !spec.isLongRunning) {
         if (run.end == RunEnd::Done)
             markDone(*job, key, endedAtMs);
@@ -281,6 +297,15 @@
         job->occurrences.clear();
 }
 
+void JobStore::learnRunTime(Job& job, const EndedRun& run)
+{
+    const auto& key = run.run.task;
+    m_runTimes.add(job.runTimeKey(key.occurrence, key.step), run.runTimeMs);
+    auto& step = job.occurrences[key.occurrence].steps[key.step];
+    step.measuredRuns++;
+    step.measuredMs += run.runTimeMs;
+}
+
 void JobStore::countFailure(Job& job, Task& task, const RunKey& run, int64_t endedAtMs)
 {
     const auto& key = run.task;
@@ -509,6 +534,7 @@
     for (const auto& [key, it] : m_suspects)
         suspects.emplace_back(key.first, it);
     msgpack::pack(buf, suspects);
+    msgpack::pack(buf, m_runTimes.sums());
     return { buf.data(), buf.size() };
 }
 
@@ -540,6 +566,7 @@
     // Snapshots of earlier versions end here.
     if (offset < snapshot.size())
         restoreSuspects(next().get());
+    m_runTimes.restore(offset < snapshot.size() ? next().get().as<std::map<std::string, RunTimeModel::QueueSums>>() : std::map<std::string, RunTimeModel::QueueSums> {});
 }
 
 void JobStore::restoreSuspects(const msgpack::object& object)
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/crash_attribution_p.h"
+#include "policy/run_time_model_p.h"
 
 #include <vanillalift/job.h>
 
@@ -65,7 +66,9 @@
     RunEnd end = RunEnd::Done;
     /// Empty if the run produced no newer checkpoint.
     std::string checkpoint;
-    MSGPACK_DEFINE(run, end, checkpoint)
+    /// How long the task took, in milliseconds; 0 if the run says nothing about it.
+    uint32_t runTimeMs = 0;
+    MSGPACK_DEFINE(run, end, checkpoint, runTimeMs)
 };
 /// Committed before the ends are acknowledged to the endpoint, which then discards them.
 struct EndRuns {
@@ -174,7 +177,10 @@
 struct Step {
     std::vector<Task> tasks;
     uint32_t doneCount = 0;
-    MSGPACK_DEFINE(tasks, doneCount)
+    /// Runs whose time was measured, and the sum of their times in milliseconds.
+    uint32_t measuredRuns = 0;
+    uint64_t measuredMs = 0;
+    MSGPACK_DEFINE(tasks, doneCount, measuredRuns, measuredMs)
 };
 
 struct Occurrence {
@@ -205,6 +211,8 @@
     [[nodiscard]] bool isLongRunning() const { return !spec.steps.empty() && spec.steps.front().isLongRunning; }
     /// Whether all tasks of the steps it depends on are done.
     [[nodiscard]] bool isStepReady(uint32_t occurrence, uint32_t step) const;
+    /// @returns what tells how long a task of the step takes.
+    [[nodiscard]] RunTimeKey runTimeKey(uint32_t occurrence, uint32_t step) const;
     Task* findTask(const TaskKey& key);
     [[nodiscard]] const Task* findTask(const TaskKey& key) const;
 };
@@ -293,6 +301,8 @@
     [[nodiscard]] const std::map<std::string, ReplicaInfo>& replicas() const { return m_replicas; }
     /// @returns runs that are suspected of having crashed their endpoint.
     [[nodiscard]] const std::map<IncarnationKey, SuspectRuns>& suspects() const { return m_suspects; }
+    /// @returns how long the runs of earlier tasks took.
+    [[nodiscard]] const RunTimeModel& runTimes() const { return m_runTimes; }
     [[nodiscard]] Job* findJob(std::string_view id);
     [[nodiscard]] const Job* findJob(std::string_view id) const;
     [[nodiscard]] Job* findJobBySerial(uint64_t serial);
@@ -326,6 +336,7 @@
     /// Calls the function with each recorded run whose job and task are still in the state.
     void forEachSuspect(SuspectRuns& suspects, const std::function<void(SuspectRun&, Job&, Task&)>& handler);
 
+    void learnRunTime(Job& job, const EndedRun& run);
     void restoreSuspects(const msgpack::object& object);
     void indexQueues();
     void skip(std::string_view reason);
@@ -349,6 +360,7 @@
     std::map<uint64_t, WaveState> m_waves;
     std::map<std::string, ReplicaInfo> m_replicas;
     std::map<IncarnationKey, SuspectRuns> m_suspects;
+    RunTimeModel m_runTimes;
     uint64_t m_lastSerial = 0;
     uint64_t m_skippedCommands = 0;
 };
--- a/tests/jobs/job_store_test.cpp
+++ b/tests/jobs/job_store_test.cpp
@@ -276,6 +276,40 @@
     CHECK(other.replicas().at("10.0.0.1:7000").isReplacement);
 }
 
+TEST_CASE("run times that the log carries are learned alike by every controller and kept by snapshots; failures teach nothing", "[store]")
+{
+    Fixture f;
+    auto spec = makeSpec("a", { 40 });
+    spec.steps[0].estimateMs = 1000;
+    auto job = f.submit(spec);
+    auto endAfter = [&](Fixture& it, uint32_t task, RunEnd outcome, uint32_t ms) {
+        it.place({ job, 0, 0, task }, 1);
+        it.apply(EndRuns { { { { { job, 0, 0, task }, 1 }, outcome, "", ms } }, 0 });
+    };
+    for (uint32_t n = 0; n < 16; n++)
+        endAfter(f, n, RunEnd::Done, 2000);
+    // Unknown times, as of commands of an earlier version, and other ends.
+    endAfter(f, 16, RunEnd::Done, 0);
+    endAfter(f, 17, RunEnd::Failed, 9000);
+    endAfter(f, 18, RunEnd::Stopped, 9000);
+    CHECK(f.store.runTimes().sums().at("q").all.runs == 16);
+    auto key = f.store.findJob("a")->runTimeKey(0, 0);
+    CHECK(key.siblings == 16);
+    CHECK(key.siblingMs == Approx(2000));
+    CHECK(f.store.runTimes().mean({ "q", 0, 1000 }) > 1500);
+    Fixture other;
+    other.store.restore(f.store.snapshot());
+    for (auto* it : { &f, &other })
+        endAfter(*it, 19, RunEnd::Done, 3000);
+    CHECK(other.store.snapshot() == f.store.snapshot());
+    CHECK(other.store.runTimes().sums().at("q").all.runs == 17);
+    // A queue that is no longer configured is forgotten.
+    Catalog catalog;
+    catalog.version = 4;
+    f.apply(PutCatalog { catalog });
+    CHECK(f.store.runTimes().sums().empty());
+}
+
 TEST_CASE("finished jobs are purged only when they have no placements", "[store]")
 {
     Fixture f;
