--- a/tests/jobs/job_store_test.cpp
+++ b/tests/jobs/job_store_test.cpp
@@ -297,9 +297,10 @@
 {
     Fixture f;
     auto snapshot = f.store.snapshot();
-    constexpr char emptyMap = static_cast<char>(0x80);
-    REQUIRE(snapshot.back() == emptyMap);
-    snapshot.pop_back();
+    // The evacuations and the run times.
+    std::string emptyParts("\x80\x80");
+    REQUIRE(snapshot.ends_with(emptyParts));
+    snapshot.resize(snapshot.size() - emptyParts.size());
     JobStore other;
     other.apply([] {
         std::string entry;
