Take operators' orders to evacuate an availability zone

POST and DELETE on /-/evacuation/ZONE, and GET on /-/evacuation/ for the list, where the settings switch evacuations on; 404 elsewhere, as before. Any controller passes the order on to the leader, which answers once the command is committed. An order that is in force, or that the newest proposed order already asks for, gets no further command; while an order is in flight, only the newest one tells how the zone ends. A zone that neither the settings nor an endpoint or controller names gets 404, a malformed name 400, another method 405.

--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -353,7 +353,7 @@
     instances.features = m_desc.features;
     m_instanceManager = std::make_unique<jobs::InstanceManager>(
         instances, status.term, m_store, *m_dispatcher, *m_dependencies.instances, [this](const jobs::Command& command) { m_batcher.propose(command); }, [this] { return soleLeaderUntil(); }, m_clock, m_log);
-    JobService::Desc serviceDesc { [this] { return hasLeaderAuthority(); }, [this] { return m_clock.now() < soleLeaderUntil(); }, [this](const JoinRequest& request) { handleJoin(request); } };
+    JobService::Desc serviceDesc { [this] { return hasLeaderAuthority(); }, [this] { return m_clock.now() < soleLeaderUntil(); }, [this](const JoinRequest& request) { handleJoin(request); }, m_desc.features.evacuation, m_desc.availabilityZones };
     m_service = std::make_unique<JobService>(std::move(serviceDesc), m_store, *m_dispatcher, m_batcher, m_clock, m_log);
     m_leaderClient.setLocalLeader(true, status.term);
 }
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -35,6 +35,8 @@
     Duration maxCapacityReportAge = std::chrono::seconds(3);
     jobs::InstanceManagerDesc instances;
     Features features;
+    /// All availability zones of the deployment, as far as the settings name them.
+    std::vector<std::string> availabilityZones;
 };
 
 /// External systems that a controller calls, behind adapters for the target platform.
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -2,6 +2,8 @@
 
 #include "core/event_log_p.h"
 
+#include <algorithm>
+
 namespace vanillalift::node {
 
 using namespace jobs;
@@ -187,4 +189,51 @@
     respond(makeReply(ReplyStatus::Done));
 }
 
+bool JobService::isZoneKnown(const std::string& zone) const
+{
+    const auto& configured = m_desc.availabilityZones;
+    return std::find(configured.begin(), configured.end(), zone) != configured.end() || m_store.evacuations().contains(zone)
+        || std::any_of(m_store.replicas().begin(), m_store.replicas().end(), [&](const auto& it) { return it.second.availabilityZone == zone; })
+        || std::any_of(m_store.endpoints().begin(), m_store.endpoints().end(), [&](const auto& it) { return it.second.availabilityZone == zone; });
+}
+
+void JobService::handle(EvacuationRequest& request, const Respond& respond)
+{
+    const auto& zone = request.zone;
+    bool isKnown = m_desc.allowsEvacuation && isZoneKnown(zone);
+    bool isInForce = m_store.evacuations().contains(zone);
+    auto pending = m_pendingEvacuations.find(zone);
+    bool isPending = pending != m_pendingEvacuations.end();
+    m_log.stateLine("evacuation-order").field("zone", zone).field("evacuated", request.isEvacuated).field("in-force", isInForce).field("pending", isPending ? pending->second.size() : 0).field("known", isKnown);
+    if (!isKnown)
+        return respondUnknown(ReplyStatus::NoSuchZone, respond);
+    // What holds in the end is what the newest order says, whether or not it is committed.
+    if (isPending && pending->second.back().isEvacuated == request.isEvacuated)
+        return pending->second.back().callbacks.push_back(respond);
+    if (!isPending && isInForce == request.isEvacuated)
+        return respond(makeReply(ReplyStatus::Done));
+    auto number = ++m_lastEvacuationNumber;
+    m_pendingEvacuations[zone].push_back({ number, request.isEvacuated, { respond } });
+    m_batcher.propose(PutEvacuation { zone, request.isEvacuated, wallClockMs() }, [this, zone, number, isAlive = m_isAlive](bool isCommitted) {
+        if (!*isAlive)
+            return;
+        auto& orders = m_pendingEvacuations[zone];
+        auto order = std::find_if(orders.begin(), orders.end(), [&](const auto& it) { return it.number == number; });
+        auto callbacks = std::move(order->callbacks);
+        orders.erase(order);
+        if (orders.empty())
+            m_pendingEvacuations.erase(zone);
+        for (const auto& it : callbacks)
+            it(makeReply(isCommitted ? ReplyStatus::Done : ReplyStatus::NotLeader));
+    });
+}
+
+void JobService::handle(ReadEvacuationsRequest& /*request*/, const Respond& respond)
+{
+    Reply reply;
+    for (const auto& [zone, orderedAtMs] : m_store.evacuations())
+        reply.zones.push_back(zone);
+    respond(reply);
+}
+
 } // namespace vanillalift::node
--- a/src/node/job_service_p.h
+++ b/src/node/job_service_p.h
@@ -22,6 +22,9 @@
         /// Whether no other controller can have been elected: what is unknown here then exists nowhere.
         std::function<bool()> isSoleLeader;
         std::function<void(const JoinRequest&)> handleJoin;
+        /// Whether operators may evacuate availability zones, and the zones of the settings: others are known by what runs there.
+        bool allowsEvacuation = false;
+        std::vector<std::string> availabilityZones {};
     };
 
     JobService(Desc desc, jobs::JobStore& store, jobs::Dispatcher& dispatcher, CommandBatcher& batcher, const Clock& clock, EventLog& log);
@@ -38,14 +41,24 @@
     void handle(PutWaveRequest& request, const Respond& respond);
     void handle(ReadWaveRequest& request, const Respond& respond);
     void handle(JoinRequest& request, const Respond& respond);
+    void handle(EvacuationRequest& request, const Respond& respond);
+    void handle(ReadEvacuationsRequest& request, const Respond& respond);
 
     void submit(ClientRequest& request, const jobs::Queue& queue, const std::string& id, const std::string& workspace, const Respond& respond);
     void read(const jobs::Queue& queue, const std::string& id, const Respond& respond);
     void cancel(const std::string& id, const Respond& respond);
     void propose(const jobs::Command& command, const Respond& respond);
+    [[nodiscard]] bool isZoneKnown(const std::string& zone) const;
     /// Reports something as unknown; if a newer leader may know it, asks the sender to try again there.
     void respondUnknown(ReplyStatus status, const Respond& respond) const;
 
+    /// A proposed order to evacuate a zone or to give it back, with the callbacks of all requests for it.
+    struct PendingEvacuation {
+        uint64_t number = 0;
+        bool isEvacuated = false;
+        std::vector<Respond> callbacks;
+    };
+
     Desc m_desc;
     jobs::JobStore& m_store;
     jobs::Dispatcher& m_dispatcher;
@@ -54,6 +67,9 @@
     EventLog& m_log;
     /// Submissions whose commit is pending, by job id, with the callbacks of all requests that submitted the job.
     std::map<std::string, std::vector<Respond>> m_pendingSubmissions;
+    /// By zone, the newest order last.
+    std::map<std::string, std::vector<PendingEvacuation>> m_pendingEvacuations;
+    uint64_t m_lastEvacuationNumber = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/node/messages_p.h
+++ b/src/node/messages_p.h
@@ -91,8 +91,18 @@
     std::string availabilityZone;
     MSGPACK_DEFINE(name, storageId, availabilityZone)
 };
+/// Withdraws an availability zone from use, or gives it back.
+struct EvacuationRequest {
+    std::string zone;
+    bool isEvacuated = false;
+    MSGPACK_DEFINE(zone, isEvacuated)
+};
+struct ReadEvacuationsRequest {
+    bool unused = false;
+    MSGPACK_DEFINE(unused)
+};
 
-using Request = std::variant<ClientRequest, HeartbeatRequest, DeregisterRequest, PutCatalogRequest, ReadCatalogRequest, PutWaveRequest, ReadWaveRequest, JoinRequest>;
+using Request = std::variant<ClientRequest, HeartbeatRequest, DeregisterRequest, PutCatalogRequest, ReadCatalogRequest, PutWaveRequest, ReadWaveRequest, JoinRequest, EvacuationRequest, ReadEvacuationsRequest>;
 
 enum class ReplyStatus : uint8_t {
     /// Completed, and durable if the request changes state.
@@ -110,6 +120,7 @@
     NotLeader,
     /// No configuration has been set yet.
     NoCatalog,
+    NoSuchZone,
     ReplyStatusCount,
 };
 
@@ -134,7 +145,9 @@
     bool isWaveComplete = false;
     /// With NotLeader: the request was certainly not executed.
     bool isUnhandled = false;
-    MSGPACK_DEFINE(status, retryAfterMs, state, pending, source, isWaveComplete, isUnhandled)
+    /// Reply to ReadEvacuations: the evacuated availability zones.
+    std::vector<std::string> zones;
+    MSGPACK_DEFINE(status, retryAfterMs, state, pending, source, isWaveComplete, isUnhandled, zones)
 };
 
 struct Call {
--- a/tests/jobs/http_forms_test.cpp
+++ b/tests/jobs/http_forms_test.cpp
@@ -124,7 +124,7 @@
     platform::ClientApi clients { loop, clock, memory, log, { clientAddress, readinessAddress, 8 },
         [](const node::Request&, TimePoint, TimePoint, const node::LeaderClient::Handler& handler) { handler({}); }, [] { return true; } };
     platform::ControlApi control { loop, clock, memory, log, controlAddress, 8,
-        [](const node::Request&, TimePoint, const node::LeaderClient::Handler& handler) { handler({}); }, [](std::string_view, std::string_view) { return std::string(); } };
+        [](const node::Request&, TimePoint, const node::LeaderClient::Handler& handler) { handler({}); }, [](std::string_view, std::string_view) { return std::string(); }, true };
     node::MetricsPage metrics { loop, clock, memory, metricsAddress, "", [](const auto&) {} };
     struct Case {
         const Address& address;
@@ -143,6 +143,12 @@
         { controlAddress, "HEAD /-/config", "503", "" },
         { controlAddress, "GET /-/wave-start", "405", "POST" },
         { controlAddress, "PATCH /-/wave-get/1", "405", "GET, HEAD" },
+        { controlAddress, "GET /-/evacuation/z-1", "405", "POST, DELETE" },
+        { controlAddress, "PUT /-/evacuation/z-1", "405", "POST, DELETE" },
+        { controlAddress, "POST /-/evacuation/", "405", "GET, HEAD" },
+        { controlAddress, "POST /-/evacuation/a/b", "400", "" },
+        { controlAddress, "POST /-/evacuation/z-1", "503", "" },
+        { controlAddress, "DELETE /-/evacuation/z-1", "503", "" },
         { controlAddress, "OPTIONS /other", "404", "" },
         { metricsAddress, "POST /metrics", "405", "GET, HEAD" },
         { metricsAddress, "HEAD /metrics", "200", "" },
--- a/tools/controller/main.cpp
+++ b/tools/controller/main.cpp
@@ -95,7 +95,7 @@
     node::Controller controller(loop, clock, log, settings->controller, { &endpoints, &advice, &instances }, std::move(*storage));
     auto forwardCall = [&](node::Request request, TimePoint deadline, node::LeaderClient::Handler handler) { controller.call(std::move(request), deadline, std::move(handler)); };
     net::HttpMemory memory(loop, clock, static_cast<size_t>(static_cast<double>(settings->maxMemoryBytes) * config::httpMemoryShare));
-    platform::ControlApi control(loop, clock, memory, log, *settings->controlAddress, limits.incoming, forwardCall, [&](std::string_view zone, std::string_view id) { return controlAddress(controller.heartbeatReceiver(zone, id), settings->controlAddress->port); });
+    platform::ControlApi control(loop, clock, memory, log, *settings->controlAddress, limits.incoming, forwardCall, [&](std::string_view zone, std::string_view id) { return controlAddress(controller.heartbeatReceiver(zone, id), settings->controlAddress->port); }, settings->controller.features.evacuation);
     node::MetricsPage metrics(loop, clock, memory, { settings->controlAddress->ip, settings->metricsPort }, "vanillalift_controller_", [&](const auto& visit) {
         node::visitProcessMetrics(control.server(), visit);
         visit("unfinished_runs", "Runs in a row before this one that ended without being stopped.", static_cast<double>(runRecord.unfinishedRuns()));
