--- a/src/node/job_service_p.h
+++ b/src/node/job_service_p.h
@@ -24,6 +24,8 @@
         std::function<bool()> isSoleLeader;
         std::function<void(const JoinRequest&)> handleJoin;
         Features features;
+        /// The zones of the settings: others are known by what runs there.
+        std::vector<std::string> availabilityZones {};
     };
 
     JobService(Desc desc, jobs::JobStore& store, jobs::Dispatcher& dispatcher, CommandBatcher& batcher, const Clock& clock, EventLog& log);
@@ -40,6 +42,8 @@
     void handle(PutWaveRequest& request, const Respond& respond);
     void handle(ReadWaveRequest& request, const Respond& respond);
     void handle(JoinRequest& request, const Respond& respond);
+    void handle(EvacuationRequest& request, const Respond& respond);
+    void handle(ReadEvacuationsRequest& request, const Respond& respond);
 
     /// Counts the job against its workspace's agreed rate.
     /// @returns whether it exceeds the rate.
@@ -48,9 +52,17 @@
     void read(const jobs::Queue& queue, const std::string& id, const Respond& respond);
     void cancel(const std::string& id, const Respond& respond);
     void propose(const jobs::Command& command, const Respond& respond);
+    [[nodiscard]] bool isZoneKnown(const std::string& zone) const;
     /// Reports something as unknown; if a newer leader may know it, asks the sender to try again there.
     void respondUnknown(ReplyStatus status, const Respond& respond) const;
 
+    /// A proposed order to evacuate a zone or to give it back, with the callbacks of all requests for it.
+    struct PendingEvacuation {
+        uint64_t number = 0;
+        bool isEvacuated = false;
+        std::vector<Respond> callbacks;
+    };
+
     Desc m_desc;
     jobs::JobStore& m_store;
     jobs::Dispatcher& m_dispatcher;
@@ -61,6 +73,9 @@
     std::map<std::string, std::vector<Respond>> m_pendingSubmissions;
     /// Includes jobs whose commit is pending.
     jobs::AgreedRate m_agreedRate;
+    /// By zone, the newest order last.
+    std::map<std::string, std::vector<PendingEvacuation>> m_pendingEvacuations;
+    uint64_t m_lastEvacuationNumber = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -164,7 +164,7 @@
     SimThread thread;
     /// See DispatcherDesc; takes effect at the leader's next restart.
     Duration placementRetryInterval = DispatcherDesc().placementRetryInterval;
-    /// Takes effect at the next restart of the leader.
+    /// See DispatcherDesc; takes effect at the leader's next restart.
     Features features;
     /// Links send requests over connections, one at a time and in order, as the platform adapter does.
     bool hasQueuedLinks = false;
