Weigh moves in scarcity by the time of a drain and the objective

What a move saves is now limited to the objective of the pool that the instance goes to, and the time of a drain, measured and counting drains under way, is lost in full. The `pool` line tells both.

Test seen to fail without the time of the drain. The other tests now take 0.5 s for a drain, since it counts in full.

--- a/src/jobs/instance_manager_p.h
+++ b/src/jobs/instance_manager_p.h
@@ -65,6 +65,7 @@
         /// Target pool; empty while the instance is drained and has no target yet.
         std::string pool;
         std::string from;
+        TimePoint drainingSince;
         bool isCallPending = false;
         bool isAccepted = false;
         TimePoint nextCallAt;
@@ -76,6 +77,8 @@
     std::vector<PoolInstance> describeInstances(const std::vector<Pool>& pools);
     void requestMove(const std::string& name);
     void finishMoves();
+    /// @returns how long a busy instance takes until it can move.
+    [[nodiscard]] Duration expectedDrainTime() const;
     /// Takes over the moves that an earlier leader has requested and that the platform lists as under way.
     void adoptMoves();
     /// Removes endpoints without runs that do not answer and whose instance the platform lists in another pool: the move has ended them, and
@@ -124,6 +127,8 @@
     std::map<std::string, TimePoint> m_movedAt;
     /// Work has arrived in this term. Until then, idle instances are no sign of low demand.
     bool m_hasDemand = false;
+    /// How long busy instances have taken to finish what they ran before a move, averaged over the latest.
+    Duration m_drainTime = std::chrono::seconds(1);
     TimePoint m_nextPoolPlanAt;
     TimePoint m_nextPoolLogAt;
     double m_callTokens = 0;
--- a/src/jobs/instance_manager_pools.cpp
+++ b/src/jobs/instance_manager_pools.cpp
@@ -18,6 +18,8 @@
     constexpr double backlogObjectiveShare = 0.4;
     /// A move counts as in progress for this much longer than the platform's move time: the new endpoint has to register.
     constexpr std::chrono::milliseconds moveMargin { 2500 };
+    /// Weight of the latest drain in the average time of a drain.
+    constexpr double drainTimeWeight = 0.1;
 
     /// Added to the move time before an instance counts as spare, since the platform's timers can fire late.
     constexpr std::chrono::milliseconds spareMoveMargin { 150 };
@@ -68,6 +70,7 @@
         pool.load.isRising = load.isRising;
         pool.load.arriving = std::max(arriving, load.expectedPeak);
         pool.load.backlogSeconds = toInstances(load.backlog, instance);
+        pool.load.objectiveSeconds = load.objectiveSeconds;
         pool.load.backlogTargetSeconds = std::max(load.objectiveSeconds * backlogObjectiveShare, 0.5);
         pools.push_back(std::move(pool));
     }
@@ -150,6 +153,21 @@
     }
 }
 
+Duration InstanceManager::expectedDrainTime() const
+{
+    auto now = m_clock.now();
+    Duration total {};
+    Duration::rep count = 0;
+    for (const auto& [name, move] : m_moves) {
+        if (!move.pool.empty() || move.drainingSince == TimePoint {})
+            continue;
+        total += now - move.drainingSince;
+        count++;
+    }
+    // Those that are still under way tell of long runs before the first of them have ended.
+    return count > 0 ? std::max(m_drainTime, total / count) : m_drainTime;
+}
+
 void InstanceManager::updatePools()
 {
     auto now = m_clock.now();
@@ -157,22 +175,27 @@
     removeMovedEndpoints();
     auto pools = describePools();
     auto instances = describeInstances(pools);
-    auto actions = planPools(pools, instances, m_hasDemand, now, { m_desc.features.scarcity, m_desc.moveTime });
+    auto actions = planPools(pools, instances, m_hasDemand, now, { m_desc.features.scarcity, m_desc.moveTime, expectedDrainTime() });
     if (now >= m_nextPoolLogAt) {
         m_nextPoolLogAt = now + poolLogInterval;
         for (size_t n = 0; n < pools.size(); n++) {
             auto count = [&](auto test) { return std::count_if(instances.begin(), instances.end(), [&](const PoolInstance& it) { return it.pool == n && test(it); }); };
             auto isListedElsewhere = [&](const PoolInstance& it) { return !m_moves.contains(it.name) && m_instances.at(it.name).instance.pool != pools[n].name; };
-            m_log.stateLine("pool").field("pool", pools[n].name).field("wanted", desiredInstances(pools[n].load)).field("instances", count([](const auto&) { return true; })).field("idle", count([](const auto& it) { return it.isIdle; })).field("fixed", count([](const auto& it) { return it.isPinned; })).field("away", count([](const auto& it) { return it.isUnavailable; })).field("coming", count([](const auto& it) { return it.isMovingIn; })).field("idle-fixed", count([](const auto& it) { return it.isIdle && it.isPinned; })).field("elsewhere", count(isListedElsewhere)).field("arriving", pools[n].load.arriving).field("runnable", pools[n].load.runnable).field("backlog", pools[n].load.backlogSeconds).field("lasting", pools[n].load.reservedByLongRunning).field("limited", pools[n].load.limited).field("share", actions.shares.empty() ? desiredInstances(pools[n].load) : static_cast<double>(actions.shares[n]));
+            m_log.stateLine("pool").field("pool", pools[n].name).field("wanted", desiredInstances(pools[n].load)).field("instances", count([](const auto&) { return true; })).field("idle", count([](const auto& it) { return it.isIdle; })).field("fixed", count([](const auto& it) { return it.isPinned; })).field("away", count([](const auto& it) { return it.isUnavailable; })).field("coming", count([](const auto& it) { return it.isMovingIn; })).field("idle-fixed", count([](const auto& it) { return it.isIdle && it.isPinned; })).field("elsewhere", count(isListedElsewhere)).field("arriving", pools[n].load.arriving).field("runnable", pools[n].load.runnable).field("backlog", pools[n].load.backlogSeconds).field("lasting", pools[n].load.reservedByLongRunning).field("limited", pools[n].load.limited).field("objective", pools[n].load.objectiveSeconds).field("drain-ms", std::chrono::duration_cast<std::chrono::milliseconds>(expectedDrainTime()).count()).field("share", actions.shares.empty() ? desiredInstances(pools[n].load) : static_cast<double>(actions.shares[n]));
         }
     }
     for (auto n : actions.cancelDrain)
         m_moves.erase(instances[n].name);
-    for (auto n : actions.drainForMove)
-        m_moves[instances[n].name].from = pools[instances[n].pool].name;
+    for (auto n : actions.drainForMove) {
+        auto& move = m_moves[instances[n].name];
+        move.from = pools[instances[n].pool].name;
+        move.drainingSince = now;
+    }
     for (const auto& it : actions.moves) {
         const auto& instance = instances[it.instance];
         auto& move = m_moves[instance.name];
+        if (move.drainingSince != TimePoint {})
+            m_drainTime += std::chrono::duration_cast<Duration>((now - move.drainingSince - m_drainTime) * drainTimeWeight);
         move.from = pools[instance.pool].name;
         move.pool = pools[it.pool].name;
         m_log.line("move").field("instance", instance.name).field("from", move.from).field("to", move.pool).field("wanted", desiredInstances(pools[it.pool].load)).field("arriving", pools[it.pool].load.arriving).field("backlog", pools[it.pool].load.backlogSeconds).field("saved-there", it.savedThere).field("saved-here", it.savedHere);
--- a/src/policy/pool_plan.cpp
+++ b/src/policy/pool_plan.cpp
@@ -37,9 +37,6 @@
     constexpr double maxLastingMoves = 8;
     /// While a pool's backlog grows, its demand is expected to last at least this many times as long as a move takes.
     constexpr double growingLastingMoves = 3;
-    /// What an instance loses while it moves, in units of the time of a move: with a drain before the move, and without one.
-    constexpr double drainAndMoveCost = 1.5;
-    constexpr double moveCost = 1;
     /// An instance that has just moved stays for this many times as long as the move takes.
     constexpr double stayMoves = 2;
 
@@ -80,6 +77,7 @@
     private:
         /// What one more instance than @p n saves the callers of a pool: its demand, in equal parts per instance.
         [[nodiscard]] double saved(size_t pool, size_t n) const { return m_balance[pool].desired / (static_cast<double>(n) + 1); }
+        [[nodiscard]] static double seconds(Duration it) { return std::chrono::duration<double>(it).count(); }
         [[nodiscard]] size_t staying(size_t pool) const { return m_balance[pool].present - m_balance[pool].draining; }
 
         void divide()
@@ -109,16 +107,21 @@
             }
         }
 
-        [[nodiscard]] bool isWorthMoving(size_t from, size_t to, double cost) const
+        /// @param lost time that the instance is of no use, in seconds.
+        [[nodiscard]] bool isWorthMoving(size_t from, size_t to, double lost) const
         {
             if (m_pools[from].isSpare || staying(to) == 0)
                 return true;
-            auto moveSeconds = std::max(0.1, std::chrono::duration<double>(m_rules.moveTime).count());
-            auto lasting = m_pools[to].load.backlogSeconds / static_cast<double>(staying(to)) / moveSeconds;
-            bool isGrowing = m_pools[to].load.isRising || m_pools[to].load.arriving > static_cast<double>(staying(to));
+            const auto& load = m_pools[to].load;
+            auto lasting = load.backlogSeconds / static_cast<double>(staying(to));
+            bool isGrowing = load.isRising || load.arriving > static_cast<double>(staying(to));
             auto shortest = isGrowing ? growingLastingMoves : minLastingMoves;
-            lasting = std::clamp(lasting, shortest, maxLastingMoves);
-            return saved(to, staying(to)) * (1 - cost / lasting) > saved(from, staying(from) - 1);
+            auto move = std::max(0.1, seconds(m_rules.moveTime));
+            lasting = std::clamp(lasting, shortest * move, maxLastingMoves * move);
+            // What waits longer than the objective is late when it ends, wherever instances go now.
+            if (load.objectiveSeconds > 0)
+                lasting = std::min(lasting, load.objectiveSeconds);
+            return saved(to, staying(to)) * (1 - lost / lasting) > saved(from, staying(from) - 1);
         }
 
         [[nodiscard]] bool isSettling(const PoolInstance& it) const
@@ -175,12 +178,12 @@
         }
 
         /// @returns the pool in which an instance of @p candidates is missed least.
-        [[nodiscard]] std::optional<size_t> donor(const std::vector<std::vector<size_t>>& candidates, size_t to, double cost) const
+        [[nodiscard]] std::optional<size_t> donor(const std::vector<std::vector<size_t>>& candidates, size_t to, double lost) const
         {
             std::optional<size_t> found;
             for (size_t n = 0; n < m_pools.size(); n++) {
                 bool isOversupplied = m_pools[n].isSpare || staying(n) > m_actions.shares[n];
-                if (n == to || candidates[n].empty() || !isOversupplied || !isWorthMoving(n, to, cost))
+                if (n == to || candidates[n].empty() || !isOversupplied || !isWorthMoving(n, to, lost))
                     continue;
                 // Instances that are already billed are moved before spare ones.
                 bool isBetter = !found || m_pools[*found].isSpare || (!m_pools[n].isSpare && saved(n, staying(n) - 1) < saved(*found, staying(*found) - 1));
@@ -213,7 +216,7 @@
                         continue;
                     }
                 }
-                auto from = donor(m_idle, *to, moveCost);
+                auto from = donor(m_idle, *to, seconds(m_rules.moveTime));
                 if (!from)
                     return;
                 auto instance = m_idle[*from].back();
@@ -235,7 +238,7 @@
                     m_balance[*to].present++;
                     continue;
                 }
-                auto from = donor(m_busy, *to, drainAndMoveCost);
+                auto from = donor(m_busy, *to, seconds(m_rules.moveTime) + seconds(m_rules.drainTime));
                 if (!from)
                     return;
                 m_actions.drainForMove.push_back(m_busy[*from].back());
--- a/src/policy/pool_plan_p.h
+++ b/src/policy/pool_plan_p.h
@@ -30,6 +30,8 @@
     double backlogSeconds = 0;
     /// Time in which the backlog has to complete for its jobs to be on time, in seconds.
     double backlogTargetSeconds = 1;
+    /// Mean latency objective of the pool's jobs, in seconds; 0 if it has none.
+    double objectiveSeconds = 0;
 };
 
 /// An instance in the input of planPools().
@@ -86,6 +88,8 @@
     bool isEnabled = false;
     /// How long an instance that moves is of no use to any pool.
     Duration moveTime = std::chrono::seconds(2);
+    /// How long a busy instance usually takes to finish what it runs.
+    Duration drainTime = std::chrono::seconds(1);
 };
 
 /// @returns the number of instances that the pool needs, its reserve included.
--- a/tests/jobs/pool_scarcity_test.cpp
+++ b/tests/jobs/pool_scarcity_test.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 const TimePoint start = TimePoint {} + seconds(1000);
-const ScarcityRules rules { true, milliseconds(1500) };
+const ScarcityRules rules { true, milliseconds(1500), milliseconds(500) };
 
 PoolLoad demand(double arriving, double backlogSeconds)
 {
@@ -196,6 +196,25 @@
     CHECK(fleet.plan().moves.size() >= 19);
 }
 
+TEST_CASE("busy instances stay where they are used if they would come too late for the work of the other pool", "[pools]")
+{
+    // Load: hot-workspace of kcpa-grid-grown, 8 to 13 s: it took some 4 s to drain instances of the pool in its peak for one whose
+    // work was late by then.
+    Pools fleet;
+    fleet.add(0, 50, false);
+    fleet.add(1, 10, false);
+    fleet.pools[0].load = demand(100, 100);
+    fleet.pools[1].load = demand(5, 100);
+    auto slow = rules;
+    slow.drainTime = milliseconds(2600);
+    CHECK(!fleet.plan(slow).drainForMove.empty());
+    fleet.pools[1].load.objectiveSeconds = 3;
+    CHECK(fleet.plan(slow).drainForMove.empty());
+    auto quick = rules;
+    quick.drainTime = milliseconds(200);
+    CHECK(!fleet.plan(quick).drainForMove.empty());
+}
+
 TEST_CASE("without scarcity, pools are planned as before", "[pools]")
 {
     Pools fleet;
