--- a/src/jobs/instance_manager_p.h
+++ b/src/jobs/instance_manager_p.h
@@ -34,6 +34,19 @@
 
     void tick();
 
+    /// Instances of all pools but the spare one, and moves in this term.
+    struct PoolStats {
+        double wanted = 0;
+        /// Usable instances, and how many more those pools want that have less than they want.
+        size_t held = 0;
+        double shortage = 0;
+        bool isScarce = false;
+        uint64_t movesStarted = 0;
+        /// Drains for a move that were cancelled, and moves that the platform did not carry out.
+        uint64_t movesUndone = 0;
+    };
+    [[nodiscard]] const PoolStats& poolStats() const { return m_poolStats; }
+
 private:
     /// Long, because the platform can be slow while it is available.
     static constexpr std::chrono::milliseconds callTimeout { 3000 };
@@ -79,6 +92,7 @@
     void finishMoves();
     /// @returns how long a busy instance takes until it can move.
     [[nodiscard]] Duration expectedDrainTime() const;
+    void countPools(std::span<const Pool> pools, std::span<const PoolInstance> instances, const PoolActions& actions);
     /// Takes over the moves that an earlier leader has requested and that the platform lists as under way.
     void adoptMoves();
     /// Removes endpoints without runs that do not answer and whose instance the platform lists in another pool: the move has ended them, and
@@ -129,6 +143,7 @@
     bool m_hasDemand = false;
     /// How long busy instances have taken to finish what they ran before a move, averaged over the latest.
     Duration m_drainTime = std::chrono::seconds(1);
+    PoolStats m_poolStats;
     TimePoint m_nextPoolPlanAt;
     TimePoint m_nextPoolLogAt;
     double m_callTokens = 0;
--- a/src/jobs/instance_manager_pools.cpp
+++ b/src/jobs/instance_manager_pools.cpp
@@ -168,6 +168,27 @@
     return count > 0 ? std::max(m_drainTime, total / count) : m_drainTime;
 }
 
+void InstanceManager::countPools(std::span<const Pool> pools, std::span<const PoolInstance> instances, const PoolActions& actions)
+{
+    std::vector<size_t> held(pools.size());
+    for (const auto& it : instances)
+        held[it.pool] += it.isUnavailable ? 0 : 1;
+    m_poolStats.wanted = 0;
+    m_poolStats.held = 0;
+    m_poolStats.shortage = 0;
+    for (size_t n = 0; n < pools.size(); n++) {
+        if (pools[n].isSpare)
+            continue;
+        auto wanted = desiredInstances(pools[n].load);
+        m_poolStats.wanted += wanted;
+        m_poolStats.held += held[n];
+        m_poolStats.shortage += std::max(0.0, wanted - static_cast<double>(held[n]));
+    }
+    m_poolStats.isScarce = !actions.shares.empty();
+    m_poolStats.movesStarted += actions.moves.size();
+    m_poolStats.movesUndone += actions.cancelDrain.size();
+}
+
 void InstanceManager::updatePools()
 {
     auto now = m_clock.now();
@@ -176,6 +197,7 @@
     auto pools = describePools();
     auto instances = describeInstances(pools);
     auto actions = planPools(pools, instances, m_hasDemand, now, { m_desc.features.scarcity, m_desc.moveTime, expectedDrainTime() });
+    countPools(pools, instances, actions);
     if (now >= m_nextPoolLogAt) {
         m_nextPoolLogAt = now + poolLogInterval;
         for (size_t n = 0; n < pools.size(); n++) {
@@ -234,6 +256,7 @@
             move.nextCallAt = now + callRetryDelay;
             return;
         }
+        m_poolStats.movesUndone++;
         m_moves.erase(it);
     });
 }
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -558,6 +558,15 @@
     visit("ready_tasks", "Tasks that wait for free capacity.", static_cast<double>(stats.readyTasks));
     visit("live_runs", "Runs that hold capacity.", static_cast<double>(stats.liveRuns));
     visit("open_jobs", "Jobs that are not finished.", static_cast<double>(stats.openJobs));
+    if (!m_instanceManager)
+        return;
+    const auto& pools = m_instanceManager->poolStats();
+    visit("pool_instances_wanted", "Instances that all pools together want.", pools.wanted);
+    visit("pool_instances_held", "Usable instances in all pools but the spare one.", static_cast<double>(pools.held));
+    visit("pool_instances_short", "Instances that pools with too few of them want in addition.", pools.shortage);
+    visit("pools_scarce", "1 while pools together want more instances than there are and each gets a share.", pools.isScarce ? 1 : 0);
+    visit("instance_moves_total", "Moves of instances between pools decided in this term.", static_cast<double>(pools.movesStarted));
+    visit("instance_moves_undone_total", "Drains for a move cancelled in this term, and moves that were not carried out.", static_cast<double>(pools.movesUndone));
 }
 
 } // namespace vanillalift::node
