Mend what the review of the merged parts found

Change: each mended where it is; the estimate of a task's run time is asked for only once the step was not refused before.

--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -100,8 +100,8 @@
     bool isDirty = true;
     /// When the plan has to be recomputed because an occurrence becomes due or due soon.
     TimePoint refreshAt = TimePoint::max();
-    /// A task of the job was refused an endpoint whose room is reserved.
-    bool waitsBehindReservation = false;
+    /// Since when reservations of others have held back a task of the job; the epoch if they have not since its last placement.
+    TimePoint heldSince;
     /// Earliest time of the next log entry about its waiting tasks.
     TimePoint nextWaitLogAt;
 
@@ -331,6 +331,8 @@
     void updateReservation(EndpointSession& session, JobPlan& plan, const TaskKey& key);
     /// @returns when the job's remaining steps have to start for its result to be of use.
     [[nodiscard]] static TimePoint latestStartOf(const JobPlan& plan);
+    /// @returns whether reservations have held back the job's tasks for as long as they may.
+    [[nodiscard]] static bool wasHeldLong(const JobPlan& plan, TimePoint now);
     /// Marks the endpoints on which the task would delay a reserved one.
     void markHeld(std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, const JobPlan& plan, const TaskKey& key) const;
     /// @returns the time that most tasks of the step take at most.
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -45,26 +45,33 @@
 /// The smallest needs that did not fit on any endpoint in this pass, to skip tasks that need at least as much.
 class Dispatcher::UnplaceableNeeds {
 public:
-    /// @param runTime of the task; it may end before a reservation that turns away a longer one.
-    [[nodiscard]] bool covers(const Resources& need, Duration runTime) const
+    /// A need that did not fit, because of the room itself or of a reservation.
+    struct Entry {
+        Resources need;
+        /// Run time from which, and priority up to which a reservation turns the need away; zero if there is no room for any task.
+        Duration runTime;
+        int priority = 0;
+
+        /// @returns whether a task that the other entry describes does not fit either.
+        [[nodiscard]] bool covers(const Entry& it) const { return need.fitsIn(it.need) && runTime <= it.runTime && (runTime == Duration::zero() || priority <= it.priority); }
+    };
+
+    /// @returns an entry that covers the task, or nullptr.
+    [[nodiscard]] const Entry* find(const Entry& entry) const
     {
-        return std::any_of(m_needs.begin(), m_needs.end(), [&](const auto& it) { return it.need.fitsIn(need) && it.runTime <= runTime; });
+        auto it = std::find_if(m_needs.begin(), m_needs.end(), [&](const auto& known) { return known.covers(entry); });
+        return it == m_needs.end() ? nullptr : &*it;
     }
-    /// @param runTime from which the need does not fit; zero if there is no room for a task of any length.
-    void add(const Resources& need, Duration runTime)
+    void add(const Entry& entry)
     {
-        if (covers(need, runTime))
+        if (find(entry))
             return;
-        std::erase_if(m_needs, [&](const auto& it) { return need.fitsIn(it.need) && runTime <= it.runTime; });
+        std::erase_if(m_needs, [&](const auto& it) { return entry.covers(it); });
         if (m_needs.size() < maxUnplaceableNeeds)
-            m_needs.push_back({ need, runTime });
+            m_needs.push_back(entry);
     }
 
 private:
-    struct Entry {
-        Resources need;
-        Duration runTime;
-    };
     std::vector<Entry> m_needs;
 };
 
@@ -249,6 +256,8 @@
 {
     std::vector<TaskKey> unplaced;
     bool isGangPlaced = false;
+    auto now = m_clock.now();
+    auto priority = m_store.queueOf(*plan.job).priority;
     // If one task of a step cannot be placed, neither can the step's other tasks of the same occurrence.
     std::optional<std::pair<uint32_t, uint32_t>> failedStep;
     for (const auto& key : std::exchange(plan.ready, {})) {
@@ -266,9 +275,16 @@
         // An isolated task and others may find different endpoints, so the failure of one says nothing about the other.
         const auto* task = plan.job->findTask(key);
         bool isIsolated = needsIsolation(task->possibleCrashes());
-        bool hasReservation = m_reservedSteps.contains(firstTaskOfStep(key));
-        auto runTime = m_reservedSteps.empty() ? Duration::zero() : longRunTime(plan, key.step);
-        if (!isIsolated && (failedStep == stepOfOccurrence || (!hasReservation && failed.covers(need, runTime)))) {
+        if (!isIsolated && failedStep == stepOfOccurrence) {
+            unplaced.push_back(key);
+            continue;
+        }
+        UnplaceableNeeds::Entry entry { need, m_reservedSteps.empty() ? Duration::zero() : longRunTime(plan, key.step), priority };
+        bool isExempt = m_reservedSteps.contains(firstTaskOfStep(key)) || wasHeldLong(plan, now);
+        if (const auto* known = isIsolated || isExempt ? nullptr : failed.find(entry)) {
+            if (known->runTime > Duration::zero() && plan.heldSince == TimePoint {})
+                plan.heldSince = now;
+            failedStep = stepOfOccurrence;
             unplaced.push_back(key);
             continue;
         }
@@ -287,9 +303,12 @@
             continue;
         failedStep = stepOfOccurrence;
         bool isBehindReservation = std::any_of(candidates.begin(), candidates.end(), [&](const auto& it) { return it.isHeldForOther && need.fitsIn(it.free); });
-        plan.waitsBehindReservation = plan.waitsBehindReservation || isBehindReservation;
+        if (isBehindReservation && plan.heldSince == TimePoint {})
+            plan.heldSince = now;
+        if (!isBehindReservation)
+            entry.runTime = Duration::zero();
         if (!isConstrained(step) && !m_store.queueOf(*plan.job).isAdvised)
-            failed.add(need, isBehindReservation ? runTime : Duration::zero());
+            failed.add(entry);
     }
     plan.ready = std::move(unplaced);
     if (!plan.ready.empty())
--- a/src/jobs/dispatcher_reservations.cpp
+++ b/src/jobs/dispatcher_reservations.cpp
@@ -17,6 +17,8 @@
     constexpr double overrunShare = 0.25;
     /// Least progress, in percent, from which the remaining time of a run is extrapolated.
     constexpr uint32_t minProgress = 20;
+    /// Longest time for which reservations hold back a job's tasks.
+    constexpr std::chrono::milliseconds maxHoldTime { 2000 };
 
     Duration fromMs(double ms) { return std::chrono::microseconds(static_cast<int64_t>(ms * 1000)); }
     double toMs(Duration it) { return std::chrono::duration<double, std::milli>(it).count(); }
@@ -41,13 +43,14 @@
     auto elapsedMs = toMs(now - (run.startedAt == TimePoint {} ? run.placedAt : run.startedAt));
     RunTimeKey key { plan == m_plans.end() ? std::string() : plan->second.job->queue.name, run.key.task.step, static_cast<double>(run.estimateMs) };
     auto remainingMs = std::max(m_runTimes.remaining(key, elapsedMs, reservationQuantile), 0.0);
-    if (remainingMs == 0)
-        remainingMs = overrunShare * elapsedMs;
     if (run.percent >= minProgress && run.startedAt != TimePoint {} && run.resumedFrom.empty()) {
         auto spentMs = toMs(run.progressAt - run.startedAt);
         auto totalMs = 100 * spentMs / run.percent;
         remainingMs = std::max(totalMs - elapsedMs, 0.0);
     }
+    // Also of a run that has stalled after it reported progress.
+    if (remainingMs == 0)
+        remainingMs = overrunShare * elapsedMs;
     return now + fromMs(remainingMs);
 }
 
@@ -78,6 +81,17 @@
         tasks += reservation.tasks;
         m_reservedSteps.insert(reservation.step);
     }
+    for (const auto& [step, tasks] : reserved) {
+        const auto& plan = m_plans.at(step.job);
+        // A gang without room for one of its tasks does not start.
+        if (!plan.job->spec.steps[step.step].isGang || tasks >= waitingTasks(plan, step))
+            continue;
+        m_reservedSteps.erase(step);
+        for (auto& [id, session] : m_sessions) {
+            if (session->reservation && session->reservation->step == step)
+                giveUpReservation(*session, "gang-incomplete");
+        }
+    }
 }
 
 std::string_view Dispatcher::reservationFault(const EndpointSession& session, TimePoint now)
@@ -113,6 +127,8 @@
     session.reservableFrom = now + reservationPause;
 }
 
+bool Dispatcher::wasHeldLong(const JobPlan& plan, TimePoint now) { return plan.heldSince != TimePoint {} && now - plan.heldSince > maxHoldTime; }
+
 void Dispatcher::markHeld(std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, const JobPlan& plan, const TaskKey& key) const
 {
     if (m_reservedSteps.empty())
@@ -121,6 +137,7 @@
     auto need = reservedNeed(step);
     auto endsAt = m_clock.now() + longRunTime(plan, key.step);
     auto priority = m_store.queueOf(*plan.job).priority;
+    bool isExempt = step.isLongRunning || wasHeldLong(plan, m_clock.now());
     for (size_t n = 0; n < candidates.size(); n++) {
         const auto& reservation = sessions[n]->reservation;
         if (!reservation || reservation->step == firstTaskOfStep(key)) {
@@ -128,14 +145,14 @@
             continue;
         }
         const auto& holder = *m_plans.at(reservation->step.job).job;
-        bool ranksAbove = step.isLongRunning || priority < m_store.queueOf(holder).priority;
+        bool ranksAbove = isExempt || priority < m_store.queueOf(holder).priority || (holder.isBeyondRate && !plan.job->isBeyondRate);
         candidates[n].isHeldForOther = !ranksAbove && !reservation->admits(need, endsAt);
     }
 }
 
 void Dispatcher::updateReservation(EndpointSession& session, JobPlan& plan, const TaskKey& key)
 {
-    m_stats.jobsBehindReservations += std::exchange(plan.waitsBehindReservation, false) ? 1 : 0;
+    m_stats.jobsBehindReservations += std::exchange(plan.heldSince, {}) != TimePoint {} ? 1 : 0;
     if (!session.reservation)
         return;
     auto& reservation = *session.reservation;
@@ -176,7 +193,7 @@
     Resources mean { used.cpu / runs, used.memory / runs, used.gpus / runs };
     std::vector<JobPlan*> plans;
     for (auto& [serial, plan] : m_plans) {
-        if (plan.ready.empty() || plan.job->isLongRunning() || m_store.queueOf(*plan.job).service != service || now > latestStartOf(plan))
+        if (plan.ready.empty() || isDeferred(plan) || plan.job->isLongRunning() || m_store.queueOf(*plan.job).service != service || now > latestStartOf(plan))
             continue;
         if (plan.hasWaitingGang || isLargeTask(plan.largestNeed, mean))
             plans.push_back(&plan);
--- a/src/policy/agreed_rate.cpp
+++ b/src/policy/agreed_rate.cpp
@@ -36,8 +36,8 @@
 {
     auto& bucket = m_buckets[workspace];
     bucket.taken = takenAt(bucket, weight, atMs) + (isBeyond ? 0 : token);
-    // A new leader's clock may be behind that of the last one.
-    bucket.updatedAtMs = std::max(bucket.updatedAtMs, atMs);
+    // Also if the clock was set back: the bucket would not refill until it has caught up.
+    bucket.updatedAtMs = atMs;
 }
 
 void AgreedRate::retain(const std::function<bool(const std::string&)>& isKnown)
--- a/src/policy/pool_plan.cpp
+++ b/src/policy/pool_plan.cpp
@@ -50,7 +50,13 @@
         [[nodiscard]] double surplus() const { return static_cast<double>(present) - static_cast<double>(draining) - desired; }
     };
 
-    bool hasWork(const PoolLoad& load) { return load.arriving > 0 || load.runnable > 0 || load.backlogSeconds > 0; }
+    bool hasWork(const PoolLoad& load) { return load.arriving > 0 || load.runnable > 0 || load.backlogSeconds > 0 || load.waitingLongRunningTasks > 0; }
+
+    /// @returns the instances that the pool's long-running tasks need, which are owed whatever other pools want.
+    size_t longRunningInstances(const PoolLoad& load)
+    {
+        return static_cast<size_t>(std::ceil(load.reservedByLongRunning / packingEfficiency)) + std::min(load.waitingLongRunningTasks, maxInstancesForWaiting);
+    }
 
     /// Divides instances among pools that together want more than there are.
     class ScarcityPlanner {
@@ -91,7 +97,7 @@
                 if (m_pools[n].isSpare)
                     continue;
                 // One instance at least, so that no pool with work starves.
-                shares[n] = std::min(left, std::max<size_t>(m_balance[n].pinned, hasWork(m_pools[n].load) ? 1 : 0));
+                shares[n] = std::min(left, std::max<size_t>({ m_balance[n].pinned, longRunningInstances(m_pools[n].load), hasWork(m_pools[n].load) ? 1U : 0U }));
                 left -= shares[n];
             }
             for (; left > 0; left--) {
@@ -135,7 +141,8 @@
         {
             for (size_t n = 0; n < m_instances.size(); n++) {
                 const auto& it = m_instances[n];
-                if (!it.isDrainingForMove || it.isUnavailable || staying(it.pool) >= m_actions.shares[it.pool])
+                bool isNeeded = staying(it.pool) < m_actions.shares[it.pool] || m_pools[it.pool].load.waitingLongRunningTasks > 0;
+                if (!it.isDrainingForMove || it.isUnavailable || !isNeeded)
                     continue;
                 m_actions.cancelDrain.push_back(n);
                 m_balance[it.pool].draining--;
@@ -182,7 +189,8 @@
         {
             std::optional<size_t> found;
             for (size_t n = 0; n < m_pools.size(); n++) {
-                bool isOversupplied = m_pools[n].isSpare || staying(n) > m_actions.shares[n];
+                // Long-running tasks that wait may fit on an instance as soon as its other runs have ended.
+                bool isOversupplied = m_pools[n].isSpare || (staying(n) > m_actions.shares[n] && m_pools[n].load.waitingLongRunningTasks == 0);
                 if (n == to || candidates[n].empty() || !isOversupplied || !isWorthMoving(n, to, lost))
                     continue;
                 // Instances that are already billed are moved before spare ones.
--- a/src/policy/reservation_plan.cpp
+++ b/src/policy/reservation_plan.cpp
@@ -77,7 +77,7 @@
         spare -= taskNeed;
 }
 
-size_t reservationLimit(size_t endpoints) { return std::clamp<size_t>(endpoints / maxReservationPart, 1, maxReservations); }
+size_t reservationLimit(size_t endpoints) { return endpoints < 2 ? 0 : std::clamp<size_t>(endpoints / maxReservationPart, 1, maxReservations); }
 
 bool isLargeTask(const Resources& need, const Resources& meanNeed)
 {
--- a/src/policy/reservation_plan_p.h
+++ b/src/policy/reservation_plan_p.h
@@ -10,7 +10,7 @@
 
 namespace vanillalift::jobs {
 
-/// Reservations of one pool at the same time: at least one, and at most this part of its endpoints and this number.
+/// Reservations of one pool at the same time: at least one if it has several endpoints, and at most this part of them and this number.
 constexpr size_t maxReservationPart = 8;
 constexpr size_t maxReservations = 16;
 /// Endpoints whose runs are looked at for one step.
