Divide a pool that is short by what workspaces have used of it

Shares counted the processors held at the moment, over all pools together, and only divided a job's value: a workspace that sends ten times its own held the room for as long as its jobs were small.

While tasks wait for room in a pool, a workspace that has used more than 1.5 times its weighted part of the resource of which that pool has the least left, averaged over 5 s, comes after the others of the same urgency. With room for all, nothing is reordered. It is back in its place within ln(ratio / 1.5) of 5 s without service.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -167,6 +167,7 @@
     run.key = key;
     run.jobId = job.spec.id;
     run.workspace = job.workspace;
+    run.service = session.endpoint.service;
     run.need = reservedNeed(step);
     run.workspaceNeed = step.need;
     run.isLongRunning = step.isLongRunning;
@@ -187,8 +188,10 @@
     recordStart(session, run);
     session.latencySensitiveRuns += run.latencyTargetMs != 0 ? 1 : 0;
     session.bestEffortRuns += run.isBestEffort ? 1 : 0;
-    if (!run.workspace.empty())
+    if (!run.workspace.empty()) {
         m_workspaceUsage[run.workspace] += run.workspaceNeed;
+        m_fairShares[run.service].change(run.workspace, run.workspaceNeed, run.placedAt);
+    }
     return run;
 }
 
@@ -202,8 +205,10 @@
     session.suspectRuns -= run.crashes > 0 ? 1 : 0;
     session.latencySensitiveRuns -= run.latencyTargetMs != 0 ? 1 : 0;
     session.bestEffortRuns -= run.isBestEffort ? 1 : 0;
-    if (!run.workspace.empty())
+    if (!run.workspace.empty()) {
         m_workspaceUsage[run.workspace] -= run.workspaceNeed;
+        m_fairShares[run.service].change(run.workspace, Resources {} - run.workspaceNeed, m_clock.now());
+    }
     markCapacityFreed(session, run);
 }
 
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -4,6 +4,7 @@
 #include "endpoint_session_p.h"
 #include "job_store_p.h"
 #include "policy/crash_attribution_p.h"
+#include "policy/fair_share_p.h"
 #include "policy/job_estimate_p.h"
 #include "policy/placement_p.h"
 #include "step_advice_p.h"
@@ -301,12 +302,14 @@
         /// Some tasks are held back by their workspace's limit.
         bool isLimited = false;
         TimePoint retryAt;
+        /// Tasks were left without room by the last pass.
+        bool isShort = false;
     };
     class UnplaceableNeeds;
     void place();
     void placeService(const std::string& service, PlacementState& state);
     /// @param maxFree largest free capacity among the schedulable endpoints, separately for each resource.
-    std::vector<JobPlan*> candidatePlans(const std::string& service, const Resources& maxFree, size_t endpoints);
+    std::vector<JobPlan*> candidatePlans(const std::string& service, const Resources& maxFree, size_t endpoints, PlacementState& state);
     void placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, UnplaceableNeeds& failed, PlacementState& state);
     /// Schedules a placement retry after a run released endpoint capacity and part of its workspace's limit.
     void markCapacityFreed(const EndpointSession& session, const Run& run);
@@ -316,6 +319,8 @@
     void proposePlacement(JobPlan& plan, const TaskKey& key, uint32_t run, EndpointSession& session, const std::string& ticket);
     /// @returns the usage of each workspace relative to its fair share, see SchedulableJob.
     [[nodiscard]] std::map<std::string, double> fairShareRatios(const std::vector<JobPlan*>& plans) const;
+    /// @returns the same over time and for the pool alone.
+    [[nodiscard]] std::map<std::string, double> poolShareRatios(const std::string& service, const std::vector<JobPlan*>& plans, const Resources& capacity) const;
     void logWaitingTasks(JobPlan& plan, size_t candidates);
     void refreshPlan(JobPlan& plan);
     void collectReady(JobPlan& plan, uint32_t occurrence);
@@ -361,6 +366,8 @@
     std::map<uint64_t, JobPlan> m_plans;
     std::map<std::string, PlacementState> m_placementStates;
     std::map<std::string, Resources> m_workspaceUsage;
+    /// By pool.
+    std::map<std::string, FairShare> m_fairShares;
     /// Mean work of a job by queue, in milliseconds of one core.
     std::map<std::string, MovingAverage> m_meanWork;
     /// Mean ratio of measured to declared run time of tasks, by queue.
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -15,6 +15,8 @@
 
     /// Largest number of needs that UnplaceableNeeds remembers.
     constexpr size_t maxUnplaceableNeeds = 16;
+    /// Share of its part of a pool above which a workspace comes after others that wait. Up to there, its jobs' value counts less.
+    constexpr double maxShareRatio = 1.5;
     /// Time before its due time from which the work of an occurrence counts as demand: an instance takes 1.5 s to move.
     constexpr std::chrono::milliseconds occurrenceLead { 2000 };
     /// Longest time until a due time is checked again: the wall clock may have been set.
@@ -152,22 +154,24 @@
     for (auto& [service, state] : m_placementStates) {
         if (!state.hasChanged && now < state.retryAt)
             continue;
-        state = { .hasChanged = false, .isLimited = false, .retryAt = now + m_desc.placementRetryInterval };
+        state = { .hasChanged = false, .isLimited = false, .retryAt = now + m_desc.placementRetryInterval, .isShort = state.isShort };
         placeService(service, state);
     }
     flushPlacements();
 }
 
-std::vector<JobPlan*> Dispatcher::candidatePlans(const std::string& service, const Resources& maxFree, size_t endpoints)
+std::vector<JobPlan*> Dispatcher::candidatePlans(const std::string& service, const Resources& maxFree, size_t endpoints, PlacementState& state)
 {
     std::vector<JobPlan*> plans;
     for (auto& [serial, plan] : m_plans) {
         if (plan.ready.empty() || m_store.queueOf(*plan.job).service != service)
             continue;
-        if (plan.smallestNeed.fitsIn(maxFree))
+        if (plan.smallestNeed.fitsIn(maxFree)) {
             plans.push_back(&plan);
-        else
-            logWaitingTasks(plan, endpoints);
+            continue;
+        }
+        state.isShort = true;
+        logWaitingTasks(plan, endpoints);
     }
     return plans;
 }
@@ -178,6 +182,7 @@
     std::vector<PlacementCandidate> candidates;
     std::vector<EndpointSession*> sessions;
     Resources maxFree;
+    Resources capacity;
     for (auto& [id, session] : m_sessions) {
         if (session->endpoint.service != service || !isSchedulable(*session, now) || !session->isCapacityCertain(now, m_desc.maxCapacityReportAge))
             continue;
@@ -192,14 +197,22 @@
         candidate.isReserved = now < session->reservedUntil;
         candidate.isQuiet = isQuiet(*session);
         maxFree = { std::max(maxFree.cpu, candidate.free.cpu), std::max(maxFree.memory, candidate.free.memory), std::max(maxFree.gpus, candidate.free.gpus) };
+        capacity += session->endpoint.capacity;
         candidates.push_back(candidate);
         sessions.push_back(session.get());
     }
     if (candidates.empty())
         return;
     m_waitingIsolatedTasks = 0;
-    auto plans = candidatePlans(service, maxFree, candidates.size());
-    auto shares = fairShareRatios(plans);
+    // While there is room for everything, the order is of no importance, and shares change nothing.
+    bool wasShort = std::exchange(state.isShort, false);
+    auto plans = candidatePlans(service, maxFree, candidates.size(), state);
+    bool isByPool = m_desc.features.entitlement;
+    std::map<std::string, double> shares;
+    if (!isByPool)
+        shares = fairShareRatios(plans);
+    else if (wasShort || state.isShort)
+        shares = poolShareRatios(service, plans, capacity);
     std::vector<SchedulableJob> ordered;
     for (const auto* plan : plans) {
         const auto& job = *plan->job;
@@ -209,6 +222,7 @@
         entry.relativeSize = plan->relativeSize;
         entry.fairShareRatio = shares[job.workspace];
         entry.isBeyondRate = job.isBeyondRate;
+        entry.isOverShare = isByPool && entry.fairShareRatio > maxShareRatio;
         ordered.push_back(entry);
     }
     UnplaceableNeeds failed;
@@ -259,6 +273,7 @@
             failed.add(need);
     }
     plan.ready = std::move(unplaced);
+    state.isShort = state.isShort || !plan.ready.empty();
     if (!plan.ready.empty())
         logWaitingTasks(plan, candidates.size());
 }
@@ -291,6 +306,22 @@
     return shares;
 }
 
+std::map<std::string, double> Dispatcher::poolShareRatios(const std::string& service, const std::vector<JobPlan*>& plans, const Resources& capacity) const
+{
+    auto usage = m_fairShares.find(service);
+    if (usage == m_fairShares.end())
+        return {};
+    std::set<std::string_view> names;
+    std::vector<Competitor> competitors;
+    for (const auto* plan : plans) {
+        const auto& name = plan->job->workspace;
+        const auto* workspace = names.insert(name).second ? m_store.catalog().workspaceNamed(name) : nullptr;
+        if (workspace)
+            competitors.push_back({ name, workspace->weight });
+    }
+    return usage->second.ratios(competitors, capacity, m_clock.now());
+}
+
 void Dispatcher::logWaitingTasks(JobPlan& plan, size_t candidates)
 {
     auto now = m_clock.now();
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -32,6 +32,8 @@
     RunKey key;
     std::string jobId;
     std::string workspace;
+    /// Pool of the endpoint when the run was placed.
+    std::string service;
     RunPhase phase = RunPhase::Committing;
     /// Resources counted against the endpoint's capacity.
     Resources need;
--- a/src/policy/queue_order.cpp
+++ b/src/policy/queue_order.cpp
@@ -9,7 +9,9 @@
     enum class Tier : uint8_t {
         Lasting,
         OnTime,
+        OnTimeOverShare,
         Late,
+        LateOverShare,
         OnTimeBeyondRate,
         LateBeyondRate,
         Expired,
@@ -37,9 +39,9 @@
             return Tier::Lasting;
         auto endsAt = now + std::chrono::microseconds(static_cast<int64_t>(job.criticalPathMs * estimateTolerance * 1000));
         if (endsAt <= job.objectiveAt)
-            return job.isBeyondRate ? Tier::OnTimeBeyondRate : Tier::OnTime;
+            return job.isBeyondRate ? Tier::OnTimeBeyondRate : (job.isOverShare ? Tier::OnTimeOverShare : Tier::OnTime);
         if (endsAt <= job.expiresAt)
-            return job.isBeyondRate ? Tier::LateBeyondRate : Tier::Late;
+            return job.isBeyondRate ? Tier::LateBeyondRate : (job.isOverShare ? Tier::LateOverShare : Tier::Late);
         return Tier::Expired;
     }
 
--- a/src/policy/queue_order_p.h
+++ b/src/policy/queue_order_p.h
@@ -34,11 +34,14 @@
     double fairShareRatio = 0;
     /// The workspace had submitted as much as agreed when it submitted the job.
     bool isBeyondRate = false;
+    /// The workspace has used more than its share of the pool lately, while others wait.
+    bool isOverShare = false;
 };
 
 /// Ranks jobs for a pool that may not have capacity for all of them: long-running jobs first; then those that can still meet
 /// their objective; then those that can still complete before they expire; then jobs beyond their workspace's agreed rate, in the same
-/// two groups; then those whose completion has no value. Within each group, the order is by priority, then by value per
+/// two groups; then those whose completion has no value. Jobs of a workspace above its share come last in either of the first two groups.
+/// Within each group, the order is by priority, then by value per
 /// remaining work, then by the earliest objective. Started jobs are preferred to new ones.
 /// @returns the serial numbers, highest rank first.
 std::vector<uint64_t> orderJobs(std::span<const SchedulableJob> jobs, TimePoint now);
