--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -4,6 +4,7 @@
 #include "endpoint_session_p.h"
 #include "job_store_p.h"
 #include "policy/crash_attribution_p.h"
+#include "policy/fair_share_p.h"
 #include "policy/job_estimate_p.h"
 #include "policy/placement_p.h"
 #include "policy/run_time_model_p.h"
@@ -323,7 +324,7 @@
     [[nodiscard]] std::string_view reservationFault(const EndpointSession& session, TimePoint now);
     void giveUpReservation(EndpointSession& session, std::string_view cause);
     /// Reserves room for large tasks that found none.
-    void makeReservations(const std::string& service, const std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions);
+    void makeReservations(const std::string& service, const std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, const ShareRatios& shares);
     /// @param limit most reservations to make.
     /// @returns the number of reservations made for the task's step.
     size_t reserveRoom(const JobPlan& plan, const TaskKey& key, std::span<const ReservableEndpoint> endpoints, const std::vector<EndpointSession*>& sessions, size_t limit);
@@ -350,15 +351,19 @@
         TimePoint retryAt;
         /// When large tasks that wait are looked at again.
         TimePoint reserveAt;
+        /// Tasks were left without room by the last pass.
+        bool isShort = false;
     };
     class UnplaceableNeeds;
     void place();
     void placeService(const std::string& service, PlacementState& state);
     /// @param maxFree largest free capacity among the schedulable endpoints, separately for each resource.
-    std::vector<JobPlan*> candidatePlans(const std::string& service, const Resources& maxFree, size_t endpoints);
+    std::vector<JobPlan*> candidatePlans(const std::string& service, const Resources& maxFree, size_t endpoints, PlacementState& state);
     void placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, UnplaceableNeeds& failed, PlacementState& state);
+    /// Usage of workspaces relative to their fair shares, see SchedulableJob.
+    using ShareRatios = std::map<std::string, double>;
     /// @returns the serial numbers of the plans' jobs, highest rank first.
-    std::vector<uint64_t> rankPlans(const std::vector<JobPlan*>& plans, TimePoint now) const;
+    [[nodiscard]] std::vector<uint64_t> rankPlans(const std::vector<JobPlan*>& plans, const ShareRatios& shares, TimePoint now) const;
     /// Schedules a placement retry after a run released endpoint capacity and part of its workspace's limit.
     void markCapacityFreed(const EndpointSession& session, const Run& run);
     void retryAllPlacements();
@@ -367,6 +372,8 @@
     void proposePlacement(JobPlan& plan, const TaskKey& key, uint32_t run, EndpointSession& session, const std::string& ticket);
     /// @returns the usage of each workspace relative to its fair share, see SchedulableJob.
     [[nodiscard]] std::map<std::string, double> fairShareRatios(const std::vector<JobPlan*>& plans) const;
+    /// @returns the same over time and for the pool alone.
+    [[nodiscard]] std::map<std::string, double> poolShareRatios(const std::string& service, const std::vector<JobPlan*>& plans, const Resources& capacity) const;
     void logWaitingTasks(JobPlan& plan, size_t candidates);
     void refreshPlan(JobPlan& plan);
     void collectReady(JobPlan& plan, uint32_t occurrence);
@@ -413,6 +420,8 @@
     std::map<uint64_t, JobPlan> m_plans;
     std::map<std::string, PlacementState> m_placementStates;
     std::map<std::string, Resources> m_workspaceUsage;
+    /// By pool.
+    std::map<std::string, FairShare> m_fairShares;
     /// Mean work of a job by queue, in milliseconds of one core.
     std::map<std::string, MovingAverage> m_meanWork;
     /// Mean ratio of measured to declared run time of tasks, by queue.
--- a/src/jobs/dispatcher_reservations.cpp
+++ b/src/jobs/dispatcher_reservations.cpp
@@ -171,7 +171,7 @@
     return plan.acceptedAt + expiryFactor * plan.objective - fromMs(plan.estimate.criticalPathMs);
 }
 
-void Dispatcher::makeReservations(const std::string& service, const std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions)
+void Dispatcher::makeReservations(const std::string& service, const std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, const ShareRatios& shares)
 {
     auto now = m_clock.now();
     size_t held = 0;
@@ -199,7 +199,7 @@
             plans.push_back(&plan);
     }
     size_t tried = 0;
-    for (auto serial : rankPlans(plans, now)) {
+    for (auto serial : rankPlans(plans, shares, now)) {
         const auto& plan = m_plans.at(serial);
         std::optional<TaskKey> last;
         for (const auto& key : plan.ready) {
