--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -201,6 +201,9 @@
     void onEvacuation(const std::string& zone) override;
 
 private:
+    /// Usage of workspaces relative to their fair shares, see SchedulableJob.
+    using ShareRatios = std::map<std::string, double>;
+
     struct Waiter {
         std::string endpoint;
         std::function<void()> onRecorded;
@@ -360,8 +363,6 @@
     /// @param maxFree largest free capacity among the schedulable endpoints, separately for each resource.
     std::vector<JobPlan*> candidatePlans(const std::string& service, const Resources& maxFree, size_t endpoints, PlacementState& state);
     void placeJob(JobPlan& plan, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, UnplaceableNeeds& failed, PlacementState& state);
-    /// Usage of workspaces relative to their fair shares, see SchedulableJob.
-    using ShareRatios = std::map<std::string, double>;
     /// @returns the serial numbers of the plans' jobs, highest rank first.
     [[nodiscard]] std::vector<uint64_t> rankPlans(const std::vector<JobPlan*>& plans, const ShareRatios& shares, TimePoint now) const;
     /// Schedules a placement retry after a run released endpoint capacity and part of its workspace's limit.
@@ -371,9 +372,9 @@
     bool placeTask(JobPlan& plan, const TaskKey& key, std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions);
     void proposePlacement(JobPlan& plan, const TaskKey& key, uint32_t run, EndpointSession& session, const std::string& ticket);
     /// @returns the usage of each workspace relative to its fair share, see SchedulableJob.
-    [[nodiscard]] std::map<std::string, double> fairShareRatios(const std::vector<JobPlan*>& plans) const;
+    [[nodiscard]] ShareRatios fairShareRatios(const std::vector<JobPlan*>& plans) const;
     /// @returns the same over time and for the pool alone.
-    [[nodiscard]] std::map<std::string, double> poolShareRatios(const std::string& service, const std::vector<JobPlan*>& plans, const Resources& capacity) const;
+    [[nodiscard]] ShareRatios poolShareRatios(const std::string& service, const std::vector<JobPlan*>& plans, const Resources& capacity) const;
     void logWaitingTasks(JobPlan& plan, size_t candidates);
     void refreshPlan(JobPlan& plan);
     void collectReady(JobPlan& plan, uint32_t occurrence);
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -330,7 +330,7 @@
         logWaitingTasks(plan, candidates.size());
 }
 
-std::map<std::string, double> Dispatcher::fairShareRatios(const std::vector<JobPlan*>& plans) const
+Dispatcher::ShareRatios Dispatcher::fairShareRatios(const std::vector<JobPlan*>& plans) const
 {
     std::map<std::string, double> weights;
     double weightSum = 0;
@@ -358,7 +358,7 @@
     return shares;
 }
 
-std::map<std::string, double> Dispatcher::poolShareRatios(const std::string& service, const std::vector<JobPlan*>& plans, const Resources& capacity) const
+Dispatcher::ShareRatios Dispatcher::poolShareRatios(const std::string& service, const std::vector<JobPlan*>& plans, const Resources& capacity) const
 {
     auto usage = m_fairShares.find(service);
     if (usage == m_fairShares.end())
--- a/src/policy/run_time_model.cpp
+++ b/src/policy/run_time_model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <initializer_list>
 #include <numbers>
 
 namespace vanillalift::jobs {
@@ -84,8 +85,16 @@
 
 void RunTimeSums::halve()
 {
-    for (auto* it : { &runs, &measured, &declared, &measuredSquares, &declaredSquares, &products, &tailRuns, &tailExcess, &siblingRuns, &siblingSquares })
-        *it /= 2;
+    // Sums shrink exactly as their count does: half of an odd count would leave a variance below zero.
+    auto scale = [](std::initializer_list<int64_t*> sums, int64_t& count) {
+        auto kept = count / 2;
+        for (auto* it : sums)
+            *it = count > 0 ? *it / count * kept + *it % count * kept / count : 0;
+        count = kept;
+    };
+    scale({ &measured, &declared, &measuredSquares, &declaredSquares, &products }, runs);
+    scale({ &tailExcess }, tailRuns);
+    scale({ &siblingSquares }, siblingRuns);
 }
 
 RunTimeFit fitRunTimes(const RunTimeSums& step, const RunTimeSums& queue)
--- a/tests/jobs/entitlement_test.cpp
+++ b/tests/jobs/entitlement_test.cpp
@@ -147,6 +147,24 @@
 
 } // namespace
 
+TEST_CASE("a clock that is set forth and back does not keep a workspace beyond its agreed rate", "[entitlement]")
+{
+    AgreedRate rate;
+    auto take = [&](int64_t atMs) {
+        bool isBeyond = rate.isBeyond("w", 2, atMs, {});
+        rate.record("w", 2, atMs, isBeyond);
+        return isBeyond;
+    };
+    constexpr int64_t stepMs = 2400000;
+    int64_t now = 1000000;
+    while (!take(now)) { }
+    take(now + stepMs);
+    for (int64_t offset : { int64_t { 0 }, -stepMs }) {
+        while (!take(now + offset)) { }
+        CHECK_FALSE(take(now + offset + 1000));
+    }
+}
+
 TEST_CASE("a workspace that sends ten times its agreed rate gets its rate in every window, and others are not counted with it", "[entitlement]")
 {
     // Load: 100 jobs a second for 60 s where 10 are agreed, beside a workspace that sends what is agreed.
--- a/tests/jobs/pool_scarcity_test.cpp
+++ b/tests/jobs/pool_scarcity_test.cpp
@@ -129,6 +129,29 @@
     CHECK(!fleet.plan().drainForMove.empty());
 }
 
+TEST_CASE("a pool in which long-running tasks wait gives up no instance, however much another one wants", "[pools]")
+{
+    Pools fleet;
+    fleet.add(0, 20, false);
+    fleet.add(1, 4, false);
+    fleet.pools[0].load.reservedByLongRunning = 12;
+    fleet.pools[0].load.waitingLongRunningTasks = 2;
+    fleet.pools[1].load = demand(300, 300);
+    auto actions = fleet.plan();
+    REQUIRE(actions.shares.size() == 3);
+    CHECK(actions.shares[0] >= 14);
+    CHECK(actions.drainForMove.empty());
+    // One that is drained already stays.
+    fleet.instances[3].isDrainingForMove = true;
+    CHECK(fleet.plan().cancelDrain == std::vector<size_t> { 3 });
+    // Once none waits, what the long-running tasks need is kept.
+    fleet.instances[3].isDrainingForMove = false;
+    fleet.pools[0].load.waitingLongRunningTasks = 0;
+    actions = fleet.plan();
+    CHECK_FALSE(actions.drainForMove.empty());
+    CHECK(actions.shares[0] >= 14);
+}
+
 TEST_CASE("idle instances move before busy ones are drained, those of pools before spare ones", "[pools]")
 {
     Pools fleet;
--- a/tests/jobs/run_time_model_test.cpp
+++ b/tests/jobs/run_time_model_test.cpp
@@ -187,3 +187,14 @@
     model.retainQueues([](const std::string& name) { return name == "q7"; });
     CHECK(model.sums().size() == 1);
 }
+
+TEST_CASE("the weight of old runs is halved without a change of the spread", "[runtimes]")
+{
+    Tasks tasks { .spread = 0.4, .error = 0.9, .tailShare = 0.03 };
+    tasks.teach(200);
+    for (int n = 0; n < 2000; n++) {
+        tasks.teach(1);
+        INFO("run " << n);
+        REQUIRE(tasks.model.summaries().at("q").spread > 0.25);
+    }
+}
