Estimate jobs by learned run times, and tell operators about them

Cause: order, objective, backlog and arriving work relied on declarations that are off by half to nine tenths. Change: where learnedRunTimes is on, the tasks of a step count with the mean that the model expects, given the job's own completed tasks, and the longest task of a step with the median of the longest of so many; endpoints' speeds come from runs whose step has two others done, as only those tell a slow endpoint from a long task. A run-times line for each queue every 10 s. With the switch off, estimates are as before.

--- a/src/jobs/demand_history.cpp
+++ b/src/jobs/demand_history.cpp
@@ -16,9 +16,10 @@
 
 } // namespace
 
-DemandHistory::DemandHistory(const JobStore& store, const Clock& clock)
+DemandHistory::DemandHistory(const JobStore& store, const Clock& clock, bool usesLearnedRunTimes)
     : m_store(store)
     , m_clock(clock)
+    , m_usesLearnedRunTimes(usesLearnedRunTimes)
 {
 }
 
@@ -27,7 +28,7 @@
     bool isOld = wallClockMs() - job.acceptedAtMs > maxJobAge.count();
     if (isOld || job.isLongRunning() || job.spec.occurrences != 0)
         return;
-    auto estimate = estimateJob(job, 0);
+    auto estimate = estimateJob(job, 0, m_usesLearnedRunTimes ? &m_store.runTimes() : nullptr);
     m_arrivals[m_store.queueOf(job).service].add(estimate.totalWorkMs, estimate.totalMemoryMs / 1000, m_clock.now());
 }
 
--- a/src/jobs/demand_history_p.h
+++ b/src/jobs/demand_history_p.h
@@ -15,7 +15,8 @@
 /// pools by the demand of the time before its term. It is not durable.
 class DemandHistory {
 public:
-    DemandHistory(const JobStore& store, const Clock& clock);
+    /// @param usesLearnedRunTimes see Features::learnedRunTimes.
+    DemandHistory(const JobStore& store, const Clock& clock, bool usesLearnedRunTimes = false);
 
     /// Adds a job that was just accepted. One that was accepted longer ago is ignored: a controller that catches up applies many of them.
     void add(const Job& job);
@@ -30,6 +31,7 @@
 private:
     const JobStore& m_store;
     const Clock& m_clock;
+    bool m_usesLearnedRunTimes;
     std::map<std::string, ArrivalRate> m_arrivals;
     PeakForecast m_forecast;
     /// Highest number of endpoints so far.
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -141,7 +141,7 @@
     auto now = m_clock.now();
     auto ageMs = std::clamp<int64_t>(wallClockMs() - job.acceptedAtMs, 0, 600000);
     plan.acceptedAt = now - std::chrono::milliseconds(ageMs);
-    plan.estimate = estimateJob(job, 0);
+    plan.estimate = estimateJob(job, 0, learnedRunTimes());
     plan.objective = latencyObjective(m_store.queueOf(job), plan.estimate);
     auto& mean = m_meanWork[job.queue.name];
     mean.add(plan.estimate.totalWorkMs);
@@ -269,6 +269,7 @@
 {
     if (hasLeaderAuthority()) {
         planSpeculativeCopies();
+        logRunTimes();
         place();
     }
     flushRunEnds();
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -56,6 +56,8 @@
     /// Of these, endpoints that crashed by themselves, and jobs that were given up because of a task's crashes.
     uint64_t endpointsCrashed = 0;
     uint64_t jobsGivenUp = 0;
+    /// Runs of which a speculative copy was wanted.
+    uint64_t copiesWanted = 0;
     uint64_t placements = 0;
     /// Endpoints evaluated as candidates for a task, whether or not it was placed: the cost of placement.
     uint64_t endpointsEvaluated = 0;
@@ -284,6 +286,10 @@
 
     // Speculative copies and speed estimates of endpoints (dispatcher_speculation.cpp)
     void planSpeculativeCopies();
+    /// @returns what is known of earlier run times, or nullptr if estimates rely on declarations alone.
+    [[nodiscard]] const RunTimeModel* learnedRunTimes() const { return m_desc.features.learnedRunTimes ? &m_store.runTimes() : nullptr; }
+    [[nodiscard]] RunTimeKey runTimeKeyOf(const Run& run) const;
+    void logRunTimes();
     [[nodiscard]] Duration expectedRunTime(const Run& run);
     /// @returns how long the task took whose run has just ended, in milliseconds; 0 if that says nothing about other runs.
     [[nodiscard]] uint32_t measuredRunTimeMs(const EndpointSession& session, const Run& run) const;
@@ -361,6 +367,7 @@
     /// Mean ratio of measured to declared run time of tasks, by queue.
     std::map<std::string, MovingAverage> m_runTimeRatio;
     TimePoint m_nextSpeculationAt;
+    TimePoint m_nextRunTimeLogAt;
     /// By the first task of the step.
     std::map<TaskKey, StepAdvice> m_advice;
     /// A call to the advice service is pending.
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -74,7 +74,7 @@
     for (uint32_t occurrence = 0; occurrence < job.occurrences.size(); occurrence++) {
         if (job.occurrences[occurrence].isDone)
             continue;
-        auto estimate = estimateJob(job, occurrence);
+        auto estimate = estimateJob(job, occurrence, learnedRunTimes());
         if (job.spec.occurrences != 0) {
             auto dueInMs = job.spec.firstAtMs + static_cast<int64_t>(occurrence) * job.spec.periodMs - wallClockMs();
             bool isSoon = dueInMs <= std::chrono::milliseconds(occurrenceLead).count();
--- a/src/jobs/dispatcher_speculation.cpp
+++ b/src/jobs/dispatcher_speculation.cpp
@@ -5,18 +5,27 @@
 
 #include <vanillalift/config.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace vanillalift::jobs {
 
 namespace {
 
     /// Interval at which runs are checked for speculative copies.
     constexpr std::chrono::milliseconds speculationInterval { 100 };
+    /// Interval of log lines about the run times of queues.
+    constexpr std::chrono::seconds runTimeLogInterval { 10 };
+    /// Completed tasks of a step from which the others are compared with them.
+    constexpr uint32_t minSiblingsToCompare = 2;
     constexpr uint32_t fullSpeedPercent = 100;
     /// Speed below which an endpoint's runs say more about the endpoint than about their tasks.
     constexpr double minSpeedToLearn = 0.7;
     /// A day: longer runs count as this long.
     constexpr int64_t maxRunTimeMs = 86'400'000;
 
+    Duration toDuration(double ms) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms)); }
+
 } // namespace
 
 void Dispatcher::planSpeculativeCopies()
@@ -45,14 +54,35 @@
             if (task && task->possibleCrashes().crashes >= maxCrashesForCopies)
                 continue;
             run.wantsSpeculativeCopy = true;
+            m_stats.copiesWanted++;
             markDirty(key.task.job);
-            m_log.line("copy").field("job", run.jobId).field("task", key.task).field("run", key.number).field("endpoint", id).field("silent-ms", millisecondsUntil(now, lastContactAt)).field("percent", run.percent).field("stopping", run.mustStop);
+            m_log.line("copy").field("job", run.jobId).field("task", key.task).field("run", key.number).field("endpoint", id).field("silent-ms", millisecondsUntil(now, lastContactAt)).field("percent", run.percent).field("stopping", run.mustStop).field("run-ms", run.startedAt == TimePoint {} ? 0 : millisecondsUntil(now, run.startedAt)).field("expected-ms", std::chrono::duration_cast<std::chrono::milliseconds>(progress.expected).count());
         }
     }
 }
 
+RunTimeKey Dispatcher::runTimeKeyOf(const Run& run) const
+{
+    auto plan = m_plans.find(run.key.task.job);
+    return plan == m_plans.end() ? RunTimeKey { {}, 0, static_cast<double>(run.estimateMs) } : plan->second.job->runTimeKey(run.key.task.occurrence, run.key.task.step);
+}
+
+void Dispatcher::logRunTimes()
+{
+    auto now = m_clock.now();
+    const auto* runTimes = learnedRunTimes();
+    if (!runTimes || now < m_nextRunTimeLogAt)
+        return;
+    m_nextRunTimeLogAt = now + runTimeLogInterval;
+    auto rounded = [](double value) { return std::round(value * 100) / 100; };
+    for (const auto& [queue, it] : runTimes->summaries())
+        m_log.stateLine("run-times").field("queue", queue).field("runs", it.runs).field("typical-ms", std::llround(it.typicalMs)).field("spread", rounded(it.spread)).field("step-spread", rounded(it.siblingSpread)).field("declared-bias", rounded(it.declaredBias)).field("declared-error", rounded(it.declaredError)).field("declared-weight", rounded(it.slope)).field("tail", rounded(it.tailShare)).field("tail-factor", rounded(it.tailFactor));
+}
+
 Duration Dispatcher::expectedRunTime(const Run& run)
 {
+    if (const auto* runTimes = learnedRunTimes())
+        return toDuration(runTimes->mean(runTimeKeyOf(run)));
     auto plan = m_plans.find(run.key.task.job);
     double ratio = plan == m_plans.end() ? 1 : m_runTimeRatio[plan->second.job->queue.name].value();
     return std::chrono::milliseconds(static_cast<int64_t>(run.estimateMs * ratio));
@@ -75,6 +105,9 @@
     if (plan == m_plans.end() || run.isLongRunning || run.estimateMs == 0 || run.startedAt == TimePoint {} || run.wasInherited || !run.resumedFrom.empty())
         return;
     auto runTimeMs = std::chrono::duration<double, std::milli>(now - run.startedAt).count();
+    // Only tasks of the same step tell a slow endpoint from a long task.
+    if (learnedRunTimes() && runTimeKeyOf(run).siblings < minSiblingsToCompare)
+        return;
     auto& mean = m_runTimeRatio[plan->second.job->queue.name];
     session.speed.add(std::chrono::duration<double, std::milli>(expectedRunTime(run)).count() / std::max(runTimeMs, 1.0), now);
     mean.add(runTimeMs / run.estimateMs);
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -97,7 +97,7 @@
     , m_log(log)
     , m_desc(std::move(desc))
     , m_dependencies(dependencies)
-    , m_demand(m_store, clock)
+    , m_demand(m_store, clock, m_desc.features.learnedRunTimes)
     , m_loadMeter(clock)
     , m_storageId(storage.recovered().storageId)
     , m_leaderClient(loop, clock, log, { { m_desc.name, m_desc.availabilityZone, m_storageId }, m_desc.seeds, [this](Request request, std::function<void(Reply)> respond) { handleLocal(std::move(request), std::move(respond)); } })
@@ -551,6 +551,7 @@
     visit("endpoints_lost_total", "Endpoints that ended in this term while they had runs in progress.", static_cast<double>(stats.endpointsLost));
     visit("endpoints_crashed_total", "Of these, endpoints that crashed by themselves, not with their rack or availability zone.", static_cast<double>(stats.endpointsCrashed));
     visit("jobs_given_up_total", "Jobs that failed in this term because a task crashed endpoints.", static_cast<double>(stats.jobsGivenUp));
+    visit("copies_wanted_total", "Runs in this term of which a speculative copy was wanted.", static_cast<double>(stats.copiesWanted));
     visit("placements_total", "Tasks placed in this term.", static_cast<double>(stats.placements));
     visit("placement_trials_total", "Endpoints evaluated for tasks in this term, whether or not the task was placed.", static_cast<double>(stats.endpointsEvaluated));
     visit("endpoints_silent", "Endpoints that do not answer, or have not yet in this term.", static_cast<double>(stats.endpointsSilent));
--- a/src/policy/job_estimate_p.h
+++ b/src/policy/job_estimate_p.h
@@ -6,7 +6,7 @@
 
 namespace vanillalift::jobs {
 
-/// Remaining and total work of a job, from the declared run times of its tasks.
+/// Remaining and total work of a job, from the run times that are expected of its tasks.
 struct JobEstimate {
     /// Sum over the tasks that are not done, in core-milliseconds.
     double workMs = 0;
@@ -21,7 +21,8 @@
 };
 
 /// @param occurrence index from 0.
-JobEstimate estimateJob(const Job& job, uint32_t occurrence);
+/// @param runTimes what was learned about run times; nullptr to rely on declarations alone.
+JobEstimate estimateJob(const Job& job, uint32_t occurrence, const RunTimeModel* runTimes = nullptr);
 
 /// @returns the time from submission within which a job of the queue should complete.
 Duration latencyObjective(const Queue& queue, const JobEstimate& estimate);
--- a/src/policy/run_time_model.cpp
+++ b/src/policy/run_time_model.cpp
@@ -34,6 +34,7 @@
     constexpr double thousand = 1000;
     /// Runs after which tables are computed anew; fewer while little is known.
     constexpr int64_t runsPerRefresh = 8;
+    constexpr double median = 0.5;
     /// How far a table reaches to either side of its location, in spreads.
     constexpr double tableSpreads = 5;
 
@@ -262,9 +263,9 @@
 double RunTimeModel::longest(const RunTimeKey& key, uint32_t tasks) const
 {
     if (tasks <= 1)
-        return mean(key);
+        return quantile(key, median);
     // The longest of n is as likely above as below the time that ln 2 / n of the tasks exceed.
-    return mean(key) * std::max(1.0, tablesOf(key).sibling.exceededBy(std::numbers::ln2 / tasks));
+    return quantile(key, median) * std::max(1.0, tablesOf(key).sibling.exceededBy(std::numbers::ln2 / tasks));
 }
 
 double RunTimeModel::quantile(const RunTimeKey& key, double share) const
--- a/src/policy/run_time_model_p.h
+++ b/src/policy/run_time_model_p.h
@@ -98,7 +98,7 @@
     void retainQueues(const std::function<bool(const std::string&)>& isKnown);
 
     [[nodiscard]] double mean(const RunTimeKey& key) const;
-    /// @returns the time expected of the longest of several tasks of one job's step.
+    /// @returns the median time of the longest of several tasks of one job's step.
     [[nodiscard]] double longest(const RunTimeKey& key, uint32_t tasks) const;
     /// @param share of the runs that take at most the returned time.
     [[nodiscard]] double quantile(const RunTimeKey& key, double share) const;
--- a/tests/jobs/job_store_test.cpp
+++ b/tests/jobs/job_store_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "jobs/job_store_p.h"
+#include "policy/job_estimate_p.h"
 
 using namespace vanillalift::jobs;
 
@@ -310,6 +311,31 @@
     CHECK(f.store.runTimes().sums().empty());
 }
 
+TEST_CASE("a job's estimate follows the run times of earlier jobs and of its own tasks", "[store]")
+{
+    Fixture f;
+    auto spec = makeSpec("a", { 20 });
+    spec.steps[0].estimateMs = 1000;
+    spec.steps[0].need.cpu = 1000;
+    auto earlier = f.submit(spec);
+    auto endAfter = [&](uint64_t job, uint32_t task, uint32_t ms) {
+        f.place({ job, 0, 0, task }, 1);
+        f.apply(EndRuns { { { { { job, 0, 0, task }, 1 }, RunEnd::Done, "", ms } }, 0 });
+    };
+    for (uint32_t n = 0; n < 20; n++)
+        endAfter(earlier, n, 2000);
+    spec.id = "b";
+    auto job = f.submit(spec);
+    const auto& added = *f.store.findJob("b");
+    CHECK(estimateJob(added, 0).workMs == Approx(20000));
+    CHECK(estimateJob(added, 0, &f.store.runTimes()).workMs > 28000);
+    for (uint32_t n = 0; n < 4; n++)
+        endAfter(job, n, 4000);
+    auto estimate = estimateJob(added, 0, &f.store.runTimes());
+    CHECK(estimate.workMs == Approx(16 * 4000).epsilon(0.25));
+    CHECK(estimate.criticalPathMs > 3200);
+}
+
 TEST_CASE("finished jobs are purged only when they have no placements", "[store]")
 {
     Fixture f;
