Copy a run where others of its step were faster, not where its task is long

Cause: with declarations off by nine tenths, a run beyond 1.8 times the declared time was copied though all tasks of its step take that long. Change: where learnedRunTimes is on, a run that answers and progresses is copied if the rest of it, by its progress or else by how long earlier runs went on, takes longer than a new run with the time of its step's completed tasks, including the start and less what a checkpoint keeps. Without completed tasks of its step, it is copied only from an endpoint that is slow by its speed. Runs that do not answer, are stopping or stalled are copied as before.

--- a/src/jobs/dispatcher_speculation.cpp
+++ b/src/jobs/dispatcher_speculation.cpp
@@ -16,6 +16,7 @@
     constexpr std::chrono::milliseconds speculationInterval { 100 };
     /// Interval of log lines about the run times of queues.
     constexpr std::chrono::seconds runTimeLogInterval { 10 };
+    constexpr double medianShare = 0.5;
     /// Completed tasks of a step from which the others are compared with them.
     constexpr uint32_t minSiblingsToCompare = 2;
     constexpr uint32_t fullSpeedPercent = 100;
@@ -44,6 +45,15 @@
             progress.unansweredAt = run.phase == RunPhase::Running ? TimePoint {} : run.unansweredSince;
             progress.lastContactAt = std::max(lastContactAt, run.placedAt);
             progress.expected = expectedRunTime(run);
+            if (const auto* runTimes = learnedRunTimes(); runTimes && run.startedAt != TimePoint {}) {
+                auto key = runTimeKeyOf(run);
+                auto elapsedMs = std::chrono::duration<double, std::milli>(now - run.startedAt).count();
+                progress.isLearned = true;
+                progress.hasSiblings = key.siblings >= minSiblingsToCompare;
+                progress.speed = session->speed.at(now);
+                progress.remaining = toDuration(runTimes->remaining(key, elapsedMs, medianShare));
+                progress.isResumable = !run.checkpoint.empty();
+            }
             progress.percent = run.percent;
             progress.progressAt = run.progressAt;
             progress.isStopping = run.mustStop;
@@ -56,7 +66,7 @@
             run.wantsSpeculativeCopy = true;
             m_stats.copiesWanted++;
             markDirty(key.task.job);
-            m_log.line("copy").field("job", run.jobId).field("task", key.task).field("run", key.number).field("endpoint", id).field("silent-ms", millisecondsUntil(now, lastContactAt)).field("percent", run.percent).field("stopping", run.mustStop).field("run-ms", run.startedAt == TimePoint {} ? 0 : millisecondsUntil(now, run.startedAt)).field("expected-ms", std::chrono::duration_cast<std::chrono::milliseconds>(progress.expected).count());
+            m_log.line("copy").field("job", run.jobId).field("task", key.task).field("run", key.number).field("endpoint", id).field("silent-ms", millisecondsUntil(now, lastContactAt)).field("percent", run.percent).field("stopping", run.mustStop).field("run-ms", run.startedAt == TimePoint {} ? 0 : millisecondsUntil(now, run.startedAt)).field("expected-ms", std::chrono::duration_cast<std::chrono::milliseconds>(progress.expected).count()).field("siblings", progress.hasSiblings);
         }
     }
 }
--- a/src/policy/speculation_plan.cpp
+++ b/src/policy/speculation_plan.cpp
@@ -18,6 +18,29 @@
     constexpr std::chrono::milliseconds stallTimeout { 1500 };
     /// Factor by which the remaining time of the run has to exceed a complete new run.
     constexpr double minGainFactor = 1.3;
+    constexpr double fullPercent = 100;
+    /// Speed from which an endpoint is sound: a run that progresses steadily there is long by itself.
+    constexpr double soundSpeed = 0.8;
+    /// Time that a new run takes to be placed, committed and started.
+    constexpr std::chrono::milliseconds startDelay { 150 };
+
+    /// @returns whether a run that answers and progresses still takes longer than a new one, by what earlier runs tell.
+    bool isOutrunByCopy(const RunProgress& run, TimePoint now)
+    {
+        auto elapsed = now - run.startedAt;
+        if (elapsed < run.expected)
+            return false;
+        auto reportedRunTime = run.progressAt - run.startedAt;
+        bool hasProgress = run.percent > 0 && reportedRunTime > Duration::zero();
+        auto total = std::chrono::duration<double>(hasProgress ? reportedRunTime * (fullPercent / run.percent) : elapsed + run.remaining);
+        std::chrono::duration<double> fresh = run.expected;
+        // Without others of its step, the length is the task's own except for the endpoint's part.
+        if (!run.hasSiblings)
+            fresh = run.speed >= soundSpeed ? total : std::max(fresh, total * run.speed);
+        if (run.isResumable)
+            fresh *= 1 - std::min<double>(run.percent, fullPercent) / fullPercent;
+        return total - elapsed > (fresh + startDelay) * minGainFactor;
+    }
 
 } // namespace
 
@@ -26,12 +49,14 @@
     bool isStartUncertain = run.unansweredAt != TimePoint {} && now - run.unansweredAt > startTimeout;
     if (run.isStopping || isStartUncertain || now - run.lastContactAt > contactTimeout)
         return true;
+    bool isStalled = now - run.progressAt > stallTimeout;
+    if (run.isLearned && run.startedAt != TimePoint {} && !isStalled)
+        return isOutrunByCopy(run, now);
     if (run.startedAt == TimePoint {} || now - run.startedAt < run.expected * slowRunFactor)
         return false;
     auto reportedRunTime = run.progressAt - run.startedAt;
-    if (now - run.progressAt > stallTimeout || reportedRunTime <= Duration::zero())
-        return now - run.progressAt > stallTimeout;
-    constexpr double fullPercent = 100;
+    if (isStalled || reportedRunTime <= Duration::zero())
+        return isStalled;
     auto totalRunTime = reportedRunTime * (fullPercent / std::max<double>(run.percent, 1));
     return totalRunTime - (now - run.startedAt) > run.expected * minGainFactor;
 }
--- a/src/policy/speculation_plan_p.h
+++ b/src/policy/speculation_plan_p.h
@@ -16,6 +16,15 @@
     TimePoint lastContactAt;
     /// Run time expected for a task of its queue on other endpoints.
     Duration expected {};
+    /// Whether `expected` was learned from earlier runs, and whether tasks of the same step of the job are among these.
+    bool isLearned = false;
+    bool hasSiblings = false;
+    /// Speed of its endpoint, 1 if as fast as others.
+    double speed = 1;
+    /// Time for which the run goes on as far as earlier runs tell, given how long it has run.
+    Duration remaining {};
+    /// A new run would resume from the run's checkpoint.
+    bool isResumable = false;
     /// Progress reported by the endpoint, and when it last changed.
     uint32_t percent = 0;
     TimePoint progressAt;
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -678,6 +678,35 @@
     CHECK(isSpeculativeCopyWorthwhile(stopping, now));
 }
 
+// Guards against copies of tasks that are long by themselves, where declarations are wrong by half and more.
+TEST_CASE("a run is copied where others of its step were faster, and not where its length is the task's own", "[copies]")
+{
+    auto run = makeRun(milliseconds(2000), 40);
+    run.isLearned = true;
+    CHECK_FALSE(isSpeculativeCopyWorthwhile(run, now));
+    // Its endpoint is slow.
+    auto onSlowEndpoint = run;
+    onSlowEndpoint.speed = 0.25;
+    CHECK(isSpeculativeCopyWorthwhile(onSlowEndpoint, now));
+    // Others of the step took a second, here or as long as this one.
+    run.hasSiblings = true;
+    CHECK(isSpeculativeCopyWorthwhile(run, now));
+    run.expected = milliseconds(4500);
+    CHECK_FALSE(isSpeculativeCopyWorthwhile(run, now));
+    // Nothing is reported, and earlier runs of this length went on for long.
+    auto silent = makeRun(milliseconds(2000), 0);
+    silent.isLearned = silent.hasSiblings = true;
+    silent.remaining = milliseconds(500);
+    CHECK_FALSE(isSpeculativeCopyWorthwhile(silent, now));
+    silent.remaining = milliseconds(3000);
+    CHECK(isSpeculativeCopyWorthwhile(silent, now));
+    // A stalled run is copied as before.
+    auto stalled = makeRun(milliseconds(2500), 80);
+    stalled.isLearned = true;
+    stalled.progressAt = now - milliseconds(2000);
+    CHECK(isSpeculativeCopyWorthwhile(stalled, now));
+}
+
 // Guards against placement that ignores the slowness of an endpoint, and against slow endpoints that are never tried again.
 TEST_CASE("the speed estimate of an endpoint follows its run times and decays", "[speed]")
 {
