--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -58,6 +58,8 @@
     /// Of these, endpoints that crashed by themselves, and jobs that were given up because of a task's crashes.
     uint64_t endpointsCrashed = 0;
     uint64_t jobsGivenUp = 0;
+    /// Runs of which a speculative copy was wanted.
+    uint64_t copiesWanted = 0;
     uint64_t placements = 0;
     /// Endpoints evaluated as candidates for a task, whether or not it was placed: the cost of placement.
     uint64_t endpointsEvaluated = 0;
@@ -311,6 +313,10 @@
 
     // Speculative copies and speed estimates of endpoints (dispatcher_speculation.cpp)
     void planSpeculativeCopies();
+    /// @returns what is known of earlier run times, or nullptr if estimates rely on declarations alone.
+    [[nodiscard]] const RunTimeModel* learnedRunTimes() const { return m_desc.features.learnedRunTimes ? &m_store.runTimes() : nullptr; }
+    [[nodiscard]] RunTimeKey runTimeKeyOf(const Run& run) const;
+    void logRunTimes();
     [[nodiscard]] Duration expectedRunTime(const Run& run);
     /// @returns how long the task took whose run has just ended, in milliseconds; 0 if that says nothing about other runs.
     [[nodiscard]] uint32_t measuredRunTimeMs(const EndpointSession& session, const Run& run) const;
@@ -340,7 +346,7 @@
     /// Marks the endpoints on which the task would delay a reserved one.
     void markHeld(std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, const JobPlan& plan, const TaskKey& key) const;
     /// @returns the time that most tasks of the step take at most.
-    [[nodiscard]] Duration longRunTime(const JobPlan& plan, uint32_t step) const;
+    [[nodiscard]] Duration longRunTime(const JobPlan& plan, const TaskKey& key) const;
     [[nodiscard]] TimePoint expectedEnd(const Run& run, TimePoint now) const;
     /// @returns the tasks of the step that wait.
     [[nodiscard]] static uint32_t waitingTasks(const JobPlan& plan, const TaskKey& step);
@@ -427,13 +433,13 @@
     std::map<std::string, MovingAverage> m_meanWork;
     /// Mean ratio of measured to declared run time of tasks, by queue.
     std::map<std::string, MovingAverage> m_runTimeRatio;
-    RunTimeModel m_runTimes;
     /// Steps with reservations in the pool whose tasks are being placed, and the largest need that waits there.
     std::set<TaskKey> m_reservedSteps;
     Resources m_largestWaiting;
     TimePoint m_nextSpeculationAt;
     /// When tasks of jobs that are not deferred last waited for room.
     TimePoint m_lastWaitingAt;
+    TimePoint m_nextRunTimeLogAt;
     /// By the first task of the step.
     std::map<TaskKey, StepAdvice> m_advice;
     /// A call to the advice service is pending.
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -91,7 +91,7 @@
     for (uint32_t occurrence = 0; occurrence < job.occurrences.size(); occurrence++) {
         if (job.occurrences[occurrence].isDone)
             continue;
-        auto estimate = estimateJob(job, occurrence);
+        auto estimate = estimateJob(job, occurrence, learnedRunTimes());
         if (job.spec.occurrences != 0) {
             auto dueInMs = job.spec.firstAtMs + static_cast<int64_t>(occurrence) * job.spec.periodMs - wallClockMs();
             bool isSoon = dueInMs <= std::chrono::milliseconds(occurrenceLead).count();
@@ -293,7 +293,7 @@
             unplaced.push_back(key);
             continue;
         }
-        UnplaceableNeeds::Entry entry { need, m_reservedSteps.empty() ? Duration::zero() : longRunTime(plan, key.step), priority };
+        UnplaceableNeeds::Entry entry { need, m_reservedSteps.empty() ? Duration::zero() : longRunTime(plan, key), priority };
         bool isExempt = m_reservedSteps.contains(firstTaskOfStep(key)) || wasHeldLong(plan, now);
         if (const auto* known = isIsolated || isExempt ? nullptr : failed.find(entry)) {
             if (known->runTime > Duration::zero() && plan.heldSince == TimePoint {})
--- a/src/jobs/dispatcher_reservations.cpp
+++ b/src/jobs/dispatcher_reservations.cpp
@@ -27,22 +27,22 @@
 
 } // namespace
 
-Duration Dispatcher::longRunTime(const JobPlan& plan, uint32_t step) const
+Duration Dispatcher::longRunTime(const JobPlan& plan, const TaskKey& key) const
 {
-    const auto& spec = plan.job->spec.steps[step];
+    const auto& spec = plan.job->spec.steps[key.step];
     if (spec.isLongRunning)
         return Duration::max() / 4;
-    return fromMs(m_runTimes.quantile({ plan.job->queue.name, step, static_cast<double>(spec.estimateMs) }, reservationQuantile));
+    const auto* runTimes = learnedRunTimes();
+    return fromMs(runTimes ? runTimes->quantile(plan.job->runTimeKey(key.occurrence, key.step), reservationQuantile) : spec.estimateMs);
 }
 
 TimePoint Dispatcher::expectedEnd(const Run& run, TimePoint now) const
 {
     if (run.mustStop)
         return now + m_desc.stopTimeout;
-    auto plan = m_plans.find(run.key.task.job);
     auto elapsedMs = toMs(now - (run.startedAt == TimePoint {} ? run.placedAt : run.startedAt));
-    RunTimeKey key { plan == m_plans.end() ? std::string() : plan->second.job->queue.name, run.key.task.step, static_cast<double>(run.estimateMs) };
-    auto remainingMs = std::max(m_runTimes.remaining(key, elapsedMs, reservationQuantile), 0.0);
+    const auto* runTimes = learnedRunTimes();
+    auto remainingMs = runTimes ? runTimes->remaining(runTimeKeyOf(run), elapsedMs, reservationQuantile) : std::max(run.estimateMs - elapsedMs, 0.0);
     if (run.percent >= minProgress && run.startedAt != TimePoint {} && run.resumedFrom.empty()) {
         auto spentMs = toMs(run.progressAt - run.startedAt);
         auto totalMs = 100 * spentMs / run.percent;
@@ -135,7 +135,7 @@
         return;
     const auto& step = plan.job->spec.steps[key.step];
     auto need = reservedNeed(step);
-    auto endsAt = m_clock.now() + longRunTime(plan, key.step);
+    auto endsAt = m_clock.now() + longRunTime(plan, key);
     auto priority = m_store.queueOf(*plan.job).priority;
     bool isExempt = step.isLongRunning || wasHeldLong(plan, m_clock.now());
     for (size_t n = 0; n < candidates.size(); n++) {
@@ -158,7 +158,7 @@
     auto& reservation = *session.reservation;
     auto now = m_clock.now();
     if (reservation.step != firstTaskOfStep(key))
-        return reservation.addBackfill(reservedNeed(plan.job->spec.steps[key.step]), now + longRunTime(plan, key.step));
+        return reservation.addBackfill(reservedNeed(plan.job->spec.steps[key.step]), now + longRunTime(plan, key));
     if (--reservation.tasks > 0)
         return;
     m_stats.reservationsKept++;
