Test what leaves an evacuated zone and what pools and waves make of it

Long-running tasks that move within what their step may miss or stay, spare instances of an evacuated zone, and the order of a wave.

Tests: evacuation_test, instance_keeper_test, job_decisions_test.

--- a/tests/jobs/evacuation_test.cpp
+++ b/tests/jobs/evacuation_test.cpp
@@ -55,6 +55,53 @@
     EventLog log;
 };
 
+/// A platform without instances.
+class NoInstances final : public InstanceService {
+public:
+    void list(const std::string&, TimePoint, std::function<void(std::optional<std::vector<Instance>>, std::string)>) override { }
+    void move(const std::string&, const std::string&, uint64_t, TimePoint, TimePoint, std::function<void(InstanceReplyStatus)>) override { }
+    void maintain(const std::string&, uint64_t, uint64_t, TimePoint, TimePoint, std::function<void(InstanceReplyStatus)>) override { }
+};
+
+/// Long-running tasks in zone z1, which is evacuated then.
+struct VacatedSite : ZonedSite {
+    explicit VacatedSite(uint32_t maxUnavailable)
+    {
+        InstanceManagerDesc desc;
+        desc.features = site.world.features;
+        manager = std::make_unique<InstanceManager>(
+            desc, 1, site.leader.store, *site.leader.dispatcher, platform, [this](const Command& command) { site.leader.propose(command); }, [] { return TimePoint::max(); }, site.world.clock, log);
+        evacuate("z2");
+        JobSpec spec;
+        spec.id = "00000000000000c1";
+        StepSpec step;
+        step.taskCount = 4;
+        step.need = { 1000, 100, 0 };
+        step.isLongRunning = step.hasMaxUnavailable = true;
+        step.maxUnavailable = maxUnavailable;
+        spec.steps.push_back(step);
+        site.world.submittedLongRunningJobs.insert(spec.id);
+        site.submit(spec);
+        site.run(seconds(3));
+        evacuate("z2", false);
+        evacuate("z1");
+    }
+    /// @returns the smallest number of tasks that ran at any time.
+    size_t run(Duration time)
+    {
+        auto least = site.runningTasks();
+        for (auto end = site.world.clock.time + time; site.world.clock.time < end;) {
+            manager->tick();
+            site.run(milliseconds(10));
+            least = std::min(least, site.runningTasks());
+        }
+        return least;
+    }
+
+    NoInstances platform;
+    std::unique_ptr<InstanceManager> manager;
+};
+
 /// The request handler of a leader whose log commits when the test says so.
 struct EvacuationService : ZonedSite {
     EvacuationService()
@@ -201,3 +248,26 @@
     CHECK(f.site.leader.dispatcher->stats().startsSent == sent);
     CHECK(f.site.leader.dispatcher->stats().stopsSent > 0);
 }
+
+TEST_CASE("long-running tasks leave an evacuated zone within what their step may miss", "[evacuation]")
+{
+    VacatedSite f(1);
+    REQUIRE(f.runsIn("z1") == 4);
+    CHECK(f.run(seconds(12)) >= 3);
+    CHECK(f.runsIn("z1") == 0);
+    CHECK(f.runningIn("z2") == 4);
+}
+
+// Guards against tasks that are stopped and then wait: those without a substitute, and all while the other zones are full.
+TEST_CASE("long-running tasks stay in an evacuated zone if none may be missed or no other has room", "[evacuation]")
+{
+    VacatedSite bound(0);
+    CHECK(bound.run(seconds(4)) == 4);
+    CHECK(bound.runsIn("z1") == 4);
+    VacatedSite full(1);
+    for (const auto* key : { "e2", "e3" })
+        full.site.endpoint(key).setCapacity({ 500, 4000, 0 });
+    full.site.run(seconds(1));
+    CHECK(full.run(seconds(4)) == 4);
+    CHECK(full.runsIn("z1") == 4);
+}
--- a/tests/jobs/instance_keeper_test.cpp
+++ b/tests/jobs/instance_keeper_test.cpp
@@ -113,7 +113,7 @@
 
     void openManager()
     {
-        InstanceManagerDesc desc { true, seconds(2), milliseconds(1500), 60 };
+        InstanceManagerDesc desc { true, seconds(2), milliseconds(1500), 60, site.world.features };
         manager = std::make_unique<InstanceManager>(
             desc, ++term, site.leader.store, *site.leader.dispatcher, platform, [this](const Command& command) { site.leader.propose(command); }, [this] { return authorityEndsAt; }, site.world.clock, log);
     }
@@ -344,3 +344,22 @@
     site.run(milliseconds(50));
     CHECK(restarted.arrivals().empty());
 }
+
+// Guards against a pool that gets the spare instances of a zone in which nothing may start, and waits for others in vain.
+TEST_CASE("a pool takes no spare instance of an evacuated zone", "[pools]")
+{
+    PooledSite f(3);
+    f.site.world.features.evacuation = true;
+    f.changeLeader();
+    for (const auto* name : { "spare-1", "spare-2" })
+        f.platform.instances[name] = { name, "spare", InstanceState::Down, name[6] == '1' ? "z1" : "z2", f.platform.instances.begin()->second.capacity, {}, "" };
+    std::string entry;
+    appendCommand(entry, PutEvacuation { "z1", true, 1 });
+    f.site.leader.store.apply(entry);
+    f.platform.onStarted = f.platform.onStopped = [](const std::string&) {};
+    f.site.submit("00000000000000e1", 400);
+    f.site.run(seconds(8));
+    auto isMoved = [&](const std::string& name) { return std::any_of(f.platform.moves.begin(), f.platform.moves.end(), [&](const auto& it) { return it.instance == name; }); };
+    CHECK(isMoved("spare-2"));
+    CHECK_FALSE(isMoved("spare-1"));
+}
--- a/tests/jobs/job_decisions_test.cpp
+++ b/tests/jobs/job_decisions_test.cpp
@@ -519,6 +519,15 @@
     CHECK(planWave(instances, times, now).maintain.empty());
 }
 
+// Guards against a wave that takes capacity that is in use while an evacuated zone stands idle.
+TEST_CASE("a wave takes instances of an evacuated zone first", "[wave]")
+{
+    auto instances = makeWaveInstances(6);
+    instances[4].isEvacuated = true;
+    WaveConstraints times { now + seconds(60), seconds(2), 1 };
+    CHECK(planWave(instances, times, now).drain == std::vector<size_t> { 4 });
+}
+
 TEST_CASE("a wave with time to spare drains few instances at the same time, and a late one as many as its limit allows", "[wave]")
 {
     // Guards against a wave that takes too many instances during a peak: 104 of 349 for a wave of 140 on scale-1 of the
