Keep the ratio of sums and counts when old run times lose weight

Cause: halved counts were rounded down and sums were not. Change: sums are scaled with their rounded count.

--- a/src/policy/run_time_model.cpp
+++ b/src/policy/run_time_model.cpp
@@ -85,8 +85,16 @@
 
 void RunTimeSums::halve()
 {
-    for (auto* it : { &runs, &measured, &declared, &measuredSquares, &declaredSquares, &products, &tailRuns, &tailExcess, &siblingRuns, &siblingSquares })
-        *it /= 2;
+    // Sums keep their ratio to their count, which is rounded: a variance is a small difference of large sums.
+    auto scale = [](int64_t& count, std::initializer_list<int64_t*> sums) {
+        auto half = count / 2;
+        for (auto* it : sums)
+            *it = count > 0 ? *it * half / count : 0;
+        count = half;
+    };
+    scale(runs, { &measured, &declared, &measuredSquares, &declaredSquares, &products });
+    scale(tailRuns, { &tailExcess });
+    scale(siblingRuns, { &siblingSquares });
 }
 
 RunTimeFit fitRunTimes(const RunTimeSums& step, const RunTimeSums& queue)
--- a/tests/jobs/run_time_model_test.cpp
+++ b/tests/jobs/run_time_model_test.cpp
@@ -135,6 +135,20 @@
     CHECK(tasks.meanOf(2000) == Approx(4000).epsilon(0.25));
 }
 
+TEST_CASE("estimates stay within what was measured while old runs lose weight", "[runtimes]")
+{
+    Tasks tasks { .spread = 0.4, .error = 0.9, .tailShare = 0.008 };
+    double highest = 0;
+    for (int n = 0; n < 6000; n++) {
+        auto [declared, actual] = tasks.draw();
+        tasks.model.add({ "q", static_cast<uint32_t>(n % 11 == 0 ? 1 : 0), declared }, actual);
+        for (uint32_t step = 0; step < 2; step++)
+            highest = std::max(highest, tasks.model.mean({ "q", step, 1000 }));
+    }
+    CHECK(highest < 5000);
+    CHECK(tasks.model.summaries().at("q").declaredError == Approx(0.9).epsilon(0.25));
+}
+
 TEST_CASE("steps of a queue are told apart, and a new step follows the queue", "[runtimes]")
 {
     RunTimeModel model;
