--- a/src/policy/run_time_model.cpp
+++ b/src/policy/run_time_model.cpp
@@ -86,16 +86,16 @@
 
 void RunTimeSums::halve()
 {
-    // Sums shrink exactly as their count does: half of an odd count would leave a variance below zero.
-    auto scale = [](std::initializer_list<int64_t*> sums, int64_t& count) {
-        auto kept = count / 2;
+    // Sums keep their ratio to their count, which is rounded: a variance is a small difference of large sums.
+    auto scale = [](int64_t& count, std::initializer_list<int64_t*> sums) {
+        auto half = count / 2;
         for (auto* it : sums)
-            *it = count > 0 ? *it / count * kept + *it % count * kept / count : 0;
-        count = kept;
+            *it = count > 0 ? *it * half / count : 0;
+        count = half;
     };
-    scale({ &measured, &declared, &measuredSquares, &declaredSquares, &products }, runs);
-    scale({ &tailExcess }, tailRuns);
-    scale({ &siblingSquares }, siblingRuns);
+    scale(runs, { &measured, &declared, &measuredSquares, &declaredSquares, &products });
+    scale(tailRuns, { &tailExcess });
+    scale(siblingRuns, { &siblingSquares });
 }
 
 RunTimeFit fitRunTimes(const RunTimeSums& step, const RunTimeSums& queue)
