Keep room for long-running tasks when pools are short of instances

In scarcity, the share of a pool left out the long-running tasks that waited there.

Shares now begin with what long-running tasks need, those that wait included, and such a pool is served first. A pool for which no move is worth its time no longer ends the plan for the others.

Test seen to fail without the room for long-running tasks.

--- a/src/policy/pool_plan.cpp
+++ b/src/policy/pool_plan.cpp
@@ -46,6 +46,8 @@
         size_t draining = 0;
         /// Instances that cannot leave the pool.
         size_t pinned = 0;
+        /// Instances for long-running tasks, those that wait included.
+        double longRunning = 0;
 
         [[nodiscard]] double surplus() const { return static_cast<double>(present) - static_cast<double>(draining) - desired; }
     };
@@ -90,10 +92,12 @@
             for (size_t n = 0; n < m_pools.size(); n++) {
                 if (m_pools[n].isSpare)
                     continue;
-                // One instance at least, so that no pool with work starves.
-                shares[n] = std::min(left, std::max<size_t>(m_balance[n].pinned, hasWork(m_pools[n].load) ? 1 : 0));
+                // One instance at least, so that no pool with work starves, and room for long-running tasks: a wave waits for them.
+                auto least = std::max<size_t>({ m_balance[n].pinned, static_cast<size_t>(std::max(0.0, m_balance[n].longRunning)), hasWork(m_pools[n].load) ? 1U : 0U });
+                shares[n] = std::min(left, least);
                 left -= shares[n];
             }
+            m_least = shares;
             for (; left > 0; left--) {
                 std::optional<size_t> best;
                 for (size_t n = 0; n < m_pools.size(); n++) {
@@ -110,7 +114,7 @@
         /// @param lost time that the instance is of no use, in seconds.
         [[nodiscard]] bool isWorthMoving(size_t from, size_t to, double lost) const
         {
-            if (m_pools[from].isSpare || staying(to) == 0)
+            if (m_pools[from].isSpare || staying(to) < m_least[to])
                 return true;
             const auto& load = m_pools[to].load;
             auto lasting = load.backlogSeconds / static_cast<double>(staying(to));
@@ -169,9 +173,11 @@
         {
             std::optional<size_t> found;
             for (size_t n = 0; n < m_pools.size(); n++) {
-                if (m_pools[n].isSpare || staying(n) >= m_actions.shares[n])
+                if (m_pools[n].isSpare || m_hasNoDonor[n] || staying(n) >= m_actions.shares[n])
                     continue;
-                if (!found || saved(n, staying(n)) > saved(*found, staying(*found)))
+                bool isBelow = staying(n) < m_least[n];
+                bool isFoundBelow = found && staying(*found) < m_least[*found];
+                if (!found || (isBelow != isFoundBelow ? isBelow : saved(n, staying(n)) > saved(*found, staying(*found))))
                     found = n;
             }
             return found;
@@ -206,6 +212,7 @@
 
         void moveIdle()
         {
+            m_hasNoDonor.assign(m_pools.size(), false);
             while (auto to = neediest()) {
                 if (!m_drained.empty()) {
                     auto instance = m_drained.back();
@@ -217,8 +224,10 @@
                     }
                 }
                 auto from = donor(m_idle, *to, seconds(m_rules.moveTime));
-                if (!from)
-                    return;
+                if (!from) {
+                    m_hasNoDonor[*to] = true;
+                    continue;
+                }
                 auto instance = m_idle[*from].back();
                 m_idle[*from].pop_back();
                 move(instance, *to);
@@ -228,6 +237,7 @@
         /// Busy instances finish what they run before they move.
         void drainBusy()
         {
+            m_hasNoDonor.assign(m_pools.size(), false);
             size_t drained = 0;
             for (const auto& it : m_balance)
                 drained += it.draining;
@@ -239,8 +249,10 @@
                     continue;
                 }
                 auto from = donor(m_busy, *to, seconds(m_rules.moveTime) + seconds(m_rules.drainTime));
-                if (!from)
-                    return;
+                if (!from) {
+                    m_hasNoDonor[*to] = true;
+                    continue;
+                }
                 m_actions.drainForMove.push_back(m_busy[*from].back());
                 m_busy[*from].pop_back();
                 m_balance[*from].draining++;
@@ -253,6 +265,10 @@
         std::vector<Balance>& m_balance;
         TimePoint m_now;
         const ScarcityRules& m_rules;
+        /// Instances that each pool gets whatever others want.
+        std::vector<size_t> m_least;
+        /// Pools for which no instance is worth moving.
+        std::vector<bool> m_hasNoDonor;
         std::vector<bool> m_isKept;
         /// Instances that may leave, by pool: idle ones, busy ones from the most to the least loaded, and those that are drained.
         std::vector<std::vector<size_t>> m_idle;
@@ -296,7 +312,8 @@
         if (pools[n].isSpare || pools[n].load.waitingLongRunningTasks == 0)
             continue;
         auto settled = static_cast<double>(balance[n].present) - static_cast<double>(balance[n].draining) - movingIn[n];
-        balance[n].desired = std::max(balance[n].desired, settled + static_cast<double>(std::min(pools[n].load.waitingLongRunningTasks, maxInstancesForWaiting)));
+        balance[n].longRunning = settled + static_cast<double>(std::min(pools[n].load.waitingLongRunningTasks, maxInstancesForWaiting));
+        balance[n].desired = std::max(balance[n].desired, balance[n].longRunning);
     }
     double wanted = 0;
     double available = 0;
--- a/tests/jobs/pool_scarcity_test.cpp
+++ b/tests/jobs/pool_scarcity_test.cpp
@@ -215,6 +215,28 @@
     CHECK(!fleet.plan(quick).drainForMove.empty());
 }
 
+TEST_CASE("waiting long-running tasks get instances though pools want more than there is", "[pools]")
+{
+    // Load: scale-1 of kcpa-grid-grown: a wave stopped no long-running tasks while others of their pool waited, and 4 of its 158
+    // instances were late.
+    Pools fleet;
+    fleet.add(0, 60, false);
+    fleet.add(1, 10, false);
+    fleet.pools[0].load = demand(500, 500);
+    fleet.pools[1].load = demand(1, 1);
+    fleet.pools[1].load.reservedByLongRunning = 6;
+    fleet.pools[1].load.waitingLongRunningTasks = 3;
+    auto actions = fleet.plan();
+    REQUIRE(actions.shares.size() == 3);
+    CHECK(actions.shares[1] == 13);
+    CHECK(actions.drainForMove.size() == 3);
+    // Also if a third pool lacks more, for which no move is worth its time.
+    fleet.pools.push_back({ "c", false, demand(90, 90) });
+    fleet.pools.back().load.objectiveSeconds = 1;
+    fleet.add(3, 10, false);
+    CHECK(fleet.plan().drainForMove.size() == 3);
+}
+
 TEST_CASE("without scarcity, pools are planned as before", "[pools]")
 {
     Pools fleet;
