Let a workspace below its share go before one that is at it

A job's value is now divided by the ratio down to a half. Without entitlement, ratios below 1 still count as 1.

--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -220,7 +220,8 @@
         entry.criticalPathMs = plan->estimate.criticalPathMs;
         entry.workMs = plan->estimate.workMs;
         entry.relativeSize = plan->relativeSize;
-        entry.fairShareRatio = shares[job.workspace];
+        auto ratio = shares.find(job.workspace);
+        entry.fairShareRatio = ratio == shares.end() ? 1 : (isByPool ? ratio->second : std::max(1.0, ratio->second));
         entry.isBeyondRate = job.isBeyondRate;
         entry.isOverShare = isByPool && entry.fairShareRatio > maxShareRatio;
         ordered.push_back(entry);
--- a/src/policy/queue_order.cpp
+++ b/src/policy/queue_order.cpp
@@ -22,6 +22,8 @@
     constexpr double baseValue = 0.3;
     constexpr double sizeValue = 0.7;
     constexpr double maxValue = 4;
+    /// Below this part of its share, a workspace's jobs count no more.
+    constexpr double minShareRatio = 0.5;
     /// Factor on the value density of started jobs.
     constexpr double startedFactor = 3;
 
@@ -60,7 +62,7 @@
     std::vector<Ranked> ranked;
     ranked.reserve(jobs.size());
     for (const auto& it : jobs)
-        ranked.push_back({ it.serial, tierOf(it, now), it.priority, valueDensityOf(it) / std::max(1.0, it.fairShareRatio), it.objectiveAt });
+        ranked.push_back({ it.serial, tierOf(it, now), it.priority, valueDensityOf(it) / std::max(minShareRatio, it.fairShareRatio), it.objectiveAt });
     std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) {
         if (left.tier != right.tier)
             return left.tier < right.tier;
--- a/src/policy/queue_order_p.h
+++ b/src/policy/queue_order_p.h
@@ -30,8 +30,8 @@
     /// Work of the whole job relative to the mean of its queue.
     double relativeSize = 1;
     /// Capacity that the job's workspace uses relative to its weighted fair share among the workspaces with work: 1 for exactly
-    /// its share, 2 for twice as much. Above 1, the job's value is divided by the ratio; below 1, there is no bonus.
-    double fairShareRatio = 0;
+    /// its share, 2 for twice as much. The job's value is divided by the ratio; a workspace below its share counts at most twice.
+    double fairShareRatio = 1;
     /// The workspace had submitted as much as agreed when it submitted the job.
     bool isBeyondRate = false;
     /// The workspace has used more than its share of the pool lately, while others wait.
