--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -257,8 +257,8 @@
         entry.criticalPathMs = plan->estimate.criticalPathMs;
         entry.workMs = plan->estimate.workMs;
         entry.relativeSize = plan->relativeSize;
-        auto share = shares.find(job.workspace);
-        entry.fairShareRatio = share == shares.end() ? 0 : share->second;
+        auto ratio = shares.find(job.workspace);
+        entry.fairShareRatio = ratio == shares.end() ? 1 : (m_desc.features.entitlement ? ratio->second : std::max(1.0, ratio->second));
         entry.isBeyondRate = job.isBeyondRate;
         entry.isOverShare = m_desc.features.entitlement && entry.fairShareRatio > maxShareRatio;
         ordered.push_back(entry);
