--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -338,7 +338,7 @@
     m_nextVacateAt = now + vacateInterval;
     struct Remaining {
         size_t runs = 0;
-        size_t longRunning = 0;
+        size_t longTasks = 0;
         size_t stopping = 0;
         size_t withoutRoom = 0;
         size_t withoutSubstitute = 0;
@@ -355,7 +355,7 @@
             if (run.phase == RunPhase::Ended)
                 continue;
             zone.runs++;
-            zone.longRunning += run.isLongRunning ? 1 : 0;
+            zone.longTasks += run.isLongRunning ? 1 : 0;
             zone.stopping += run.mustStop ? 1 : 0;
             if (run.isLongRunning && run.mustStop)
                 busyPools.insert(session->endpoint.service);
@@ -382,7 +382,7 @@
         return;
     m_nextVacateLogAt = now + vacateLogInterval;
     for (const auto& [zone, it] : remaining)
-        m_log.stateLine("evacuation-runs").field("zone", zone).field("runs", it.runs).field("lasting", it.longRunning).field("stopping", it.stopping).field("no-room", it.withoutRoom).field("no-substitute", it.withoutSubstitute);
+        m_log.stateLine("evacuation-runs").field("zone", zone).field("runs", it.runs).field("lasting", it.longTasks).field("stopping", it.stopping).field("no-room", it.withoutRoom).field("no-substitute", it.withoutSubstitute);
 }
 
 void InstanceManager::updateCordons()
