--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -285,6 +285,7 @@
             stats.endpointsSilent++;
         else if (!session->isCapacityCertain(now, m_desc.maxCapacityReportAge))
             stats.endpointsUnreported++;
+        stats.evacuatedRuns += session->isEvacuated ? session->liveRuns : 0;
         for (const auto& [key, run] : session->runs)
             stats.liveRuns += run.phase != RunPhase::Ended ? 1 : 0;
     }
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -67,6 +67,8 @@
     size_t readyTasks = 0;
     size_t liveRuns = 0;
     size_t openJobs = 0;
+    /// Runs in evacuated zones that have not ended.
+    size_t evacuatedRuns = 0;
 };
 
 /// Placement state of one active job.
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -528,6 +528,12 @@
     visit("jobs", "Jobs in the replicated state.", static_cast<double>(m_store.jobs().size()));
     visit("endpoints", "Endpoints in the replicated state.", static_cast<double>(m_store.endpoints().size()));
     visit("config_version", "Version of the current configuration.", static_cast<double>(m_store.catalog().version));
+    int64_t oldestOrderMs = INT64_MAX;
+    for (const auto& [zone, orderedAtMs] : m_store.evacuations())
+        oldestOrderMs = std::min(oldestOrderMs, orderedAtMs);
+    auto evacuationMs = m_store.evacuations().empty() ? 0 : std::max<int64_t>(wallClockMs() - oldestOrderMs, 0);
+    visit("evacuated_zones", "Availability zones that are evacuated.", static_cast<double>(m_store.evacuations().size()));
+    visit("evacuation_seconds", "Time since the oldest order to evacuate a zone that is in force.", std::chrono::duration<double>(std::chrono::milliseconds(evacuationMs)).count());
     visit("log_lines_dropped_total", "Log lines dropped by the rate limit or because of a slow reader.", static_cast<double>(m_log.dropped()));
     visit("processor_seconds_total", "CPU time used by this process.", std::chrono::duration<double>(LoadMeter::processorTime()).count());
     visit("late_ticks_total", "Event loop ticks that ran at least 0.1 s late.", static_cast<double>(m_loadMeter.lateTicks()));
@@ -557,6 +563,7 @@
     visit("endpoints_unreported", "Endpoints that answer but get no tasks because no recent heartbeat tells their capacity.", static_cast<double>(stats.endpointsUnreported));
     visit("ready_tasks", "Tasks that wait for free capacity.", static_cast<double>(stats.readyTasks));
     visit("live_runs", "Runs that hold capacity.", static_cast<double>(stats.liveRuns));
+    visit("evacuated_runs", "Runs in evacuated availability zones that have not ended.", static_cast<double>(stats.evacuatedRuns));
     visit("open_jobs", "Jobs that are not finished.", static_cast<double>(stats.openJobs));
 }
 
