Place less on endpoints that have come back cold

A heartbeat tells for how long the endpoint remains slow. Where evacuations are on, placement expects less speed of it, rising evenly until it is warm, so that tasks go to warm endpoints while these have room. Run time estimates do not count it yet.

Tests: evacuation_test, not yet seen to fail with the rule off.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -360,6 +360,9 @@
     session.reportedCapacity = heartbeat.endpoint.capacity;
     session.capacityReportedAt = receivedAt;
     session.capacityClockMs = heartbeat.clockMs;
+    auto coldLeft = std::chrono::milliseconds(heartbeat.warmUpMs);
+    session.warmAt = receivedAt + coldLeft;
+    session.coldTime = std::max<Duration>(session.coldTime, coldLeft);
 }
 
 void Dispatcher::receiveDeregistration(const std::string& endpointId, std::function<void()> onRecorded)
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -119,6 +119,8 @@
         std::optional<int64_t> clockMs;
         /// Minimum time until the endpoint terminates while it drains, in milliseconds.
         std::optional<int64_t> remainingMs;
+        /// Time for which the endpoint remains slow after its start, in milliseconds.
+        int64_t warmUpMs = 0;
     };
     /// @param onRecorded called once the heartbeat is reflected in the store.
     void receiveHeartbeat(const Heartbeat& heartbeat, std::function<void()> onRecorded);
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -2,6 +2,7 @@
 
 #include "core/event_log_p.h"
 #include "policy/queue_order_p.h"
+#include "policy/warm_up_p.h"
 
 #include <vanillalift/config.h>
 
@@ -188,6 +189,8 @@
         candidate.free = session->freeCapacity();
         candidate.recentFailures = session->consecutiveFailures;
         candidate.speed = session->speed.at(now);
+        if (m_desc.features.evacuation)
+            candidate.speed *= warmUpSpeed(session->warmAt - now, session->coldTime);
         candidate.isDueForMaintenance = session->isDueForMaintenance;
         setRunCounts(candidate, *session);
         candidate.isUnstable = now < session->unstableUntil;
--- a/src/jobs/endpoint_session.cpp
+++ b/src/jobs/endpoint_session.cpp
@@ -117,6 +117,8 @@
     isDeregistrationPending = false;
     deregistrationAckDueAt = {};
     reportedCapacity.reset();
+    warmAt = {};
+    coldTime = {};
     capacityClockMs.reset();
     strayUse = {};
     lastEndSeen = 0;
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -149,6 +149,9 @@
     /// When that heartbeat arrived, and the endpoint's clock when it was sent, in milliseconds.
     TimePoint capacityReportedAt;
     std::optional<int64_t> capacityClockMs;
+    /// Until when it is slow by that heartbeat, and for how long at most by those of this incarnation.
+    TimePoint warmAt;
+    Duration coldTime {};
     /// Resources of runs that the endpoint lists but the store does not: they are being stopped.
     Resources strayUse;
     /// The endpoint refuses starts that exceed its capacity.
--- a/src/node/job_service.cpp
+++ b/src/node/job_service.cpp
@@ -133,7 +133,7 @@
 
 void JobService::handle(HeartbeatRequest& request, const Respond& respond)
 {
-    Dispatcher::Heartbeat heartbeat { std::move(request.endpoint), request.sequence, std::nullopt, std::nullopt };
+    Dispatcher::Heartbeat heartbeat { std::move(request.endpoint), request.sequence, std::nullopt, std::nullopt, request.warmUpMs };
     if (request.clockMs >= 0)
         heartbeat.clockMs = request.clockMs;
     if (request.remainingMs >= 0)
--- a/src/node/messages_p.h
+++ b/src/node/messages_p.h
@@ -62,7 +62,9 @@
     int64_t clockMs = -1;
     /// While the endpoint drains, the least time until it ends; -1 if not reported.
     int64_t remainingMs = -1;
-    MSGPACK_DEFINE(endpoint, sequence, clockMs, remainingMs)
+    /// Time for which the endpoint remains slow after its start.
+    int64_t warmUpMs = 0;
+    MSGPACK_DEFINE(endpoint, sequence, clockMs, remainingMs, warmUpMs)
 };
 struct DeregisterRequest {
     std::string endpointId;
--- a/tests/jobs/evacuation_test.cpp
+++ b/tests/jobs/evacuation_test.cpp
@@ -3,6 +3,8 @@
 #include "endpoint_sim.h"
 #include "jobs/instance_manager_p.h"
 #include "node/job_service_p.h"
+#include "policy/placement_p.h"
+#include "policy/warm_up_p.h"
 
 using namespace vanillalift;
 using namespace vanillalift::sim;
@@ -271,3 +273,23 @@
     CHECK(full.run(seconds(4)) == 4);
     CHECK(full.runsIn("z1") == 4);
 }
+
+// Guards against a whole zone's work on endpoints that have just come back and are slow.
+TEST_CASE("less is expected of an endpoint that has come back cold, until it is warm", "[evacuation]")
+{
+    CHECK(warmUpSpeed(seconds(4), seconds(4)) == 0.5);
+    CHECK(warmUpSpeed(seconds(2), seconds(4)) == 0.75);
+    CHECK(warmUpSpeed(seconds(-1), seconds(4)) == 1);
+    CHECK(warmUpSpeed({}, {}) == 1);
+    ZonedSite f;
+    auto report = [&](const std::string& key, int64_t coldLeftMs) {
+        const auto& session = *f.site.leader.dispatcher->sessions().at(key);
+        f.site.leader.dispatcher->receiveHeartbeat({ session.endpoint, session.lastHeartbeatSequence + 1, std::nullopt, std::nullopt, coldLeftMs }, [] {});
+    };
+    f.site.hasHeartbeats = false;
+    for (const auto* key : { "e0", "e1", "e2" })
+        report(key, 5000);
+    f.site.submit("00000000000000d1", 3);
+    f.site.run(milliseconds(50));
+    CHECK(f.site.leader.dispatcher->sessions().at("e3")->liveRuns == 3);
+}
