--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -296,6 +296,7 @@
             stats.endpointsSilent++;
         else if (!session->isCapacityCertain(now, m_desc.maxCapacityReportAge))
             stats.endpointsUnreported++;
+        stats.evacuatedRuns += session->isEvacuated ? session->liveRuns : 0;
         for (const auto& [key, run] : session->runs)
             stats.liveRuns += run.phase != RunPhase::Ended ? 1 : 0;
     }
@@ -370,6 +371,9 @@
     session.reportedCapacity = heartbeat.endpoint.capacity;
     session.capacityReportedAt = receivedAt;
     session.capacityClockMs = heartbeat.clockMs;
+    auto coldLeft = std::chrono::milliseconds(heartbeat.warmUpMs);
+    session.warmAt = receivedAt + coldLeft;
+    session.coldTime = std::max<Duration>(session.coldTime, coldLeft);
 }
 
 void Dispatcher::receiveDeregistration(const std::string& endpointId, std::function<void()> onRecorded)
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -78,6 +78,8 @@
     size_t readyTasks = 0;
     size_t liveRuns = 0;
     size_t openJobs = 0;
+    /// Runs in evacuated zones that have not ended.
+    size_t evacuatedRuns = 0;
 };
 
 /// Placement state of one active job.
@@ -133,6 +135,8 @@
         std::optional<int64_t> clockMs;
         /// Minimum time until the endpoint terminates while it drains, in milliseconds.
         std::optional<int64_t> remainingMs;
+        /// Time for which the endpoint remains slow after its start, in milliseconds.
+        int64_t warmUpMs = 0;
     };
     /// @param onRecorded called once the heartbeat is reflected in the store.
     void receiveHeartbeat(const Heartbeat& heartbeat, std::function<void()> onRecorded);
