Bound how long reservations hold back a job only while half of a pool is idle

Cause: with the bound of 2 s under any load, the stream of small jobs that reservations answer became exempt as a whole, and large jobs starved again (dispatcher_reservation_test: 2 of 15 started). Change: the bound holds while half of the pool's room is free, which is when holding back is of no use.

--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -346,7 +346,7 @@
     /// @returns when the job's remaining steps have to start for its result to be of use.
     [[nodiscard]] static TimePoint latestStartOf(const JobPlan& plan);
     /// @returns whether reservations have held back the job's tasks for as long as they may.
-    [[nodiscard]] static bool wasHeldLong(const JobPlan& plan, TimePoint now);
+    [[nodiscard]] bool wasHeldLong(const JobPlan& plan, TimePoint now) const;
     /// Marks the endpoints on which the task would delay a reserved one.
     void markHeld(std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, const JobPlan& plan, const TaskKey& key) const;
     /// @returns the time that most tasks of the step take at most.
@@ -440,6 +440,8 @@
     /// Steps with reservations in the pool whose tasks are being placed, and the largest need that waits there.
     std::set<TaskKey> m_reservedSteps;
     Resources m_largestWaiting;
+    /// At least half of the room on that pool's endpoints is free.
+    bool m_isHalfIdle = false;
     TimePoint m_nextSpeculationAt;
     /// When tasks of jobs that are not deferred last waited for room.
     TimePoint m_lastWaitingAt;
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -206,6 +206,7 @@
     std::vector<EndpointSession*> sessions;
     Resources maxFree;
     Resources capacity;
+    Resources free;
     for (auto& [id, session] : m_sessions) {
         if (session->endpoint.service != service || !isSchedulable(*session, now) || !session->isCapacityCertain(now, m_desc.maxCapacityReportAge))
             continue;
@@ -223,12 +224,14 @@
         candidate.isQuiet = isQuiet(*session);
         maxFree = { std::max(maxFree.cpu, candidate.free.cpu), std::max(maxFree.memory, candidate.free.memory), std::max(maxFree.gpus, candidate.free.gpus) };
         capacity += session->endpoint.capacity;
+        free += candidate.free;
         candidates.push_back(candidate);
         sessions.push_back(session.get());
     }
     if (candidates.empty())
         return;
     m_waitingIsolatedTasks = 0;
+    m_isHalfIdle = 2 * free.cpu >= capacity.cpu && 2 * free.memory >= capacity.memory;
     // While there is room for everything, the order is of no importance, and shares change nothing.
     bool wasShort = std::exchange(state.isShort, false);
     auto plans = candidatePlans(service, maxFree, candidates.size(), state);
--- a/src/jobs/dispatcher_reservations.cpp
+++ b/src/jobs/dispatcher_reservations.cpp
@@ -17,7 +17,7 @@
     constexpr double overrunShare = 0.25;
     /// Least progress, in percent, from which the remaining time of a run is extrapolated.
     constexpr uint32_t minProgress = 20;
-    /// Longest time for which reservations hold back a job's tasks.
+    /// Longest time for which reservations hold back a job's tasks while half of the pool is idle.
     constexpr std::chrono::milliseconds maxHoldTime { 2000 };
 
     Duration fromMs(double ms) { return std::chrono::microseconds(static_cast<int64_t>(ms * 1000)); }
@@ -127,7 +127,7 @@
     session.reservableFrom = now + reservationPause;
 }
 
-bool Dispatcher::wasHeldLong(const JobPlan& plan, TimePoint now) { return plan.heldSince != TimePoint {} && now - plan.heldSince > maxHoldTime; }
+bool Dispatcher::wasHeldLong(const JobPlan& plan, TimePoint now) const { return m_isHalfIdle && plan.heldSince != TimePoint {} && now - plan.heldSince > maxHoldTime; }
 
 void Dispatcher::markHeld(std::vector<PlacementCandidate>& candidates, const std::vector<EndpointSession*>& sessions, const JobPlan& plan, const TaskKey& key) const
 {
--- a/src/policy/pool_plan.cpp
+++ b/src/policy/pool_plan.cpp
@@ -46,8 +46,8 @@
         size_t draining = 0;
         /// Instances that cannot leave the pool.
         size_t pinned = 0;
-        /// Instances for long-running tasks, those that wait included.
-        double longRunning = 0;
+        /// Instances for long-running tasks, while some wait.
+        double forLongRunning = 0;
 
         [[nodiscard]] double surplus() const { return static_cast<double>(present) - static_cast<double>(draining) - desired; }
     };
@@ -55,7 +55,7 @@
     bool hasWork(const PoolLoad& load) { return load.arriving > 0 || load.runnable > 0 || load.backlogSeconds > 0 || load.waitingLongRunningTasks > 0; }
 
     /// @returns the instances that the pool's long-running tasks need, which are owed whatever other pools want.
-    size_t longRunningInstances(const PoolLoad& load)
+    size_t dedicatedInstances(const PoolLoad& load)
     {
         return static_cast<size_t>(std::ceil(load.reservedByLongRunning / packingEfficiency)) + std::min(load.waitingLongRunningTasks, maxInstancesForWaiting);
     }
@@ -99,8 +99,8 @@
                 if (m_pools[n].isSpare)
                     continue;
                 // One instance at least, so that no pool with work starves, and room for long-running tasks: a wave waits for them.
-                auto waiting = static_cast<size_t>(std::max(0.0, m_balance[n].longRunning));
-                auto least = std::max<size_t>({ m_balance[n].pinned, waiting, longRunningInstances(m_pools[n].load), hasWork(m_pools[n].load) ? 1U : 0U });
+                auto waiting = static_cast<size_t>(std::max(0.0, m_balance[n].forLongRunning));
+                auto least = std::max<size_t>({ m_balance[n].pinned, waiting, dedicatedInstances(m_pools[n].load), hasWork(m_pools[n].load) ? 1U : 0U });
                 shares[n] = std::min(left, least);
                 left -= shares[n];
             }
@@ -321,8 +321,8 @@
         if (pools[n].isSpare || pools[n].load.waitingLongRunningTasks == 0)
             continue;
         auto settled = static_cast<double>(balance[n].present) - static_cast<double>(balance[n].draining) - movingIn[n];
-        balance[n].longRunning = settled + static_cast<double>(std::min(pools[n].load.waitingLongRunningTasks, maxInstancesForWaiting));
-        balance[n].desired = std::max(balance[n].desired, balance[n].longRunning);
+        balance[n].forLongRunning = settled + static_cast<double>(std::min(pools[n].load.waitingLongRunningTasks, maxInstancesForWaiting));
+        balance[n].desired = std::max(balance[n].desired, balance[n].forLongRunning);
     }
     double wanted = 0;
     double available = 0;
