Name the switch for jobs whose results have no value after what it does

Cause: `admission` promised refusals at submission, which are not built; it only keeps such jobs from asking for instances. With entitlement switched off, jobs recorded as beyond the rate still gave way (both found by the review). Change: the switch is `deferral`; entitlement off treats all jobs alike.

--- a/include/vanillalift/features.h
+++ b/include/vanillalift/features.h
@@ -20,8 +20,8 @@
     bool evacuation = false;
     /// Jobs that a workspace submits beyond its agreed rate give way to those within it.
     bool entitlement = false;
-    /// Jobs that cannot end in time are refused when they are submitted.
-    bool admission = false;
+    /// Jobs whose results can no longer be of value ask for no instances while others wait.
+    bool deferral = false;
     /// Run times are estimated from earlier runs in addition to what callers declare.
     bool learnedRunTimes = false;
     /// Pools that together want more instances than there are get them by what their callers would lose.
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -728,9 +728,9 @@
 
 bool Dispatcher::isDeferred(const JobPlan& plan) const
 {
-    if (plan.job->isBeyondRate)
+    if (m_desc.features.entitlement && plan.job->isBeyondRate)
         return true;
-    if (!m_desc.features.admission || plan.job->isLongRunning() || plan.job->spec.occurrences != 0)
+    if (!m_desc.features.deferral || plan.job->isLongRunning() || plan.job->spec.occurrences != 0)
         return false;
     auto expiresAt = plan.acceptedAt + expiryFactor * plan.objective;
     return m_clock.now() + std::chrono::milliseconds(static_cast<int64_t>(plan.estimate.criticalPathMs * estimateTolerance)) > expiresAt;
--- a/src/jobs/dispatcher_placement.cpp
+++ b/src/jobs/dispatcher_placement.cpp
@@ -265,7 +265,7 @@
         entry.relativeSize = plan->relativeSize;
         auto ratio = shares.find(job.workspace);
         entry.fairShareRatio = ratio == shares.end() ? 1 : (m_desc.features.entitlement ? ratio->second : std::max(1.0, ratio->second));
-        entry.isBeyondRate = job.isBeyondRate;
+        entry.isBeyondRate = m_desc.features.entitlement && job.isBeyondRate;
         entry.isOverShare = m_desc.features.entitlement && entry.fairShareRatio > maxShareRatio;
         ordered.push_back(entry);
     }
--- a/tests/jobs/platform_decode_test.cpp
+++ b/tests/jobs/platform_decode_test.cpp
@@ -259,17 +259,17 @@
     CHECK_FALSE(features.reservations);
     features = load(R"(,"contracts":["base","quota",7],"bounds":{"quotaWindowS":2.5,"quotaOverage":0.2,"quotaSlack":3})").value().controller.features;
     CHECK(features.entitlement);
-    CHECK(features.admission);
+    CHECK(features.deferral);
     CHECK_FALSE(features.evacuation);
     CHECK(features.agreedRate.window == std::chrono::milliseconds(2500));
     CHECK(features.agreedRate.overage == 0.2);
     CHECK(features.agreedRate.slack == 3);
     CHECK(load(R"(,"contracts":["places"])").value().controller.features.evacuation);
-    features = load(R"(,"contracts":["quota"],"scheduling":{"admission":false,"reservations":true})").value().controller.features;
+    features = load(R"(,"contracts":["quota"],"scheduling":{"deferral":false,"reservations":true})").value().controller.features;
     CHECK(features.entitlement);
-    CHECK_FALSE(features.admission);
+    CHECK_FALSE(features.deferral);
     CHECK(features.reservations);
-    CHECK_FALSE(load(R"(,"scheduling":{"admission":"no"})"));
+    CHECK_FALSE(load(R"(,"scheduling":{"deferral":"no"})"));
     std::filesystem::remove(path);
 }
 
