--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -358,7 +358,7 @@
         return;
     uint32_t runTimeMs = 0;
     if (report.end == RunEnd::Done) {
-        runTimeMs = measuredRunTimeMs(session, *run);
+        runTimeMs = learnedRunTimes() ? measuredRunTimeMs(session, *run) : 0;
         m_stats.runsDone++;
         session.consecutiveFailures = 0;
         updateSpeedEstimate(session, *run);
