--- a/tests/jobs/entitlement_test.cpp
+++ b/tests/jobs/entitlement_test.cpp
@@ -257,6 +257,8 @@
 {
     // Load: all endpoints are full, and one job within and one beyond its workspace's rate wait.
     sim::Site site(1);
+    site.world.features.entitlement = true;
+    site.leader.restart();
     for (int n = 0; n < 16; n++)
         site.submit("full" + std::to_string(n), 1, true);
     site.run(seconds(2));
