Mend what the linter finds in two new tests

Cause: clang-tidy over the changed files found a vector that is filled in a loop without a reserve, and a list that is copied. Change: both as it asks. No check changes.

--- a/tests/jobs/entitlement_test.cpp
+++ b/tests/jobs/entitlement_test.cpp
@@ -110,6 +110,7 @@
             names[name] = { name, std::find_if(loads.begin(), loads.end(), [&](const Load& load) { return load.name == name; })->weight };
         }
         std::vector<Competitor> competitors;
+        competitors.reserve(names.size());
         for (const auto& [name, it] : names)
             competitors.push_back(it);
         auto ratios = shares.ratios(competitors, { cores * 1000, cores * 4000, 0 }, now);
--- a/tests/jobs/reservation_plan_test.cpp
+++ b/tests/jobs/reservation_plan_test.cpp
@@ -12,7 +12,7 @@
 
 const TimePoint now { std::chrono::hours(1) };
 
-ReservableEndpoint makeEndpoint(size_t index, int64_t freeCpu, std::vector<std::pair<int, int64_t>> releases)
+ReservableEndpoint makeEndpoint(size_t index, int64_t freeCpu, const std::vector<std::pair<int, int64_t>>& releases)
 {
     ReservableEndpoint it { index, { freeCpu, 32000, 0 }, { 32000, 64000, 0 }, 0, {} };
     for (auto [ms, cpu] : releases)
