--- a/review/site2.py
+++ b/review/site2.py
@@ -77,19 +77,6 @@
             writer.close()
 
 
-async def read_page(ip, port, path):
-    """Returns the text of a page, or nothing if it can't be read."""
-    try:
-        async with asyncio.timeout(1):
-            reader, writer = await asyncio.open_connection(ip, port)
-            writer.write(f"GET {path} HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n\r\n".encode())
-            text = await reader.read()
-            writer.close()
-            return text.decode(errors="replace")
-    except (OSError, TimeoutError, asyncio.TimeoutError):
-        return ""
-
-
 class HttpServer:
     """One process's server: it can end as a crashed process does, with a reset of its connections."""
 
@@ -154,12 +141,12 @@
     def clock(self):
         return int((time.monotonic() - self.boot) * 1000)
 
-    async def start(self, first_ping_s=0.0, closes_each=False):
+    async def start(self, closes_each=False):
         self.http.closes_each = closes_each
         await self.http.start()
         self.is_up = True
         self.world.record.line(self.id, "is up, labels", self.labels, "born", self.born)
-        self.tasks = [asyncio.create_task(self.beat(first_ping_s)), asyncio.create_task(self.work())]
+        self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.work())]
         return self
 
     def crash(self):
@@ -183,8 +170,7 @@
         for it in self.tasks:
             it.cancel()
 
-    async def beat(self, delay):
-        await asyncio.sleep(delay)
+    async def beat(self):
         while True:
             self.seq += 1
             body = {"service": self.service, "addr": f"{self.ip}:{EXECUTOR}", "zone": self.world.zone_of(self.ip), "version": "v1", "slots": 8, "state": self.state,
@@ -450,9 +436,9 @@
         return False
 
     async def add_executor(self, ip_number, id, labels, **options):
-        first_ping_s, closes_each = options.pop("first_ping_s", 0.0), options.pop("closes_each", False)
+        closes_each = options.pop("closes_each", False)
         ip = f"{self.net}.{ip_number}"
-        self.executors[ip] = await Executor(self, ip, id, labels, **options).start(first_ping_s, closes_each)
+        self.executors[ip] = await Executor(self, ip, id, labels, **options).start(closes_each)
         return self.executors[ip]
 
     async def consumer(self, method, path, body=None, timeout=3.0, gateway=None):
