--- a/review/site2.py
+++ b/review/site2.py
@@ -77,6 +77,21 @@
             writer.close()
 
 
+async def leader(world):
+    """Returns the name of the controller whose metrics page says that it leads."""
+    for name, ip in world.controllers.items():
+        try:
+            reader, writer = await asyncio.open_connection(ip, METRICS)
+            writer.write(f"GET /metrics HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n\r\n".encode())
+            page = (await reader.read()).decode(errors="replace")
+            writer.close()
+        except OSError:
+            continue
+        if any(it.startswith("vanillalift_controller_is_leader") and it.endswith(" 1") for it in page.splitlines()):
+            return name
+    raise CannotRun("no controller leads")
+
+
 class HttpServer:
     """One process's server: it can end as a crashed process does, with a reset of its connections."""
 
@@ -269,6 +284,11 @@
         running = [[it.task, it.number, it.saved, self.world.percent(it), 0] for it in self.runs.values()]
         return 200, {"clockMs": self.clock(), "born": self.born, "running": running, "ended": self.ends[:500]}
 
+    def has_room(self, task):
+        """Whether the work unit fits beside what runs, for services with `rejectsOverload`."""
+        steps = [self.world.job_of(it)["steps"][int(it.split(".")[2])] for it in [*self.runs, task]]
+        return all(sum(it.get(name, 0) for it in steps) <= self.capacity[name] for name in ("cpu", "memMb", "gpu"))
+
     def run_start(self, body):
         task, number = body["task"], body["run"]
         known = self.runs.get(task)
@@ -285,6 +305,8 @@
         if body.get("deadlineMs", 0) <= self.clock():
             return refuse("late")
         self.extend(body["deadlineMs"])
+        if self.world.guards and not self.has_room(task):
+            return refuse("room")
         run = Run(task, number, body.get("spec"), body.get("lastCheckpoint", ""), time.monotonic())
         run.saved = run.given
         self.runs[task] = run
@@ -342,7 +364,7 @@
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.controllers = {f"core-{n}": f"{self.net}.{n}" for n in range(1, controllers + 1)}
         self.gateways = {f"front-{n}": f"{self.net}.{n + 20}" for n in range(1, gateways + 1)}
-        self.heartbeat_s, self.stop_s = 1.5, 0.05
+        self.heartbeat_s, self.stop_s, self.guards = 1.5, 0.05, False
         self.executors, self.processes, self.jobs = {}, {}, {}
         self.folder = tempfile.mkdtemp(prefix="vanillalift-case-")
         self.cloud_ip = f"{self.net}.200"
@@ -413,6 +435,7 @@
             raise CannotRun(f"{command[0]}: {error}")
 
     async def begin(self, config):
+        self.guards = config["services"][0]["rejectsOverload"]
         self.cloud = Cloud(self, self.cloud_ip)
         await self.cloud.http.start()
         for it in list(self.controllers) + list(self.gateways):
