Bound the share of the leader's time for placement and instances

Cause: pools, waves and placement were planned at a fixed pace, whatever one pass costs.

A pass is now followed by a pause in proportion to its time: a fifth of the thread's time at most goes to instances, and a quarter to placement. A pass that is short enough, as on a leader with time to spare, runs as often as before.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -21,6 +21,9 @@
     /// Time without waiting tasks after which pools may ask for instances for deferred jobs: twice the time that an
     /// instance takes to move, since it may have to go back.
     constexpr std::chrono::milliseconds quietPeriod { 3000 };
+    /// Largest share of the thread's time for placement: what a pass takes grows with what waits, and the same thread starts what is
+    /// placed.
+    constexpr double maxPlacementShare = 0.25;
 
 } // namespace
 
@@ -40,6 +43,7 @@
     , m_adviceService(advice)
     , m_log(log)
     , m_startedAt(clock.now())
+    , m_placementPace(Duration::zero(), maxPlacementShare)
 {
     restoreState();
     m_store.setObserver(this);
@@ -281,11 +285,13 @@
 
 void Dispatcher::placeTasks()
 {
-    if (hasLeaderAuthority()) {
+    auto now = m_clock.now();
+    if (m_placementPace.isDue(now) && hasLeaderAuthority()) {
         planSpeculativeCopies();
         logRunTimes();
         releaseExpiredRoom();
         place();
+        m_placementPace.recordPass(now, m_clock.now());
     }
     flushRunEnds();
 }
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -6,6 +6,7 @@
 #include "policy/crash_attribution_p.h"
 #include "policy/fair_share_p.h"
 #include "policy/job_estimate_p.h"
+#include "policy/paced_interval_p.h"
 #include "policy/placement_p.h"
 #include "policy/run_time_model_p.h"
 #include "step_advice_p.h"
@@ -481,6 +482,7 @@
     std::map<std::string, TimePoint> m_unstableUntil;
     std::map<uint64_t, JobPlan> m_plans;
     std::map<std::string, PlacementState> m_placementStates;
+    PacedInterval m_placementPace;
     std::map<std::string, Resources> m_workspaceUsage;
     std::map<TaskKey, RoomHold> m_roomHolds;
     /// When long-running tasks may start again that have probably caused crashes.
--- a/src/jobs/instance_manager_p.h
+++ b/src/jobs/instance_manager_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatcher_p.h"
+#include "policy/paced_interval_p.h"
 #include "policy/pool_plan_p.h"
 #include "policy/wave_plan_p.h"
 
@@ -122,6 +123,7 @@
         TimePoint acceptedAt;
     };
 
+    void update();
     void updatePools();
     std::vector<Pool> describePools();
     std::vector<PoolInstance> describeInstances(const std::vector<Pool>& pools);
@@ -196,7 +198,7 @@
     bool m_isListing = false;
     TimePoint m_startedAt;
     TimePoint m_nextListAt;
-    TimePoint m_nextTickAt;
+    PacedInterval m_pace;
     std::map<std::pair<uint64_t, std::string>, WaveProgress> m_progress;
     std::map<std::string, Move> m_moves;
     std::map<std::string, TimePoint> m_idleSince;
--- a/tests/jobs/dispatcher_overload_test.cpp
+++ b/tests/jobs/dispatcher_overload_test.cpp
@@ -250,3 +250,22 @@
     // One retry for one task of each step on four endpoints.
     CHECK(dispatcher.stats().endpointsEvaluated - before <= 8);
 }
+
+// Guards against a leader that has no time left to start tasks, as it looks for room for all that wait meanwhile.
+TEST_CASE("placement leaves a slow thread two thirds of its time", "[dispatcher][overload]")
+{
+    constexpr size_t jobCount = 300;
+    Site site(11);
+    for (size_t n = 0; n < jobCount; n++)
+        site.submit("j" + std::to_string(n), 2);
+    site.run(seconds(1));
+    site.world.leaderClock.readingTime = microseconds(50);
+    site.leader.timeInPlacement = {};
+    auto startedAt = site.world.clock.time;
+    site.run(seconds(10));
+    CHECK(site.leader.timeInPlacement <= (site.world.clock.time - startedAt) / 3);
+    site.run(seconds(60));
+    for (size_t n = 0; n < jobCount; n++)
+        CHECK(site.job("j" + std::to_string(n)).phase == JobPhase::Completed);
+    CHECK(site.world.violations.text().empty());
+}
--- a/tests/jobs/endpoint_sim.h
+++ b/tests/jobs/endpoint_sim.h
@@ -26,6 +26,20 @@
     TimePoint time { std::chrono::hours(1000) };
 };
 
+/// The clock of a thread for which each reading takes a given time.
+class SlowClock final : public Clock {
+public:
+    explicit SlowClock(SimClock& clock)
+        : m_clock(clock)
+    {
+    }
+    [[nodiscard]] TimePoint now() const override { return m_clock.time += readingTime; }
+    Duration readingTime {};
+
+private:
+    SimClock& m_clock;
+};
+
 /// Runs scheduled handlers in the order of their times, and advances the clock to them.
 class EventQueue {
 public:
@@ -38,10 +52,11 @@
     {
         while (!m_events.empty() && m_events.begin()->first.first <= end) {
             auto event = m_events.extract(m_events.begin());
-            m_clock.time = event.key().first;
+            // A handler may have taken longer than until the next event.
+            m_clock.time = std::max(m_clock.time, event.key().first);
             event.mapped()();
         }
-        m_clock.time = end;
+        m_clock.time = std::max(m_clock.time, end);
     }
 
 private:
@@ -151,6 +166,7 @@
 struct World {
     explicit World(uint64_t seed)
         : random(seed)
+        , leaderClock(clock)
         , eventQueue(clock)
         , thread(eventQueue)
     {
@@ -160,6 +176,7 @@
 
     std::mt19937_64 random;
     SimClock clock;
+    SlowClock leaderClock;
     EventQueue eventQueue;
     SimThread thread;
     /// See DispatcherDesc; takes effect at the leader's next restart.
@@ -907,7 +924,7 @@
         desc.placementRetryInterval = m_world.placementRetryInterval;
         desc.features = m_world.features;
         desc.leaderConfirmedAt = [this] { return isPartitioned ? leaderConfirmedAt : m_world.clock.time; };
-        dispatcher = std::make_unique<Dispatcher>(std::move(desc), store, demand, m_world.clock, m_links, advice, m_log);
+        dispatcher = std::make_unique<Dispatcher>(std::move(desc), store, demand, m_world.leaderClock, m_links, advice, m_log);
     }
 
     /// Commits the oldest of the held commands.
@@ -932,14 +949,19 @@
     uint64_t runsNotStarted = 0;
     /// Placements of a task after its first one.
     uint64_t repeatedPlacements = 0;
+    Duration timeInPlacement {};
     [[nodiscard]] CallStats callStats() const { return m_links.stats(); }
 
 private:
     void tick()
     {
         demand.update();
-        if (dispatcher)
-            dispatcher->tick();
+        if (dispatcher) {
+            dispatcher->updateEndpoints();
+            auto startedAt = m_world.clock.time;
+            dispatcher->placeTasks();
+            timeInPlacement += m_world.clock.time - startedAt;
+        }
         m_world.eventQueue.after(milliseconds(10), [this] { m_world.thread.postTimer([this] { tick(); }); });
     }
 
--- a/tests/jobs/instance_keeper_test.cpp
+++ b/tests/jobs/instance_keeper_test.cpp
@@ -241,3 +241,26 @@
     CHECK(isMoved("spare-2"));
     CHECK_FALSE(isMoved("spare-1"));
 }
+
+// Guards against a leader that starts no tasks for want of time, as it plans the pools and waves of a large fleet meanwhile.
+TEST_CASE("pools and waves take no more than a fifth of a slow thread's time", "[keeper]")
+{
+    constexpr size_t fleetSize = 60;
+    PooledSite pooled(fleetSize);
+    auto& site = pooled.site;
+    std::vector<std::string> names;
+    for (size_t n = 0; n < fleetSize; n++)
+        names.push_back("m-e" + std::to_string(n));
+    site.leader.propose(PutWave { { 1, names, wallClockMs() + 60000, 2 } });
+    site.run(seconds(1));
+    site.world.leaderClock.readingTime = milliseconds(1);
+    pooled.timeInManager = {};
+    auto startedAt = site.world.clock.time;
+    site.run(seconds(20));
+    auto elapsed = site.world.clock.time - startedAt;
+    CHECK(pooled.timeInManager > Duration::zero());
+    CHECK(pooled.timeInManager <= elapsed / 5);
+    site.world.leaderClock.readingTime = {};
+    site.run(seconds(120));
+    CHECK(site.leader.store.waves().at(1).isComplete());
+}
--- a/tests/jobs/pooled_site.h
+++ b/tests/jobs/pooled_site.h
@@ -135,7 +135,7 @@
     {
         InstanceManagerDesc desc { true, seconds(2), milliseconds(1500), 60, site.world.features };
         manager = std::make_unique<InstanceManager>(
-            desc, ++term, site.leader.store, *site.leader.dispatcher, platform, [this](const Command& command) { site.leader.propose(command); }, [this] { return authorityEndsAt; }, site.world.clock, log);
+            desc, ++term, site.leader.store, *site.leader.dispatcher, platform, [this](const Command& command) { site.leader.propose(command); }, [this] { return authorityEndsAt; }, site.world.leaderClock, log);
     }
 
     void changeLeader()
@@ -147,7 +147,9 @@
 
     void tick()
     {
+        auto startedAt = site.world.clock.time;
         manager->tick();
+        timeInManager += site.world.clock.time - startedAt;
         site.world.eventQueue.after(milliseconds(10), [this] { tick(); });
     }
 
@@ -163,6 +165,7 @@
     TimePoint authorityEndsAt = TimePoint::max();
     uint64_t term = 0;
     std::unique_ptr<InstanceManager> manager;
+    Duration timeInManager {};
 };
 
 } // namespace vanillalift::sim
