Keep the pending jobs of each queue instead of counting all jobs

They are now kept in a set for each queue, with those that are placed but not confirmed in another one.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -81,6 +81,7 @@
                     auto* session = findSession(it.endpoint);
                     if (!session) {
                         m_pendingEnds.push_back({ key, RunEnd::Lost, "" });
+                        notePlacement(job);
                         continue;
                     }
                     auto& run = addRun(*session, job, key);
@@ -635,6 +636,7 @@
 {
     logJobEnd(job);
     m_plans.erase(job.serial);
+    m_unconfirmedJobs.erase(job.serial);
     m_advice.erase(m_advice.lower_bound({ job.serial, 0, 0, 0 }), m_advice.lower_bound({ job.serial + 1, 0, 0, 0 }));
     m_restartAt.erase(m_restartAt.lower_bound({ job.serial, 0, 0, 0 }), m_restartAt.lower_bound({ job.serial + 1, 0, 0, 0 }));
     if (job.placementCount == 0)
@@ -647,6 +649,13 @@
     }
 }
 
+void Dispatcher::notePlacement(const Job& job)
+{
+    auto plan = m_plans.find(job.serial);
+    if (plan != m_plans.end() && !plan->second.hasConfirmedRun && !job.hasRun)
+        m_unconfirmedJobs.insert(job.serial);
+}
+
 void Dispatcher::onRunPlaced(Job& job, const RunKey& key, const std::string& endpoint)
 {
     auto plan = m_plans.find(job.serial);
@@ -654,6 +663,7 @@
         plan->second.resolveProposal(key);
         plan->second.isDirty = true;
     }
+    notePlacement(job);
     auto* session = findSession(endpoint);
     auto* run = session ? findRun(*session, key) : nullptr;
     if (!run) {
@@ -680,6 +690,8 @@
         plan->second.resolveProposal(run.run);
         plan->second.isDirty = true;
     }
+    if (job.hasRun)
+        m_unconfirmedJobs.erase(job.serial);
     auto* session = findSession(endpoint);
     if (session)
         eraseRun(*session, run.run);
--- a/src/jobs/dispatcher_p.h
+++ b/src/jobs/dispatcher_p.h
@@ -325,6 +325,8 @@
     void handleReportedEnd(EndpointSession& session, const EndedRunReport& report);
     void resolveMissingRun(EndpointSession& session, Run& run, TimePoint sentAt);
     void sendStart(EndpointSession& session, Run& run);
+    /// Notes that a task of the job was placed: it remains pending until a start is confirmed.
+    void notePlacement(const Job& job);
     /// Records that the run has certainly started.
     void confirmStart(const Run& run);
     /// @returns how a run has ended whose endpoint or lease has: it counts as not started if no start was confirmed.
@@ -481,6 +483,8 @@
     /// EndpointSession::unstableUntil by address.
     std::map<std::string, TimePoint> m_unstableUntil;
     std::map<uint64_t, JobPlan> m_plans;
+    /// Active jobs that were placed and have no confirmed start yet.
+    std::set<uint64_t> m_unconfirmedJobs;
     std::map<std::string, PlacementState> m_placementStates;
     PacedInterval m_placementPace;
     std::map<std::string, Resources> m_workspaceUsage;
--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -493,8 +493,10 @@
 void Dispatcher::confirmStart(const Run& run)
 {
     auto plan = m_plans.find(run.key.task.job);
-    if (plan != m_plans.end())
-        plan->second.hasConfirmedRun = true;
+    if (plan == m_plans.end())
+        return;
+    plan->second.hasConfirmedRun = true;
+    m_unconfirmedJobs.erase(run.key.task.job);
 }
 
 RunEnd Dispatcher::endWithoutReport(const Run& run)
@@ -505,10 +507,9 @@
 
 size_t Dispatcher::pendingJobCount(std::string_view queue) const
 {
-    auto unconfirmed = std::count_if(m_plans.begin(), m_plans.end(), [&](const auto& it) {
-        const auto& job = *it.second.job;
-        bool isUnconfirmed = job.hasStarted && !job.hasRun && !it.second.hasConfirmedRun;
-        return isUnconfirmed && job.spec.occurrences == 0 && job.queue.name == queue;
+    auto unconfirmed = std::count_if(m_unconfirmedJobs.begin(), m_unconfirmedJobs.end(), [&](uint64_t serial) {
+        const auto& job = *m_plans.at(serial).job;
+        return job.hasStarted && job.spec.occurrences == 0 && job.queue.name == queue;
     });
     return m_store.pendingJobCount(queue) + static_cast<size_t>(unconfirmed);
 }
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -207,6 +207,7 @@
     auto& added = *job;
     m_jobsById[added.spec.id] = &added;
     m_jobs[added.serial] = std::move(job);
+    updatePending(added);
     if (m_jobListener)
         m_jobListener(added);
     if (m_observer)
@@ -224,6 +225,7 @@
 {
     job.phase = phase;
     job.finishedAtMs = atMs;
+    updatePending(job);
     job.spec.payload.clear();
     job.spec.payload.shrink_to_fit();
     if (m_observer)
@@ -246,6 +248,7 @@
         task->placements.push_back({ it.run.number, it.endpoint });
         job->hasStarted = true;
         job->placementCount++;
+        updatePending(*job);
         if (m_observer)
             m_observer->onRunPlaced(*job, it.run, it.endpoint);
     }
@@ -272,6 +275,7 @@
     job->placementCount--;
     job->hasRun = job->hasRun || run.end != RunEnd::NotStarted;
     job->hasStarted = job->hasRun || job->placementCount > 0;
+    updatePending(*job);
     if (!run.checkpoint.empty())
         recordCheckpoint(*job, run);
     if (run.end == RunEnd::Failed)
@@ -521,10 +525,20 @@
 
 size_t JobStore::pendingJobCount(std::string_view queue) const
 {
-    return static_cast<size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto& it) {
-        const auto& job = *it.second;
-        return job.isActive() && !job.hasStarted && job.spec.occurrences == 0 && job.queue.name == queue;
-    }));
+    auto it = m_pendingJobs.find(queue);
+    return it == m_pendingJobs.end() ? 0 : it->second.size();
+}
+
+void JobStore::updatePending(const Job& job)
+{
+    bool isPending = job.isActive() && !job.hasStarted && job.spec.occurrences == 0;
+    if (isPending) {
+        m_pendingJobs[job.queue.name].insert(job.serial);
+        return;
+    }
+    auto it = m_pendingJobs.find(job.queue.name);
+    if (it != m_pendingJobs.end() && it->second.erase(job.serial) > 0 && it->second.empty())
+        m_pendingJobs.erase(it);
 }
 
 std::vector<std::string> JobStore::jobsFinishedBefore(int64_t wallMs, size_t maxCount) const
@@ -578,10 +592,12 @@
     next().get().convert(count);
     m_jobs.clear();
     m_jobsById.clear();
+    m_pendingJobs.clear();
     for (; count > 0; count--) {
         auto job = std::make_unique<Job>();
         next().get().convert(*job);
         m_jobsById[job->spec.id] = job.get();
+        updatePending(*job);
         m_jobs[job->serial] = std::move(job);
     }
     m_suspects.clear();
--- a/src/jobs/job_store_p.h
+++ b/src/jobs/job_store_p.h
@@ -371,6 +371,8 @@
     void markDone(Job& job, const TaskKey& key, int64_t endedAtMs);
     void countFailure(Job& job, Task& task, const RunKey& run, int64_t endedAtMs);
     void finish(Job& job, JobPhase phase, int64_t atMs);
+    /// Called when something has changed that decides whether the job is pending.
+    void updatePending(const Job& job);
 
     StoreObserver* m_observer = nullptr;
     std::function<void(const Job&)> m_jobListener;
@@ -383,6 +385,8 @@
     mutable bool m_isInstanceIndexStale = true;
     std::map<uint64_t, std::unique_ptr<Job>> m_jobs;
     std::unordered_map<std::string, Job*> m_jobsById;
+    /// Serial numbers of the jobs that pendingJobCount() counts, by queue.
+    std::map<std::string, std::set<uint64_t>, std::less<>> m_pendingJobs;
     std::map<uint64_t, WaveState> m_waves;
     std::map<std::string, ReplicaInfo> m_replicas;
     std::map<IncarnationKey, SuspectRuns> m_suspects;
--- a/tests/jobs/job_store_test.cpp
+++ b/tests/jobs/job_store_test.cpp
@@ -3,6 +3,9 @@
 #include "jobs/job_store_p.h"
 #include "policy/job_estimate_p.h"
 
+#include <array>
+#include <random>
+
 using namespace vanillalift::jobs;
 
 namespace {
@@ -276,6 +279,41 @@
     CHECK(f.store.pendingJobCount("q") == 1);
 }
 
+// Guards against a number of pending jobs that drifts from the jobs themselves, as it is kept beside them.
+TEST_CASE("the number of pending jobs is that of the jobs that are pending, whatever happens to them", "[store]")
+{
+    Fixture f;
+    std::mt19937 random(17);
+    auto draw = [&](size_t n) { return std::uniform_int_distribution<size_t>(0, n - 1)(random); };
+    std::vector<uint64_t> serials;
+    std::map<uint64_t, uint32_t> runs;
+    for (int n = 0; n < 4000; n++) {
+        if (serials.empty() || draw(5) == 0)
+            serials.push_back(f.submit(makeSpec("j" + std::to_string(serials.size()), { 1 })));
+        auto serial = serials[draw(serials.size())];
+        TaskKey task { serial, 0, 0, 0 };
+        constexpr std::array ends { RunEnd::Done, RunEnd::Failed, RunEnd::NotStarted, RunEnd::NotStarted, RunEnd::Lost };
+        switch (draw(4)) {
+        case 0:
+            f.place(task, ++runs[serial]);
+            break;
+        case 1:
+            f.end(task, runs[serial], ends.at(draw(ends.size())));
+            break;
+        case 2:
+            if (draw(8) == 0)
+                f.apply(CancelJob { "j" + std::to_string(draw(serials.size())), 5 });
+            break;
+        default:
+            if (draw(20) == 0)
+                f.store.restore(f.store.snapshot());
+        }
+        const auto& jobs = f.store.jobs();
+        auto expected = std::count_if(jobs.begin(), jobs.end(), [](const auto& it) { return it.second->isActive() && !it.second->hasStarted; });
+        REQUIRE(f.store.pendingJobCount("q") == static_cast<size_t>(expected));
+    }
+}
+
 TEST_CASE("a wave is complete once maintenance of each instance has started, with duplicates ignored", "[store]")
 {
     Fixture f;
