Visit runs and maintained instances only where something is due

The leader went through all runs of all endpoints twice in each tick of 10 ms, once more in each plan of the pools, and described instances of a wave as fully after their maintenance as before. Each controller went through all heartbeats it holds in each tick.

Runs are now visited for requests only where one is due, pools and waves use sums that sessions keep, and an instance whose maintenance has started is only asked whether it is down. Heartbeats are repeated every 50 ms. Decisions are the same but for that.

The tests of the dispatcher, pools and waves are unchanged.

--- a/src/jobs/dispatcher_requests.cpp
+++ b/src/jobs/dispatcher_requests.cpp
@@ -79,6 +79,10 @@
 
 void Dispatcher::sendDueRequests(EndpointSession& session, TimePoint now)
 {
+    // Most runs need no request.
+    bool isAnyDue = std::any_of(session.runs.begin(), session.runs.end(), [&](const auto& it) { return it.second.isRequestDue(now); });
+    if (!isAnyDue)
+        return;
     // Stop requests go first: other tasks may be waiting for the capacity.
     for (bool isStopPass : { true, false }) {
         for (auto it = session.runs.begin(); it != session.runs.end();) {
@@ -98,7 +102,7 @@
 
 void Dispatcher::sendDueRequest(EndpointSession& session, Run& run, TimePoint now)
 {
-    if (run.isRequestPending || now < run.nextRunRequestAt || !session.isReconciled || session.isSuperseded)
+    if (!run.isRequestDue(now) || !session.isReconciled || session.isSuperseded)
         return;
     bool isStarting = run.phase == RunPhase::Starting;
     // A repeated start asks again: if the endpoint drains or is evacuated, or its capacity has shrunk since the task was placed, it is
@@ -116,10 +120,9 @@
             sendStart(session, run);
         return;
     }
-    if (isStarting || (run.phase == RunPhase::Running && run.mustStop))
+    if (isStarting || run.mustStop)
         return sendStop(session, run);
-    if (run.phase == RunPhase::Running && run.speedPercent != run.targetSpeedPercent && !run.isThrottlePending)
-        sendThrottle(session, run);
+    sendThrottle(session, run);
 }
 
 bool Dispatcher::hasCapacityForStarts(const EndpointSession& session) const
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -88,6 +88,13 @@
     /// Since when every report in this leader's term has shown the run available; the epoch if the newest did not.
     TimePoint availableSince;
 
+    /// @returns whether a start, stop or throttle request has to be sent.
+    [[nodiscard]] bool isRequestDue(TimePoint now) const
+    {
+        bool isThrottleDue = speedPercent != targetSpeedPercent && !isThrottlePending;
+        bool isNeeded = phase == RunPhase::Starting || (phase == RunPhase::Running && (mustStop || isThrottleDue));
+        return isNeeded && !isRequestPending && now >= nextRunRequestAt;
+    }
     /// @returns whether the newest report proves that the run is available: a run that an earlier leader has asked to stop is
     /// still reported for a while, and an old report proves nothing.
     [[nodiscard]] bool isConfirmedAvailable(TimePoint now) const;
@@ -132,6 +139,8 @@
     /// Number of these runs under whose tasks endpoints may have crashed, and of all of them.
     uint32_t suspectRuns = 0;
     uint32_t liveRuns = 0;
+    /// Number of these runs that are long-running.
+    uint32_t longRunningRuns = 0;
     /// No start is to be added until then: an isolated task has just been started, or is to be started.
     TimePoint reservedUntil;
     /// Room that is kept for a large task, and from when there may be another one after it was given up.
--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -184,25 +184,24 @@
     bool wasRequested = progress.isRequested || wave.isRequested(name);
     described.isMaintenanceStarted = isMaintained || wasRequested;
     described.isDown = (isMaintained && !progress.hasReturned) || (wasRequested && !isMaintained);
+    if (described.isMaintenanceStarted)
+        return described;
     described.isBlocked = known != m_instances.end() && known->second.instance.state != InstanceState::Up && known->second.instance.state != InstanceState::Down;
     const auto* pool = known == m_instances.end() ? nullptr : m_store.catalog().serviceNamed(known->second.instance.pool);
     described.isSpare = pool && pool->isSpare;
-    described.isEvacuated = known != m_instances.end() && isEvacuated(known->second, sessionOf(name));
+    const auto* session = sessionOf(name);
+    described.isEvacuated = known != m_instances.end() && isEvacuated(known->second, session);
     described.isDraining = progress.drainingSince != TimePoint {};
     described.drainingSince = progress.drainingSince;
     described.isHeld = m_clock.now() < progress.heldUntil;
-    if (const auto* session = sessionOf(name)) {
-        for (const auto& [key, run] : session->runs) {
-            if (run.phase == RunPhase::Ended)
-                continue;
-            described.runs++;
-            described.runsOfLongRunningTasks += run.isLongRunning ? 1 : 0;
-        }
-        auto capacity = session->endpoint.capacity.cpu;
-        described.load = capacity > 0 ? static_cast<double>(session->used.cpu) / static_cast<double>(capacity) : 0;
-        if (described.isDraining && !described.isMaintenanceStarted)
-            describeDrain(described, progress, *session);
-    }
+    if (!session)
+        return described;
+    described.runs = session->liveRuns;
+    described.runsOfLongRunningTasks = session->longRunningRuns;
+    auto capacity = session->endpoint.capacity.cpu;
+    described.load = capacity > 0 ? static_cast<double>(session->used.cpu) / static_cast<double>(capacity) : 0;
+    if (described.isDraining)
+        describeDrain(described, progress, *session);
     return described;
 }
 
--- a/src/node/controller.cpp
+++ b/src/node/controller.cpp
@@ -24,6 +24,8 @@
     constexpr uint64_t initialTerm = 1;
     constexpr std::chrono::milliseconds tickInterval { 10 };
     constexpr std::chrono::milliseconds joinInterval { 400 };
+    /// Short compared to an election: a new leader starts nothing on an endpoint before it has a heartbeat of it.
+    constexpr std::chrono::milliseconds heartbeatRepeatInterval { 50 };
     constexpr std::chrono::milliseconds housekeepingInterval { 500 };
 
     std::string generateStorageId()
@@ -159,6 +161,7 @@
 void Controller::repeatHeartbeats()
 {
     auto now = m_clock.now();
+    m_nextRepeatAt = now + heartbeatRepeatInterval;
     m_heartbeats.prune(now - m_desc.maxCapacityReportAge);
     if (!m_leaderClient.hasLeader())
         return;
@@ -392,7 +395,8 @@
         sendStatus();
     if (now >= m_nextJoinAt)
         joinGroup();
-    repeatHeartbeats();
+    if (now >= m_nextRepeatAt)
+        repeatHeartbeats();
     if (now >= m_nextHousekeepingAt && hasLeaderAuthority()) {
         m_nextHousekeepingAt = now + housekeepingInterval;
         removeReplacedReplica();
--- a/src/node/controller_p.h
+++ b/src/node/controller_p.h
@@ -123,6 +123,7 @@
     uint64_t m_leaderTerm = 0;
     TimePoint m_nextStatusAt;
     TimePoint m_nextJoinAt;
+    TimePoint m_nextRepeatAt;
     TimePoint m_nextHousekeepingAt;
     TimePoint m_nextTickAt;
     TimePoint m_nextLoadLogAt;
