--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -193,7 +193,7 @@
     session.used += run.need;
     session.usedByLongRunning += run.isLongRunning ? run.need : Resources {};
     session.liveRuns++;
-    session.longRunningRuns += run.isLongRunning ? 1 : 0;
+    session.runsOfLongRunningTasks += run.isLongRunning ? 1 : 0;
     session.suspectRuns += run.crashes > 0 ? 1 : 0;
     recordStart(session, run);
     session.latencySensitiveRuns += run.latencyTargetMs != 0 ? 1 : 0;
@@ -213,7 +213,7 @@
     session.used -= run.need;
     session.usedByLongRunning -= run.isLongRunning ? run.need : Resources {};
     session.liveRuns--;
-    session.longRunningRuns -= run.isLongRunning ? 1 : 0;
+    session.runsOfLongRunningTasks -= run.isLongRunning ? 1 : 0;
     session.suspectRuns -= run.crashes > 0 ? 1 : 0;
     session.latencySensitiveRuns -= run.latencyTargetMs != 0 ? 1 : 0;
     session.bestEffortRuns -= run.isBestEffort ? 1 : 0;
@@ -611,7 +611,7 @@
         counts[m_store.queueOf(job).service]++;
     }
     for (const auto& [id, session] : m_sessions) {
-        if (session->liveRuns > session->longRunningRuns)
+        if (session->liveRuns > session->runsOfLongRunningTasks)
             loads[session->endpoint.service].running += session->used - session->usedByLongRunning;
     }
     addReadyNeeds(loads);
--- a/src/jobs/endpoint_session_p.h
+++ b/src/jobs/endpoint_session_p.h
@@ -140,7 +140,7 @@
     uint32_t suspectRuns = 0;
     uint32_t liveRuns = 0;
     /// Number of these runs that are long-running.
-    uint32_t longRunningRuns = 0;
+    uint32_t runsOfLongRunningTasks = 0;
     /// No start is to be added until then: an isolated task has just been started, or is to be started.
     TimePoint reservedUntil;
     /// Room that is kept for a large task, and from when there may be another one after it was given up.
--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -197,7 +197,7 @@
     if (!session)
         return described;
     described.runs = session->liveRuns;
-    described.runsOfLongRunningTasks = session->longRunningRuns;
+    described.runsOfLongRunningTasks = session->runsOfLongRunningTasks;
     auto capacity = session->endpoint.capacity.cpu;
     described.load = capacity > 0 ? static_cast<double>(session->used.cpu) / static_cast<double>(capacity) : 0;
     if (described.isDraining)
