Bound the pause after a pass that took long

Found on reading over: a leader whose process is stopped during a pass, as on a suspended machine, takes the time for that of the pass. After 7 s it would have placed nothing for 28 s and moved no instance for 35 s, unless another controller leads by then.

The next pass follows after 0.5 s for placement and 1 s for instances at the latest, which still spaces passes of up to 125 and 200 ms by their share.

--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -21,9 +21,8 @@
     /// Time without waiting tasks after which pools may ask for instances for deferred jobs: twice the time that an
     /// instance takes to move, since it may have to go back.
     constexpr std::chrono::milliseconds quietPeriod { 3000 };
-    /// Largest share of the thread's time for placement: what a pass takes grows with what waits, and the same thread starts what is
-    /// placed.
-    constexpr double maxPlacementShare = 0.25;
+    /// What a pass of placement takes grows with what waits, and the same thread starts what is placed.
+    constexpr PacedIntervalDesc placementPace { Duration::zero(), std::chrono::milliseconds(500), 0.25 };
 
 } // namespace
 
@@ -43,7 +42,7 @@
     , m_adviceService(advice)
     , m_log(log)
     , m_startedAt(clock.now())
-    , m_placementPace(Duration::zero(), maxPlacementShare)
+    , m_placementPace(placementPace)
 {
     restoreState();
     m_store.setObserver(this);
--- a/src/jobs/instance_manager.cpp
+++ b/src/jobs/instance_manager.cpp
@@ -11,10 +11,9 @@
 
 namespace {
 
-    /// Planning the waves takes longer than a tick of the controller and is not urgent, so it does not run on each one.
-    constexpr std::chrono::milliseconds tickInterval { 50 };
-    /// Largest share of the thread's time for instances: what a pass takes grows with the fleet, and the same thread starts the tasks.
-    constexpr double maxTimeShare = 0.2;
+    /// Planning the waves takes longer than a tick of the controller and is not urgent, so it does not run on each one. What a pass takes
+    /// grows with the fleet, and the same thread starts the tasks.
+    constexpr PacedIntervalDesc updatePace { std::chrono::milliseconds(50), std::chrono::milliseconds(1000), 0.2 };
     /// List requests while a wave is open: they show when an instance is up again. Each call is billed.
     constexpr std::chrono::milliseconds listInterval { 800 };
     /// Added while no wave is open: the list then only shows which instances are spare.
@@ -56,7 +55,7 @@
     , m_clock(clock)
     , m_log(log)
     , m_startedAt(clock.now())
-    , m_pace(tickInterval, maxTimeShare)
+    , m_pace(updatePace)
     , m_tokensUpdatedAt(clock.now())
 {
     // Before the first placement of this term: the platform may still carry out what an earlier leader has requested.
--- a/src/policy/paced_interval_p.h
+++ b/src/policy/paced_interval_p.h
@@ -6,14 +6,19 @@
 
 namespace vanillalift::jobs {
 
-/// Spaces periodic work so that it takes at most a share of the time of its thread, however long one pass of it takes.
+struct PacedIntervalDesc {
+    /// Shortest and longest time from the start of one pass to the next. A pass seems long if the process is stopped during it.
+    Duration minInterval {};
+    Duration maxInterval {};
+    /// Largest share of the thread's time, above 0 and up to 1; exceeded only by passes that are too long for the longest interval.
+    double maxShare = 1;
+};
+
+/// Spaces periodic work so that it takes at most a share of the time of its thread, whatever one pass of it takes.
 class PacedInterval {
 public:
-    /// @param minInterval shortest time from the start of one pass to the next.
-    /// @param maxShare share of the time, above 0 and up to 1.
-    PacedInterval(Duration minInterval, double maxShare)
-        : m_minInterval(minInterval)
-        , m_maxShare(maxShare)
+    explicit PacedInterval(const PacedIntervalDesc& desc)
+        : m_desc(desc)
     {
     }
 
@@ -21,12 +26,12 @@
     /// Sets when the next pass is due.
     void recordPass(TimePoint startedAt, TimePoint endedAt)
     {
-        m_nextAt = startedAt + std::max(m_minInterval, std::chrono::duration_cast<Duration>((endedAt - startedAt) / m_maxShare));
+        auto spaced = std::chrono::duration_cast<Duration>((endedAt - startedAt) / m_desc.maxShare);
+        m_nextAt = startedAt + std::clamp(spaced, m_desc.minInterval, m_desc.maxInterval);
     }
 
 private:
-    Duration m_minInterval;
-    double m_maxShare;
+    PacedIntervalDesc m_desc;
     TimePoint m_nextAt;
 };
 
