--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the crashes.
+# Ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: all submissions can be done.
 exec python3 -B "$(dirname "$0")/case.py"
