End all processes of a case whose script is stopped

Cause: a script that gets SIGTERM left its controllers running, and case 11 could restart one while it ended.

--- a/review/site3.py
+++ b/review/site3.py
@@ -283,6 +283,8 @@
 def play(case, scenario, **site_options):
     """Runs a scenario: a function of the site that returns what broke the rule, or None. Ends the process."""
     site = Site(case, **site_options)
+    # A script that is told to stop ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     status = 2
     try:
         fault = scenario(site)
