--- a/review/executor3.py
+++ b/review/executor3.py
@@ -194,11 +194,15 @@
 def send_pings():
     sequence = 0
     named = None
+    was_acked = False
     while True:
         for address in ([named] if named else []) + SETTINGS["controls"]:
             sequence += 1
             is_acked, next_address = ping(sequence, address)
             if is_acked:
+                if not was_acked:
+                    record("ping-acked", labels=SETTINGS["labels"])
+                was_acked = True
                 named = next_address or named
                 break
             named = None
